--- /dev/null
+++ b/crates/limehollow-controller/src/control.rs
@@ -0,0 +1,416 @@
+//! The control thread: it owns all state, takes in events and gives out calls.
+
+use crate::event::Event;
+use crate::gossip::Gossip;
+use crate::io::Io;
+use crate::metrics::Metrics;
+use crate::settings::ControllerSettings;
+use limehollow::id::{Incarnation, Offset, VmName, ZoneName};
+use limehollow::lease::{DEFAULT_STAGGER, LeaseWatch};
+use limehollow::listing::{Listed, ListedKind};
+use limehollow::membership::Liveness;
+use limehollow::order::{Command, Driver};
+use limehollow::record::Record;
+use limehollow::replay::{Applied, Replay, SNAPSHOT_EVERY};
+use limehollow_edge::admin::Readiness;
+use limehollow_edge::follow::Batch;
+use limehollow_wire::peer::{ClaimFate, Digest, Reply, Request};
+use limehollow_wire::record::{encode, encode_snapshot};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, interval};
+
+const TICK: Duration = Duration::from_millis(100);
+const GOSSIP_EVERY: Duration = Duration::from_secs(1);
+const APPEND_PAUSE: Duration = Duration::from_millis(500);
+const WATCH_EVERY: Duration = Duration::from_millis(500);
+
+/// What an append that is under way keeps the driver waiting for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waiting {
+    /// Nothing: the driver may decide.
+    Nothing,
+    /// The append's answer.
+    Answer,
+    /// The log has to be read up to this offset.
+    Read(Offset),
+    /// The append's fate isn't known: the log has to be read to its end by a read that began after
+    /// this time.
+    End(Instant),
+}
+
+/// All state of a controller.
+#[derive(Debug)]
+pub struct Control {
+    settings: ControllerSettings,
+    incarnation: Incarnation,
+    zone: ZoneName,
+    replay: Replay,
+    lease: LeaseWatch,
+    gossip: Gossip,
+    driver: Driver,
+    io: Io,
+    metrics: Metrics,
+    ready: watch::Sender<Readiness>,
+    list: Vec<Listed>,
+    waiting: Waiting,
+    next_append: Instant,
+    next_gossip: Instant,
+    next_watch: Instant,
+    /// Whether the log was read to its end, or a peer's state was taken over.
+    caught_up: bool,
+    log_failing: bool,
+    was_holder: bool,
+    /// The offset at which the last snapshot of this process was appended.
+    snapshot_at: Offset,
+}
+
+impl Control {
+    /// Makes the state of a controller that starts now.
+    #[must_use]
+    pub fn new(
+        settings: ControllerSettings,
+        incarnation: Incarnation,
+        io: Io,
+        metrics: Metrics,
+        ready: watch::Sender<Readiness>,
+    ) -> Self {
+        let now = Instant::now();
+        let zone = ZoneName::from(settings.availability_zone.as_str());
+        let me = VmName::from(settings.name.as_str());
+        let rng = StdRng::seed_from_u64(incarnation);
+        let seeds = settings.seed_peers.clone();
+        let ttl = Duration::from_millis(settings.rules.lease_ttl_ms);
+        Self {
+            lease: LeaseWatch::new(zone.clone(), me.clone(), incarnation)
+                .with_times(ttl, DEFAULT_STAGGER),
+            gossip: Gossip::new(now, zone.clone(), me.clone(), incarnation, seeds, rng),
+            driver: Driver::new(zone.clone(), me, incarnation, settings.rules.into()),
+            settings,
+            incarnation,
+            zone,
+            replay: Replay::default(),
+            io,
+            metrics,
+            ready,
+            list: Vec::new(),
+            waiting: Waiting::Nothing,
+            next_append: now,
+            next_gossip: now,
+            next_watch: now,
+            caught_up: false,
+            log_failing: false,
+            was_holder: false,
+            snapshot_at: Offset(0),
+        }
+    }
+
+    /// Runs until told to stop.
+    pub async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        for seed in self.settings.seed_peers.clone() {
+            self.io.ask_state(seed);
+        }
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    None | Some(Event::Stop) => return,
+                    Some(e) => self.take(e),
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Log(batch) => self.on_log(now, batch),
+            Event::List(listing) => {
+                let Some(listing) = listing else { return };
+                self.gossip.on_list(&listing.rows);
+                self.driver.on_list(now, listing.rows.clone());
+                self.list = listing.rows;
+            }
+            Event::Looked(vm, look) => {
+                if let Some(l) = &look {
+                    self.gossip.on_look(&vm, l);
+                }
+                self.driver.on_look(now, &vm, look);
+            }
+            Event::Fenced(vm, number, agreed) => self.driver.on_fenced(now, &vm, number, agreed),
+            Event::Sent(order, res) => self.driver.on_sent(now, order, res),
+            Event::Appended(Ok(last)) => {
+                // The log may have been read up to there before the answer came.
+                let read = self.replay.fleet().next_offset() > last;
+                self.waiting = if read {
+                    Waiting::Nothing
+                } else {
+                    Waiting::Read(last)
+                };
+            }
+            Event::Appended(Err(at)) => {
+                self.waiting = Waiting::End(at);
+                self.next_append = now + APPEND_PAUSE;
+            }
+            Event::Asked(req, reply) => {
+                // A peer that no longer waits for its reply needs none.
+                let _gone = reply.send(self.answer(now, req));
+            }
+            Event::Heard(digest) => self.gossip.on_digest(now, digest),
+            Event::PeerState(state) => self.on_peer_state(now, state),
+            Event::Dump(reply) => {
+                let _gone = reply.send(self.dump(now));
+            }
+            Event::Stop => {}
+        }
+    }
+
+    fn on_log(&mut self, now: Instant, batch: Option<Batch>) {
+        let Some(batch) = batch else {
+            self.metrics.log_failures.inc();
+            if !self.log_failing {
+                tracing::warn!("the log can't be read; what is in force stays in force");
+            }
+            self.log_failing = true;
+            return;
+        };
+        if self.log_failing {
+            tracing::info!("the log can be read again");
+            self.log_failing = false;
+        }
+        for entry in batch.entries {
+            self.metrics.records.inc();
+            let applied = self.replay.feed(entry);
+            self.note(applied);
+        }
+        let next = self.replay.fleet().next_offset();
+        let at_end = next >= batch.end && !self.replay.has_gap();
+        self.caught_up |= at_end;
+        self.waiting = match self.waiting {
+            Waiting::Read(last) if next > last => Waiting::Nothing,
+            Waiting::End(since) if batch.began >= since && at_end => Waiting::Nothing,
+            w => w,
+        };
+        self.decide(now);
+    }
+
+    fn note(&mut self, applied: Vec<Applied>) {
+        for (offset, res) in applied {
+            if let Err(e) = res {
+                self.metrics.void_records.inc();
+                tracing::debug!(%offset, error = %e, "void record");
+            }
+        }
+    }
+
+    fn on_peer_state(
+        &mut self,
+        now: Instant,
+        state: Option<(Offset, Box<limehollow::fleet::Fleet>)>,
+    ) {
+        let Some((next, fleet)) = state else { return };
+        let applied = self.replay.adopt_and_release(next, *fleet);
+        self.note(applied);
+        // The state counts as complete only if no live peer is known to be further.
+        let highest = self.gossip.members.highest_next(now);
+        self.caught_up |= !self.replay.has_gap() && self.replay.fleet().next_offset() >= highest;
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let next = self.replay.fleet().next_offset();
+        if now >= self.next_gossip {
+            self.next_gossip = now + GOSSIP_EVERY;
+            self.gossip.tick(now, next);
+            for peer in self.gossip.choose_peers() {
+                let digest = self.gossip.digest(now);
+                self.io.gossip(peer, digest);
+            }
+            self.ask_for_state();
+        }
+        if now >= self.next_watch {
+            self.next_watch = now + WATCH_EVERY;
+            self.watch_loads(now);
+        }
+        self.decide(now);
+        self.show();
+    }
+
+    /// Asks a peer for the state while the log's beginning is missing or out of reach.
+    fn ask_for_state(&mut self) {
+        if self.caught_up && !self.replay.has_gap() {
+            return;
+        }
+        if let Some(peer) = self.gossip.choose_peers().pop() {
+            self.io.ask_state(peer);
+        }
+    }
+
+    /// Looks at the endpoints that this controller watches, unless the driver does so anyway.
+    fn watch_loads(&mut self, now: Instant) {
+        if self.lease.is_mine(self.replay.fleet()) {
+            return;
+        }
+        let own = |l: &&Listed| l.zone == self.zone && l.kind != ListedKind::Entry;
+        for l in self.list.iter().filter(own) {
+            if self.gossip.watches(now, &l.vm) {
+                self.io.look(l.vm.clone(), l.address.to_string());
+            }
+        }
+    }
+
+    /// Decides what to append and whom to call, unless an append is still in the air.
+    fn decide(&mut self, now: Instant) {
+        if self.waiting != Waiting::Nothing || !self.caught_up || self.replay.has_gap() {
+            return;
+        }
+        let mut records = Vec::new();
+        let fleet = self.replay.fleet();
+        if let Some(l) = fleet.lease(&self.zone)
+            && self.gossip.members.liveness(now, l.holder.as_str()) == Liveness::Alive
+            && self
+                .gossip
+                .members
+                .heartbeat(l.holder.as_str())
+                .is_some_and(|h| h.incarnation == l.incarnation)
+        {
+            self.lease.heard_holder(now, fleet);
+        }
+        let rank = self.gossip.members.rank(now);
+        let take = self.lease.poll(now, fleet, rank);
+        records.extend(take.map(Record::LeaseTaken));
+        for command in self.driver.step(now, fleet, &self.gossip.members) {
+            match command {
+                Command::Append(r) => records.push(r),
+                Command::Send(order) => self.io.send(order),
+                Command::Fence {
+                    endpoint,
+                    address,
+                    number,
+                } => {
+                    self.io.fence(endpoint, address.to_string(), number);
+                }
+                Command::Look { endpoint, address } => self.io.look(endpoint, address.to_string()),
+            }
+        }
+        let mut texts: Vec<String> = records.iter().map(encode).collect();
+        texts.extend(self.snapshot());
+        if texts.is_empty() || now < self.next_append {
+            return;
+        }
+        self.waiting = Waiting::Answer;
+        self.io.append(texts);
+    }
+
+    /// Gives a snapshot if one is due. The holders of later zones wait longer, so that one appends.
+    fn snapshot(&mut self) -> Option<String> {
+        let fleet = self.replay.fleet();
+        if !self.lease.is_mine(fleet)
+            || !self.replay.snapshot_is_due(self.settings.log_retention_ms)
+        {
+            return None;
+        }
+        let rank = fleet.leases().take_while(|(z, _)| **z != self.zone).count() as u64;
+        let next = fleet.next_offset();
+        let since = next.0 - self.snapshot_at.0;
+        if rank > 0 && since < SNAPSHOT_EVERY * (1 + rank) {
+            return None;
+        }
+        self.snapshot_at = next;
+        Some(encode_snapshot(fleet))
+    }
+
+    fn answer(&mut self, now: Instant, req: Request) -> Reply {
+        let next = self.replay.fleet().next_offset();
+        match req {
+            Request::Gossip(digest) => {
+                self.gossip.on_digest(now, digest);
+                // The asker has just said what it knows; it gets only what it may not know.
+                Reply::Gossip(self.gossip.digest(now))
+            }
+            Request::State => {
+                let known = self.caught_up && !self.replay.has_gap() && next > Offset(0);
+                Reply::State(known.then(|| encode_snapshot(self.replay.fleet())))
+            }
+            Request::News => Reply::News(self.gossip.news(now, next)),
+            Request::Claim { .. } => Reply::Claim(ClaimFate::Unknown),
+        }
+    }
+
+    /// Shows in metrics, readiness and logs how things stand.
+    fn show(&mut self) {
+        let fleet = self.replay.fleet();
+        let holds = self.lease.is_mine(fleet);
+        if holds != self.was_holder {
+            self.was_holder = holds;
+            let epoch = fleet.epoch(&self.zone).unwrap_or_default();
+            if holds {
+                tracing::info!(zone = %self.zone, %epoch, "took the lease");
+            } else {
+                tracing::warn!(zone = %self.zone, %epoch, "lost the lease");
+            }
+        }
+        let m = &self.metrics;
+        let gauge = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        m.holds_lease.set(i64::from(holds));
+        m.next_offset.set(gauge(fleet.next_offset().0));
+        m.moves.set(gauge(fleet.moves_done()));
+        let open = fleet.orders().filter(|(_, o)| o.settled.is_none()).count();
+        m.open_orders.set(gauge(open as u64));
+        m.missing_replicas
+            .set(gauge(fleet.missing_targets().count() as u64));
+        let ready = if self.caught_up {
+            Readiness::Ready
+        } else {
+            Readiness::Not("the configuration was not read yet".to_owned())
+        };
+        self.ready.send_if_modified(|r| {
+            let changed = *r != ready;
+            *r = ready;
+            changed
+        });
+    }
+
+    fn dump(&mut self, now: Instant) -> serde_json::Value {
+        let fleet = self.replay.fleet();
+        let holder = self.lease.is_mine(fleet);
+        let lease = fleet.lease(&self.zone);
+        let because = match lease {
+            Some(l) if holder => format!("the takeover at offset {} stands first", l.epoch),
+            Some(l) => format!("{} took the lease at offset {}", l.holder, l.epoch),
+            None => "nobody has taken the lease yet".to_owned(),
+        };
+        let peers: Vec<_> = self
+            .gossip
+            .members
+            .alive(now)
+            .map(|h| {
+                let liveness = self.gossip.members.liveness(now, h.vm.as_str());
+                json!({ "vm": h.vm, "incarnation": h.incarnation, "next": h.next,
+                        "liveness": format!("{liveness:?}") })
+            })
+            .collect();
+        let Digest { leaving, .. } = self.gossip.digest(now);
+        json!({
+            "role": "controller",
+            "name": self.settings.name,
+            "availability_zone": self.zone,
+            "incarnation": self.incarnation,
+            "offset_in_force": fleet.in_force_offset(),
+            "caught_up": self.caught_up,
+            "log_failing": self.log_failing,
+            "holds_lease": holder,
+            "lease_because": because,
+            "waiting_for": format!("{:?}", self.waiting),
+            "peers": peers,
+            "leaving": leaving,
+            "driver": format!("{:?}", self.driver),
+            "fleet": fleet,
+        })
+    }
+}
--- /dev/null
+++ b/crates/limehollow-controller/src/gossip.rs
@@ -0,0 +1,193 @@
+//! What a controller has heard of its zone's peers and endpoints, and passes on.
+
+use limehollow::id::{Incarnation, Offset, VmName, ZoneName};
+use limehollow::listing::{Listed, ListedKind, Look};
+use limehollow::load::{LoadReport, REPORT_LIFE};
+use limehollow::membership::{FANOUT, Heartbeat, Membership, watches};
+use limehollow_wire::peer::{Digest, News, WireHeartbeat, WireLoad};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use std::collections::{BTreeMap, BTreeSet};
+use tokio::time::Instant;
+
+/// How many controllers look at each endpoint for its load.
+pub const WATCHERS: usize = 2;
+/// The most load reports in one message.
+pub const MAX_LOADS: usize = 32;
+
+#[derive(Debug)]
+struct Heard {
+    incarnation: Incarnation,
+    taken: Instant,
+    report: LoadReport,
+    told: u32,
+}
+
+/// What a controller has heard.
+#[derive(Debug)]
+pub struct Gossip {
+    zone: ZoneName,
+    me: VmName,
+    /// The entry VMs of the zone.
+    pub members: Membership,
+    loads: BTreeMap<VmName, Heard>,
+    /// Entry VMs of the zone on the platform's list, with their peer addresses.
+    peers: BTreeMap<VmName, String>,
+    seeds: Vec<String>,
+    leaving: BTreeSet<VmName>,
+    rng: StdRng,
+}
+
+impl Gossip {
+    /// Starts with only this VM known.
+    #[must_use]
+    pub fn new(
+        now: Instant,
+        zone: ZoneName,
+        me: VmName,
+        incarnation: Incarnation,
+        seeds: Vec<String>,
+        rng: StdRng,
+    ) -> Self {
+        Self {
+            members: Membership::new(now, me.clone(), incarnation),
+            zone,
+            me,
+            loads: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            seeds,
+            leaving: BTreeSet::new(),
+            rng,
+        }
+    }
+
+    /// Takes in the platform's list.
+    pub fn on_list(&mut self, rows: &[Listed]) {
+        let entries = rows
+            .iter()
+            .filter(|l| l.zone == self.zone && l.kind == ListedKind::Entry);
+        self.peers = entries
+            .filter(|l| l.vm != self.me)
+            .map(|l| (l.vm.clone(), l.address.to_string()))
+            .collect();
+        let endpoints = rows.iter().filter(|l| l.kind != ListedKind::Entry);
+        self.leaving = endpoints
+            .filter(|l| l.leaving)
+            .map(|l| l.vm.clone())
+            .collect();
+    }
+
+    /// Takes in a look at an endpoint.
+    pub fn on_look(&mut self, vm: &VmName, look: &Look) {
+        self.merge_load(vm.clone(), look.incarnation, look.began, look.load);
+    }
+
+    /// Takes in what a peer has heard.
+    pub fn on_digest(&mut self, now: Instant, d: Digest) {
+        for h in d.heartbeats {
+            if let Ok(h) = Heartbeat::try_from(h) {
+                self.members.merge(now, h);
+            }
+        }
+        for l in d.loads {
+            let age = std::time::Duration::from_millis(u64::from(l.age_ms));
+            let Some(taken) = now.checked_sub(age) else {
+                continue;
+            };
+            self.merge_load(l.vm.as_str().into(), l.incarnation, taken, l.report());
+        }
+        // News of leaving endpoints only lasts until the list is next read; then the list counts.
+        self.leaving
+            .extend(d.leaving.iter().map(|s| VmName::from(s.as_str())));
+    }
+
+    fn merge_load(&mut self, vm: VmName, incarnation: Incarnation, taken: Instant, r: LoadReport) {
+        let newer = self.loads.get(&vm).is_none_or(|h| h.taken < taken);
+        if newer {
+            self.loads.insert(
+                vm,
+                Heard {
+                    incarnation,
+                    taken,
+                    report: r,
+                    told: 0,
+                },
+            );
+        }
+    }
+
+    /// Counts up the heartbeat and forgets old reports.
+    pub fn tick(&mut self, now: Instant, next: Offset) {
+        self.members.tick(now, next);
+        self.loads
+            .retain(|_, h| now.duration_since(h.taken) < REPORT_LIFE);
+    }
+
+    /// Gives what to tell a peer: the reports that were told least, the youngest first.
+    pub fn digest(&mut self, now: Instant) -> Digest {
+        let heartbeats = self
+            .members
+            .digest(now)
+            .iter()
+            .map(WireHeartbeat::from)
+            .collect();
+        let mut rows: Vec<(&VmName, &mut Heard)> = self.loads.iter_mut().collect();
+        rows.sort_by_key(|(_, h)| (h.told, std::cmp::Reverse(h.taken)));
+        rows.truncate(MAX_LOADS);
+        let loads = rows
+            .into_iter()
+            .map(|(vm, h)| {
+                h.told += 1;
+                wire_load(now, vm, h)
+            })
+            .collect();
+        let leaving = self.leaving.iter().map(|v| v.as_str().into()).collect();
+        Digest {
+            heartbeats,
+            loads,
+            leaving,
+        }
+    }
+
+    /// Gives what the gateway of this VM wants to know.
+    #[must_use]
+    pub fn news(&self, now: Instant, next: Offset) -> News {
+        let loads = self
+            .loads
+            .iter()
+            .map(|(vm, h)| wire_load(now, vm, h))
+            .collect();
+        let leaving = self.leaving.iter().map(|v| v.as_str().into()).collect();
+        News {
+            next: next.0,
+            loads,
+            leaving,
+        }
+    }
+
+    /// Chooses the peers to speak to now; the seeds while none is known.
+    pub fn choose_peers(&mut self) -> Vec<String> {
+        let mut from: Vec<String> = self.peers.values().cloned().collect();
+        if from.is_empty() {
+            from.clone_from(&self.seeds);
+        }
+        let mut out = Vec::new();
+        while out.len() < FANOUT && !from.is_empty() {
+            let i = self.rng.random_range(0..from.len());
+            out.push(from.swap_remove(i));
+        }
+        out
+    }
+
+    /// Tells whether this controller is one of the few that look at an endpoint for its load.
+    #[must_use]
+    pub fn watches(&self, now: Instant, endpoint: &VmName) -> bool {
+        let alive: Vec<VmName> = self.members.alive(now).map(|h| h.vm.clone()).collect();
+        watches(&self.me, alive.iter(), endpoint.as_str(), WATCHERS)
+    }
+}
+
+fn wire_load(now: Instant, vm: &VmName, h: &Heard) -> WireLoad {
+    let age = u32::try_from(now.duration_since(h.taken).as_millis()).unwrap_or(u32::MAX);
+    WireLoad::new(vm, h.incarnation, age, h.report)
+}
--- /dev/null
+++ b/crates/limehollow-controller/src/io.rs
@@ -0,0 +1,183 @@
+//! Calls to the outside, on threads of their own; each ends as an event for the control thread.
+
+use crate::event::Event;
+use crate::metrics::Metrics;
+use limehollow::id::{Offset, VmName};
+use limehollow::order::Order;
+use limehollow_edge::engine::HttpEndpoints;
+use limehollow_edge::follow::{snapshot, tail};
+use limehollow_edge::log::{HttpLog, LogService};
+use limehollow_edge::members::HttpMembers;
+use limehollow_edge::peer::PeerClient;
+use limehollow_edge::{Result, peer};
+use limehollow_wire::peer::{Digest, Reply, Request, encode};
+use limehollow_wire::record::STREAM;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::time::{Instant, sleep};
+
+/// How often the platform's list is read.
+pub const LIST_EVERY: Duration = Duration::from_secs(1);
+const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+const STATE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The clients of the outside.
+#[derive(Clone, Debug)]
+pub struct Io {
+    runtime: Handle,
+    events: mpsc::Sender<Event>,
+    log: HttpLog,
+    members: HttpMembers,
+    endpoints: HttpEndpoints,
+    metrics: Metrics,
+    peers: Arc<Mutex<HashMap<String, Arc<Mutex<PeerClient>>>>>,
+}
+
+impl Io {
+    /// Makes the clients; calls run on `runtime`.
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP library can't start.
+    pub fn new(
+        runtime: Handle,
+        events: mpsc::Sender<Event>,
+        platform: &str,
+        metrics: Metrics,
+    ) -> Result<Self> {
+        Ok(Self {
+            runtime,
+            events,
+            log: HttpLog::new(platform)?,
+            members: HttpMembers::new(platform)?,
+            endpoints: HttpEndpoints::new()?,
+            metrics,
+            peers: Arc::default(),
+        })
+    }
+
+    /// Starts to follow the log, the list and the peers' requests.
+    pub fn start(&self, from: Offset, peer_address: String) {
+        let (tx, mut rx) = mpsc::channel(4);
+        self.runtime.spawn(tail(self.log.clone(), from, tx));
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            while let Some(batch) = rx.recv().await {
+                let _stopped = events.send(Event::Log(batch)).await;
+            }
+        });
+        let (members, events) = (self.members.clone(), self.events.clone());
+        self.runtime.spawn(async move {
+            loop {
+                let listing = members.list().await.ok();
+                if events.send(Event::List(listing)).await.is_err() {
+                    return;
+                }
+                sleep(LIST_EVERY).await;
+            }
+        });
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            let ask = move |req| ask_control(events.clone(), req);
+            if let Err(e) = peer::serve(&peer_address, ask).await {
+                tracing::error!(error = %e, "peers can't reach this controller");
+            }
+        });
+    }
+
+    /// Appends records together.
+    pub fn append(&self, records: Vec<String>) {
+        let (log, events, metrics) = (self.log.clone(), self.events.clone(), self.metrics.clone());
+        self.runtime.spawn(async move {
+            let count = records.len() as u64;
+            let res = log.append(STREAM, records).await;
+            let appended = match res {
+                Ok(first) => {
+                    metrics.appends.inc_by(count);
+                    Ok(Offset(first + count - 1))
+                }
+                Err(_) => {
+                    metrics.append_failures.inc();
+                    Err(Instant::now())
+                }
+            };
+            let _stopped = events.send(Event::Appended(appended)).await;
+        });
+    }
+
+    /// Looks at an endpoint.
+    pub fn look(&self, vm: VmName, address: String) {
+        let this = self.clone();
+        self.runtime.spawn(async move {
+            let look = this.endpoints.look(&vm, &address).await.ok();
+            this.metrics.looks.inc();
+            this.metrics.look_failures.inc_by(u64::from(look.is_none()));
+            let _stopped = this.events.send(Event::Looked(vm, look)).await;
+        });
+    }
+
+    /// Fences an endpoint.
+    pub fn fence(&self, vm: VmName, address: String, number: Offset) {
+        let this = self.clone();
+        self.runtime.spawn(async move {
+            let agreed = this.endpoints.fence(&address, number).await.ok();
+            let _stopped = this.events.send(Event::Fenced(vm, number, agreed)).await;
+        });
+    }
+
+    /// Sends an order.
+    pub fn send(&self, order: Order) {
+        let this = self.clone();
+        self.runtime.spawn(async move {
+            this.metrics.orders_sent.inc();
+            let res = this.endpoints.send(&order).await;
+            let _stopped = this.events.send(Event::Sent(order.number, res)).await;
+        });
+    }
+
+    /// Tells a peer what was heard.
+    pub fn gossip(&self, address: String, digest: Digest) {
+        let this = self.clone();
+        self.runtime.spawn(async move {
+            let req = Request::Gossip(digest);
+            this.metrics.gossip_sent.inc();
+            this.metrics.gossip_bytes.inc_by(encode(&req).len() as u64);
+            let client = this.peer(&address).await;
+            let reply = client.lock().await.ask(&req, PEER_TIMEOUT).await;
+            if let Ok(Reply::Gossip(d)) = reply {
+                let _stopped = this.events.send(Event::Heard(d)).await;
+            }
+        });
+    }
+
+    /// Asks a peer for its state.
+    pub fn ask_state(&self, address: String) {
+        let this = self.clone();
+        self.runtime.spawn(async move {
+            let reply = PeerClient::new(&address)
+                .ask(&Request::State, STATE_TIMEOUT)
+                .await;
+            let state = match reply {
+                Ok(Reply::State(Some(text))) => snapshot(&text).ok().flatten(),
+                _ => None,
+            };
+            let state = state.map(|(next, fleet)| (next, Box::new(fleet)));
+            let _stopped = this.events.send(Event::PeerState(state)).await;
+        });
+    }
+
+    async fn peer(&self, address: &str) -> Arc<Mutex<PeerClient>> {
+        let mut peers = self.peers.lock().await;
+        let new = || Arc::new(Mutex::new(PeerClient::new(address)));
+        Arc::clone(peers.entry(address.to_owned()).or_insert_with(new))
+    }
+}
+
+async fn ask_control(events: mpsc::Sender<Event>, req: Request) -> Option<Reply> {
+    let (tx, rx) = oneshot::channel();
+    events.send(Event::Asked(req, tx)).await.ok()?;
+    rx.await.ok()
+}
--- /dev/null
+++ b/crates/limehollow-edge/src/args.rs
@@ -0,0 +1,137 @@
+//! The command line that all daemons share.
+
+use crate::error::{Exit, Result, UsageSnafu};
+use crate::logs::Format;
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+/// What a daemon says of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Its name.
+    pub name: &'static str,
+    /// Its version.
+    pub version: &'static str,
+    /// What it is, in one sentence.
+    pub about: &'static str,
+}
+
+/// How a daemon was started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Args {
+    /// The settings file.
+    pub settings: PathBuf,
+    /// Whether only the settings are to be checked.
+    pub check: bool,
+    /// How logs are written.
+    pub log_format: Format,
+    /// What is logged: a level, or directives as `tracing` has them.
+    pub log_level: String,
+}
+
+/// What is to be done with a command line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Parsed {
+    /// Run.
+    Run(Args),
+    /// Print this and end.
+    Print(String),
+}
+
+impl Program {
+    /// Gives the text of `--help`.
+    #[must_use]
+    pub fn help(&self) -> String {
+        format!(
+            "{name} {version}\n{about}\n\n\
+             Usage: {name} --settings FILE [OPTIONS]\n\n\
+             Options:\n  \
+             -s, --settings FILE   the settings, in TOML (docs/settings.md)\n  \
+             -c, --check           check the settings and end\n      \
+             --log-format FORMAT   json or text [default: text]\n      \
+             --log-level LEVEL     error, warn, info, debug or trace [default: info]\n  \
+             -h, --help            print this and end\n  \
+             -V, --version         print the version and end\n\n\
+             Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 refused\n",
+            name = self.name,
+            version = self.version,
+            about = self.about
+        )
+    }
+
+    /// Reads a command line, without the program's own name.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::Error::Usage`] says what is wrong.
+    pub fn parse<I>(&self, args: I) -> Result<Parsed>
+    where
+        I: IntoIterator<Item = OsString>,
+    {
+        use lexopt::prelude::{Long, Short, ValueExt};
+        let mut parser = lexopt::Parser::from_args(args);
+        let mut settings = None;
+        let mut check = false;
+        let mut log_format = Format::Text;
+        let mut log_level = "info".to_owned();
+        while let Some(arg) = parser.next().map_err(usage)? {
+            match arg {
+                Short('s') | Long("settings") => {
+                    settings = Some(PathBuf::from(parser.value().map_err(usage)?));
+                }
+                Short('c') | Long("check") => check = true,
+                Long("log-format") => {
+                    let word = parser.value().map_err(usage)?.string().map_err(usage)?;
+                    log_format = Format::parse(&word)?;
+                }
+                Long("log-level") => {
+                    log_level = parser.value().map_err(usage)?.string().map_err(usage)?;
+                }
+                Short('h') | Long("help") => return Ok(Parsed::Print(self.help())),
+                Short('V') | Long("version") => {
+                    return Ok(Parsed::Print(format!("{} {}\n", self.name, self.version)));
+                }
+                _ => return Err(usage(arg.unexpected())),
+            }
+        }
+        let Some(settings) = settings else {
+            return UsageSnafu {
+                why: "--settings FILE is missing",
+            }
+            .fail();
+        };
+        Ok(Parsed::Run(Args {
+            settings,
+            check,
+            log_format,
+            log_level,
+        }))
+    }
+
+    /// Reads this process's command line; prints and gives the exit code where it ends there.
+    ///
+    /// # Errors
+    ///
+    /// The exit code to end with.
+    pub fn parse_or_exit(&self) -> Result<Args, Exit> {
+        match self.parse(std::env::args_os().skip(1)) {
+            Ok(Parsed::Run(args)) => Ok(args),
+            Ok(Parsed::Print(text)) => {
+                print!("{text}");
+                Err(Exit::Ok)
+            }
+            Err(e) => {
+                eprintln!("{}: {e}", self.name);
+                Err(Exit::from(&e))
+            }
+        }
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "it is used as a function in map_err"
+)]
+fn usage(e: lexopt::Error) -> crate::Error {
+    UsageSnafu { why: e.to_string() }.build()
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/answer.rs
@@ -0,0 +1,122 @@
+//! The answers that limehollow itself gives in place of a result.
+
+use limehollow::admission::{Reason, Refusal};
+use limehollow::verdict::Verdict;
+use poem::Response;
+use poem::http::StatusCode;
+use serde_json::json;
+use std::time::Duration;
+
+/// Says whether the request ran: `not-run` or `unknown`.
+pub const VERDICT: &str = "x-limehollow-verdict";
+/// Stands on a result that was remembered from an earlier request with the same key.
+pub const REPLAYED: &str = "x-limehollow-replayed";
+
+/// An answer in place of a result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instead {
+    /// The status code.
+    pub status: StatusCode,
+    /// The short word for programs.
+    pub code: &'static str,
+    /// The sentence for people.
+    pub message: String,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// When it is worth coming back, if ever.
+    pub retry_after: Option<Duration>,
+}
+
+impl Instead {
+    /// Makes an answer to a request that did not run and never will as it is.
+    #[must_use]
+    pub fn bad<S>(status: StatusCode, code: &'static str, message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        let (verdict, retry_after) = (Verdict::NotRun, None);
+        Self {
+            status,
+            code,
+            message: message.into(),
+            verdict,
+            retry_after,
+        }
+    }
+
+    /// Makes an answer that may be different later.
+    #[must_use]
+    pub fn later<S>(
+        status: StatusCode,
+        code: &'static str,
+        message: S,
+        verdict: Verdict,
+        after: Duration,
+    ) -> Self
+    where
+        S: Into<String>,
+    {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            verdict,
+            retry_after: Some(after),
+        }
+    }
+
+    /// Makes the answer to a refusal by admission.
+    ///
+    /// `verdict` is what is known from attempts that were made before.
+    #[must_use]
+    pub fn refused(r: &Refusal, verdict: Verdict) -> Self {
+        let (status, code, message) = match r.reason {
+            Reason::NoTarget => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unavailable",
+                "nothing serves this now",
+            ),
+            Reason::TooLate => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "deadline",
+                "the answer could not be ready by the deadline",
+            ),
+            Reason::QueueFull => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "queue_full",
+                "too many requests wait",
+            ),
+            Reason::Shed => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "shed",
+                "more important requests took the place",
+            ),
+        };
+        Self::later(status, code, message, verdict, r.retry_after)
+    }
+
+    /// Gives the body, as it also stands in a stream that is cut.
+    #[must_use]
+    pub fn body(&self) -> String {
+        let kind = if self.status.is_client_error() && self.retry_after.is_none() {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
+        json!({ "error": { "message": self.message, "type": kind, "code": self.code } }).to_string()
+    }
+
+    /// Gives the response.
+    #[must_use]
+    pub fn response(&self) -> Response {
+        let mut b = Response::builder()
+            .status(self.status)
+            .content_type("application/json")
+            .header(VERDICT, self.verdict.as_str());
+        if let Some(after) = self.retry_after {
+            let secs = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+            b = b.header("retry-after", secs.max(1).to_string());
+        }
+        b.body(self.body())
+    }
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/attempt.rs
@@ -0,0 +1,107 @@
+//! One attempt at one endpoint.
+
+use crate::request::{Ask, REQUEST_ID, pass_on, value};
+use crate::shared::Shared;
+use bytes::{Bytes, BytesMut};
+use limehollow::retry::Repeat;
+use limehollow::routing::Target;
+use limehollow::verdict::Failure;
+use limehollow_wire::engine::{NOT_RUN, PRIORITY, RESUME_FROM};
+use poem::http::{HeaderMap, StatusCode};
+use tokio::time::{Instant, timeout_at};
+
+/// The largest answer that is read whole, in bytes.
+pub const MAX_ANSWER: usize = 16 << 20;
+
+/// The head of an endpoint's answer; its body is still to be read.
+#[derive(Debug)]
+pub struct Head {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers to pass on.
+    pub headers: HeaderMap,
+    /// The rest of the answer.
+    pub body: reqwest::Response,
+    /// When the head came.
+    pub at: Instant,
+}
+
+/// Sends a request to an endpoint and reads the head of its answer.
+///
+/// `resume` is the number of tokens that were delivered before.
+///
+/// # Errors
+///
+/// What happened, from which the verdict follows.
+pub async fn head(
+    shared: &Shared,
+    ask: &Ask,
+    target: &Target,
+    resume: u32,
+) -> Result<Head, Failure> {
+    let client = match ask.repeat {
+        Repeat::Allowed => &shared.client,
+        Repeat::Never => &shared.once_client,
+    };
+    let url = format!("http://{}{}", target.address, ask.path);
+    let mut req = client
+        .request(ask.method.clone(), url)
+        .headers(ask.headers.clone())
+        .header(REQUEST_ID, value(&ask.terms.id));
+    if let Some(p) = ask.terms.priority {
+        req = req.header(PRIORITY, p.as_str());
+    }
+    if resume > 0 {
+        req = req.header(RESUME_FROM, resume.to_string());
+    }
+    let sent = timeout_at(ask.terms.deadline, req.body(ask.body.clone()).send()).await;
+    let res = match sent {
+        Err(_) => return Err(Failure::Deadline),
+        Ok(Err(e)) if e.is_connect() => return Err(Failure::Connect),
+        Ok(Err(_)) => return Err(Failure::Broken),
+        Ok(Ok(res)) => res,
+    };
+    check_identity(&res, ask)?;
+    if res.headers().contains_key(NOT_RUN) {
+        return Err(Failure::Refused);
+    }
+    let (status, headers) = (res.status(), pass_on(res.headers()));
+    Ok(Head {
+        status,
+        headers,
+        body: res,
+        at: Instant::now(),
+    })
+}
+
+/// Refuses an answer that names another request: whatever came in between, it isn't ours to give.
+fn check_identity(res: &reqwest::Response, ask: &Ask) -> Result<(), Failure> {
+    match res.headers().get(REQUEST_ID) {
+        Some(id) if id.as_bytes() != ask.terms.id.as_bytes() => Err(Failure::Broken),
+        _ => Ok(()),
+    }
+}
+
+/// Reads the whole body of an answer.
+///
+/// # Errors
+///
+/// [`Failure::Broken`] if it ends early or is too large, [`Failure::Deadline`] if it comes too late.
+pub async fn whole(
+    mut head: Head,
+    deadline: Instant,
+) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
+    let mut buf = BytesMut::new();
+    loop {
+        match timeout_at(deadline, head.body.chunk()).await {
+            Err(_) => return Err(Failure::Deadline),
+            Ok(Err(_)) => return Err(Failure::Broken),
+            Ok(Ok(None)) => return Ok((head.status, head.headers, buf.freeze())),
+            Ok(Ok(Some(chunk))) if buf.len() + chunk.len() > MAX_ANSWER => {
+                let _too_large = chunk;
+                return Err(Failure::Broken);
+            }
+            Ok(Ok(Some(chunk))) => buf.extend_from_slice(&chunk),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/caller.rs
@@ -0,0 +1,207 @@
+//! The callers' side: routes, limits and the reading of requests.
+
+use crate::answer::Instead;
+use crate::dispatch::run;
+use crate::request::{self, Ask, Bad, REQUEST_ID, Terms, value};
+use crate::shared::Shared;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use poem::http::{HeaderMap, StatusCode};
+use poem::web::Data;
+use poem::{Body, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler};
+use serde_json::json;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Makes the routes of the callers' side.
+pub fn routes(shared: Arc<Shared>) -> impl IntoEndpoint<Endpoint: 'static> {
+    Route::new()
+        .at("/v1/models", models)
+        .at("/v1/completions", completions)
+        .at("/v1/chat/completions", completions)
+        .at("/services/:name", service)
+        .at("/services/:name/*rest", service)
+        .at("/*any", nothing)
+        .data(shared)
+}
+
+/// Answers with the request's identity on it, whatever the answer is.
+async fn identified<F, R>(shared: &Shared, req: &Request, f: F) -> Response
+where
+    F: FnOnce(SmolStr) -> R,
+    R: Future<Output = Result<Response, Instead>>,
+{
+    let id = match request::request_id(req.headers()) {
+        Ok(id) => id,
+        Err(bad) => return bad_request(&bad).response(),
+    };
+    let res = match check_limits(shared, req.headers()) {
+        Ok(()) => f(id.clone()).await,
+        Err(instead) => Err(instead),
+    };
+    let mut res = res.unwrap_or_else(|instead| instead.response());
+    res.headers_mut().insert(REQUEST_ID, value(&id));
+    res
+}
+
+fn check_limits(shared: &Shared, headers: &HeaderMap) -> Result<(), Instead> {
+    let limits = &shared.settings.limits;
+    let bytes: usize = headers
+        .iter()
+        .map(|(n, v)| n.as_str().len() + v.len())
+        .sum();
+    if bytes > limits.header_bytes {
+        let message = format!(
+            "headers have {bytes} bytes, {} are allowed",
+            limits.header_bytes
+        );
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Instead::bad(status, "headers_too_large", message));
+    }
+    if shared.connections.load(Ordering::Relaxed) > limits.connections {
+        return Err(Instead::later(
+            StatusCode::TOO_MANY_REQUESTS,
+            "too_many_connections",
+            "this gateway has too many connections",
+            limehollow::verdict::Verdict::NotRun,
+            Duration::from_secs(1),
+        ));
+    }
+    Ok(())
+}
+
+fn bad_request(bad: &Bad) -> Instead {
+    Instead::bad(StatusCode::BAD_REQUEST, "invalid_request", bad.to_string())
+}
+
+fn terms(shared: &Shared, req: &Request, id: SmolStr) -> Result<Terms, Instead> {
+    let remote = req
+        .remote_addr()
+        .as_socket_addr()
+        .map(|a| a.ip().to_string())
+        .unwrap_or_default();
+    let default = Duration::from_millis(shared.settings.limits.default_deadline_ms);
+    request::terms(req.headers(), &remote, id, default).map_err(|bad| bad_request(&bad))
+}
+
+/// Reads a body within the limits on size and time, and within the request's own deadline.
+async fn read_body(shared: &Shared, body: Body) -> Result<Bytes, Instead> {
+    let limits = &shared.settings.limits;
+    let read = async {
+        let mut buf = BytesMut::new();
+        let mut chunks = Box::pin(body.into_bytes_stream());
+        while let Some(chunk) = chunks.next().await {
+            let Ok(chunk) = chunk else {
+                let status = StatusCode::BAD_REQUEST;
+                return Err(Instead::bad(status, "body_broken", "the body ended early"));
+            };
+            if buf.len() + chunk.len() > limits.body_bytes {
+                let message = format!("the body has more than {} bytes", limits.body_bytes);
+                return Err(Instead::bad(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body_too_large",
+                    message,
+                ));
+            }
+            buf.extend_from_slice(&chunk);
+        }
+        Ok(buf.freeze())
+    };
+    match timeout(Duration::from_millis(limits.body_ms), read).await {
+        Ok(res) => res,
+        Err(_) => {
+            let message = format!("the body was not there within {} ms", limits.body_ms);
+            Err(Instead::bad(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_too_slow",
+                message,
+            ))
+        }
+    }
+}
+
+fn wrong_method(allowed: &'static str) -> Instead {
+    let message = format!("only {allowed} is allowed here");
+    Instead::bad(
+        StatusCode::METHOD_NOT_ALLOWED,
+        "method_not_allowed",
+        message,
+    )
+}
+
+#[handler]
+async fn models(Data(shared): Data<&Arc<Shared>>, req: &Request) -> Response {
+    identified(shared, req, |_| async {
+        if req.method() != "GET" {
+            return Err(wrong_method("GET"));
+        }
+        let table = shared.table.load();
+        let rows: Vec<_> = table
+            .model_names()
+            .into_iter()
+            .map(|m| json!({ "id": m, "object": "model", "created": 0, "owned_by": "limehollow" }))
+            .collect();
+        let body = json!({ "object": "list", "data": rows });
+        Ok(poem::web::Json(body).into_response())
+    })
+    .await
+}
+
+#[handler]
+async fn completions(Data(shared): Data<&Arc<Shared>>, req: &Request, body: Body) -> Response {
+    identified(shared, req, |id| async {
+        if req.method() != "POST" {
+            return Err(wrong_method("POST"));
+        }
+        let terms = terms(shared, req, id)?;
+        let body = read_body(shared, body).await?;
+        let path = req.uri().path();
+        let ask = request::completion(terms, path, req.headers(), body);
+        let ask: Ask = ask.map_err(|bad| bad_request(&bad))?;
+        Ok(run(shared, ask).await)
+    })
+    .await
+}
+
+#[handler]
+async fn service(Data(shared): Data<&Arc<Shared>>, req: &Request, body: Body) -> Response {
+    identified(shared, req, |id| async {
+        let name: SmolStr = req.raw_path_param("name").unwrap_or_default().into();
+        let terms = terms(shared, req, id)?;
+        let body = read_body(shared, body).await?;
+        let path = service_path(req, &name);
+        let ask = request::service(terms, name, req.method().clone(), path, req.headers(), body);
+        Ok(run(shared, ask).await)
+    })
+    .await
+}
+
+/// Gives the path and query at the service: what follows its name, as the caller wrote it.
+fn service_path(req: &Request, name: &str) -> SmolStr {
+    let whole = req
+        .original_uri()
+        .path_and_query()
+        .map_or("", |p| p.as_str());
+    let rest = whole
+        .strip_prefix("/services/")
+        .and_then(|r| r.find(['/', '?']).map(|i| &r[i..]))
+        .unwrap_or("");
+    debug_assert!(!name.is_empty(), "the route has a name");
+    if rest.starts_with('/') {
+        rest.into()
+    } else {
+        format!("/{rest}").into()
+    }
+}
+
+#[handler]
+async fn nothing(Data(shared): Data<&Arc<Shared>>, req: &Request) -> Response {
+    identified(shared, req, |_| async {
+        let message = format!("there is nothing at {}", req.uri().path());
+        Err(Instead::bad(StatusCode::NOT_FOUND, "not_found", message))
+    })
+    .await
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/desk.rs
@@ -0,0 +1,206 @@
+//! Admission for many threads: one lock around the decisions, and the tasks that wait for them.
+
+use arc_swap::ArcSwap;
+use limehollow::admission::{Admission, Admit, Offer, Reason, Refusal, Ticket, Turn};
+use limehollow::id::{EndpointKey, ZoneName};
+use limehollow::load::Ending;
+use limehollow::routing::Table;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep};
+
+/// How often waiting requests are looked through for ones that can't make it any more.
+const POLL_EVERY: Duration = Duration::from_millis(20);
+
+type Granted = Result<Slot, Refusal>;
+
+#[derive(Debug)]
+struct Inner {
+    admission: Admission,
+    waiters: HashMap<Ticket, oneshot::Sender<Granted>>,
+}
+
+/// Admission for many threads.
+#[derive(Debug)]
+pub struct Desk {
+    inner: Mutex<Inner>,
+    table: Arc<ArcSwap<Table>>,
+}
+
+/// The right to have one request at an endpoint; it is given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    desk: Arc<Desk>,
+    /// The endpoint.
+    pub key: EndpointKey,
+    ending: Option<Ending>,
+}
+
+impl Slot {
+    /// Says how the request ended, and gives the right back.
+    pub fn finish(mut self, ending: Ending) {
+        self.ending = Some(ending);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        // Whoever drops it without a word did so because the caller left.
+        let ending = self.ending.unwrap_or(Ending::Cancelled);
+        self.desk
+            .lock()
+            .admission
+            .finish(Instant::now(), self.key, ending);
+        self.desk.turn();
+    }
+}
+
+/// A place in the queue; it is given up when it is dropped.
+struct Place {
+    desk: Arc<Desk>,
+    ticket: Ticket,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut inner = self.desk.lock();
+        if inner.waiters.remove(&self.ticket).is_some() {
+            inner.admission.cancel(self.ticket);
+        }
+    }
+}
+
+/// The first answer to an offer.
+enum First {
+    Now(Granted),
+    Later(Place, oneshot::Receiver<Granted>),
+}
+
+impl Desk {
+    /// Makes the desk of a gateway in this zone.
+    #[must_use]
+    pub fn new(zone: ZoneName, table: Arc<ArcSwap<Table>>) -> Arc<Self> {
+        let inner = Inner {
+            admission: Admission::new(zone),
+            waiters: HashMap::new(),
+        };
+        Arc::new(Self {
+            inner: Mutex::new(inner),
+            table,
+        })
+    }
+
+    /// Reads or changes admission under its lock.
+    pub fn with<F, T>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut Admission) -> T,
+    {
+        f(&mut self.lock().admission)
+    }
+
+    /// Waits until a request may go to an endpoint, or is refused.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, as soon as it is known.
+    pub async fn admit(self: &Arc<Self>, offer: Offer) -> Granted {
+        match self.offer(offer) {
+            First::Now(granted) => granted,
+            First::Later(_place, rx) => {
+                let lost = Refusal {
+                    reason: Reason::NoTarget,
+                    retry_after: Duration::from_secs(1),
+                };
+                rx.await.unwrap_or(Err(lost))
+            }
+        }
+    }
+
+    fn offer(self: &Arc<Self>, offer: Offer) -> First {
+        let table = self.table.load();
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let mut admit = inner.admission.offer(now, &table, offer.clone());
+        let mut shed = None;
+        if matches!(
+            admit,
+            Admit::Refuse(Refusal {
+                reason: Reason::QueueFull,
+                ..
+            })
+        ) {
+            shed = inner.admission.shed_for(&offer.subject, offer.priority);
+            if shed.is_some() {
+                admit = inner.admission.offer(now, &table, offer);
+            }
+        }
+        let shed = shed.and_then(|(t, r)| inner.waiters.remove(&t).map(|tx| (tx, r)));
+        let first = match admit {
+            Admit::Start(key) => First::Now(Ok(self.slot(key))),
+            Admit::Refuse(r) => First::Now(Err(r)),
+            Admit::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiters.insert(ticket, tx);
+                First::Later(
+                    Place {
+                        desk: Arc::clone(self),
+                        ticket,
+                    },
+                    rx,
+                )
+            }
+        };
+        drop(inner);
+        if let Some((tx, refusal)) = shed {
+            // A caller that left needs no refusal.
+            let _left = tx.send(Err(refusal));
+        }
+        first
+    }
+
+    /// Gives the requests whose turn it is their slots, and refuses those that are too late.
+    pub fn turn(self: &Arc<Self>) {
+        let table = self.table.load();
+        let mut inner = self.lock();
+        if inner.admission.waiting() == 0 {
+            return;
+        }
+        let turns = inner.admission.poll(Instant::now(), &table);
+        let mut granted = Vec::with_capacity(turns.len());
+        for (ticket, turn) in turns {
+            let waiter = inner.waiters.remove(&ticket);
+            let grant = match turn {
+                Turn::Start(key) => Ok(self.slot(key)),
+                Turn::Refuse(r) => Err(r),
+            };
+            granted.push((waiter, grant));
+        }
+        // A slot that nobody takes any more is dropped, which needs the lock.
+        drop(inner);
+        for (waiter, grant) in granted {
+            let _left = waiter.map(|tx| tx.send(grant));
+        }
+    }
+
+    /// Looks through the waiting requests for ever.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            sleep(POLL_EVERY).await;
+            self.turn();
+        }
+    }
+
+    fn slot(self: &Arc<Self>, key: EndpointKey) -> Slot {
+        Slot {
+            desk: Arc::clone(self),
+            key,
+            ending: None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/dispatch.rs
@@ -0,0 +1,344 @@
+//! The course of a request: admitted, sent, sent again where that is right, and answered once.
+
+use crate::answer::{Instead, REPLAYED, VERDICT};
+use crate::attempt::{head, whole};
+use crate::claims::{Claim, Claimed, Fate};
+use crate::desk::Slot;
+use crate::relay::Relay;
+use crate::request::Ask;
+use crate::shared::Shared;
+use bytes::Bytes;
+use limehollow::admission::{Offer, Reason, Refusal, Subject};
+use limehollow::intent::Priority;
+use limehollow::load::Ending;
+use limehollow::retry::{Attempts, Next};
+use limehollow::routing::{Route, Target};
+use limehollow::verdict::{Failure, Verdict};
+use poem::http::{HeaderMap, StatusCode};
+use poem::{Body, Response};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// After how long a caller should ask again for the result of a request that is under way.
+const RESULT_PAUSE: Duration = Duration::from_secs(1);
+
+/// A request on its way, with what was tried so far.
+#[derive(Debug)]
+pub struct Course {
+    /// The request.
+    pub ask: Ask,
+    /// What admission is asked.
+    pub offer: Offer,
+    /// The attempts.
+    pub attempts: Attempts,
+}
+
+impl Course {
+    /// Starts the course of a request.
+    #[must_use]
+    pub fn new(ask: Ask, route: &Route) -> Self {
+        let priority = ask.terms.priority.unwrap_or(route.priority);
+        let offer = Offer {
+            subject: ask.subject.clone(),
+            caller: ask.terms.caller.clone(),
+            priority,
+            deadline: ask.terms.deadline,
+            tokens: ask.tokens,
+            affinity: ask.affinity,
+            failed: Vec::new(),
+        };
+        let attempts = Attempts::new(ask.repeat, ask.terms.deadline);
+        Self {
+            ask,
+            offer,
+            attempts,
+        }
+    }
+
+    /// Waits for a slot at an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// The answer to give instead, with the verdict of all attempts.
+    pub async fn admit(&self, shared: &Shared) -> Result<(Slot, Target), Instead> {
+        let verdict = self.attempts.verdict;
+        let slot = shared.desk.admit(self.offer.clone()).await;
+        let slot = slot.map_err(|r| Instead::refused(&r, verdict))?;
+        let table = shared.table.load();
+        let target = route(&table, &self.ask.subject)
+            .and_then(|r| r.targets.iter().find(|t| t.key == slot.key).cloned());
+        // The table may have changed since; an endpoint that is out of it gets no new work.
+        let gone = Refusal {
+            reason: Reason::NoTarget,
+            retry_after: Duration::from_secs(1),
+        };
+        let target = target.ok_or_else(|| Instead::refused(&gone, verdict))?;
+        Ok((slot, target))
+    }
+
+    /// Counts the request as ended.
+    pub fn ended(&self, shared: &Shared, outcome: &'static str) {
+        shared
+            .metrics
+            .ended(self.ask.kind(), self.priority(), outcome);
+    }
+
+    fn priority(&self) -> Priority {
+        self.offer.priority
+    }
+}
+
+/// Gives the route of a subject.
+#[must_use]
+pub fn route<'t>(table: &'t limehollow::routing::Table, subject: &Subject) -> Option<&'t Route> {
+    match subject {
+        Subject::Model(m) => table.model(m),
+        Subject::Service(s) => table.service(s),
+    }
+}
+
+/// Gives the answer when no further attempt is made.
+#[must_use]
+pub fn gave_up(failure: Failure, verdict: Verdict) -> Instead {
+    let (status, code, message) = match failure {
+        Failure::Deadline => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline",
+            "the answer was not ready by the deadline",
+        ),
+        Failure::Connect | Failure::Refused => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unavailable",
+            "no endpoint took the request",
+        ),
+        Failure::Broken | Failure::ServerError => (
+            StatusCode::BAD_GATEWAY,
+            "endpoint_failed",
+            "the endpoint failed during the request",
+        ),
+    };
+    Instead::later(status, code, message, verdict, Duration::from_secs(1))
+}
+
+/// A whole answer of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Whole {
+    fn response(self) -> Response {
+        let mut res = Response::builder().status(self.status).body(self.body);
+        res.headers_mut().extend(self.headers);
+        res
+    }
+}
+
+/// Runs a request and gives its one answer.
+pub async fn run(shared: &Arc<Shared>, ask: Ask) -> Response {
+    let table = shared.table.load_full();
+    let Some(route) = route(&table, &ask.subject) else {
+        let (kind, name) = match &ask.subject {
+            Subject::Model(m) => ("model", m),
+            Subject::Service(s) => ("service", s),
+        };
+        let message = format!("there is no {kind} {name:?}");
+        let code = if kind == "model" {
+            "model_not_found"
+        } else {
+            "service_not_found"
+        };
+        return Instead::bad(StatusCode::NOT_FOUND, code, message).response();
+    };
+    let key = ask.key_hash();
+    let course = Course::new(ask, route);
+    let Some(key) = key else {
+        return answer(shared, course, None).await;
+    };
+    match shared.claiming.claim(key, course.ask.terms.deadline).await {
+        Claimed::Mine(claim) => answer(shared, course, Some(claim)).await,
+        Claimed::Other(fate) => repeat_answer(shared, &course, fate),
+        Claimed::Undecided(after) => {
+            course.ended(shared, "refused");
+            let message = "whether this key was used before can't be decided now";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Instead::later(status, "undecided", message, Verdict::NotRun, after).response()
+        }
+    }
+}
+
+/// Answers a request whose key was claimed before.
+fn repeat_answer(shared: &Shared, course: &Course, fate: Fate) -> Response {
+    match fate {
+        Fate::Done(w) => {
+            course.ended(shared, "replayed");
+            let mut res = w.response();
+            res.headers_mut()
+                .insert(REPLAYED, crate::request::value("true"));
+            res
+        }
+        Fate::Running => {
+            course.ended(shared, "unknown");
+            let message = "a request with this key is under way";
+            Instead::later(
+                StatusCode::CONFLICT,
+                "running",
+                message,
+                Verdict::MayHaveRun,
+                RESULT_PAUSE,
+            )
+            .response()
+        }
+        Fate::Released => {
+            course.ended(shared, "refused");
+            let message =
+                "an earlier request with this key did not run; its claim is being given back";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Instead::later(status, "released", message, Verdict::NotRun, RESULT_PAUSE).response()
+        }
+        Fate::Unknown => {
+            course.ended(shared, "unknown");
+            let message = "a request with this key may have run, and its result is not known";
+            let mut instead = Instead::bad(StatusCode::CONFLICT, "unknown_result", message);
+            instead.verdict = Verdict::MayHaveRun;
+            instead.response()
+        }
+    }
+}
+
+/// Sends a request until it is answered or given up.
+async fn answer(shared: &Arc<Shared>, mut course: Course, claim: Option<Claim>) -> Response {
+    shared.budget().deposit();
+    loop {
+        let (slot, target) = match course.admit(shared).await {
+            Ok(admitted) => admitted,
+            Err(instead) => return give_instead(shared, &course, claim, &instead),
+        };
+        let sent_at = Instant::now();
+        shared.metrics.attempts.inc();
+        if course.attempts.made > 0 {
+            shared.metrics.retries.inc();
+        }
+        if let Some(c) = &claim {
+            c.dispatched();
+        }
+        let failure = match head(shared, &course.ask, &target, 0).await {
+            Ok(h) if course.ask.stream && h.status.is_success() => {
+                observe_first(shared, sent_at);
+                let (status, headers) = (h.status, h.headers.clone());
+                if let Some(c) = claim {
+                    c.done(None);
+                }
+                let relay = Relay::new(
+                    Arc::clone(shared),
+                    course,
+                    slot,
+                    h,
+                    target.version.clone(),
+                    sent_at,
+                );
+                let mut res = Response::builder()
+                    .status(status)
+                    .body(Body::from_bytes_stream(relay.into_stream()));
+                res.headers_mut().extend(headers);
+                return res;
+            }
+            Ok(h) if is_engine_failure(&course.ask, h.status) => Failure::ServerError,
+            Ok(h) => {
+                observe_first(shared, sent_at);
+                let first = h.at - sent_at;
+                match whole(h, course.ask.terms.deadline).await {
+                    Ok((status, headers, body)) => {
+                        slot.finish(Ending::Whole { first });
+                        let w = Whole {
+                            status,
+                            headers,
+                            body,
+                        };
+                        return give_whole(shared, &course, claim, w, sent_at);
+                    }
+                    Err(f) => f,
+                }
+            }
+            Err(f) => f,
+        };
+        course.offer.failed.push(slot.key);
+        slot.finish(Ending::Failed(failure));
+        let now = Instant::now();
+        let next = shared
+            .budget()
+            .after(now, &mut course.attempts, failure, rand::random());
+        match next {
+            Next::Retry(pause) => sleep(pause).await,
+            Next::GiveUp(verdict) => {
+                return give_instead(shared, &course, claim, &gave_up(failure, verdict));
+            }
+        }
+    }
+}
+
+/// Tells whether a status is an engine's failure. A plain service's status is its own answer.
+fn is_engine_failure(ask: &Ask, status: StatusCode) -> bool {
+    matches!(ask.subject, Subject::Model(_)) && status.is_server_error()
+}
+
+fn observe_first(shared: &Shared, sent_at: Instant) {
+    shared
+        .metrics
+        .first_byte
+        .observe(sent_at.elapsed().as_secs_f64());
+}
+
+fn give_whole(
+    shared: &Shared,
+    course: &Course,
+    claim: Option<Claim>,
+    w: Whole,
+    sent_at: Instant,
+) -> Response {
+    let now = Instant::now();
+    let subject = &course.ask.subject;
+    shared
+        .desk
+        .with(|a| a.learn(subject, now - sent_at, Duration::ZERO, 1));
+    let outcome = if now <= course.ask.terms.deadline {
+        "attained"
+    } else {
+        "late"
+    };
+    course.ended(shared, outcome);
+    if let Some(c) = claim {
+        c.done(Some(w.clone()));
+    }
+    w.response()
+}
+
+fn give_instead(
+    shared: &Shared,
+    course: &Course,
+    claim: Option<Claim>,
+    instead: &Instead,
+) -> Response {
+    match (instead.verdict, claim) {
+        (Verdict::NotRun, Some(c)) => c.release(),
+        (Verdict::MayHaveRun, Some(c)) => c.done(None),
+        (_, None) => {}
+    }
+    let outcome = if instead.verdict == Verdict::NotRun {
+        "refused"
+    } else {
+        "unknown"
+    };
+    course.ended(shared, outcome);
+    debug_assert!(
+        instead.response().headers().contains_key(VERDICT),
+        "every own answer has a verdict"
+    );
+    instead.response()
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/main.rs
@@ -0,0 +1,256 @@
+//! The gateway's process.
+
+use arc_swap::ArcSwap;
+use limehollow::id::{Offset, VmName, ZoneName};
+use limehollow::routing::Table;
+use limehollow_edge::admin::{self, Admin, Readiness};
+use limehollow_edge::args::Program;
+use limehollow_edge::error::ListenSnafu;
+use limehollow_edge::follow::{snapshot, tail};
+use limehollow_edge::log::HttpLog;
+use limehollow_edge::members::HttpMembers;
+use limehollow_edge::peer::{self, PeerClient};
+use limehollow_edge::process::{incarnation, start, stop_signal};
+use limehollow_edge::{Exit, Result};
+use limehollow_gateway::caller;
+use limehollow_gateway::claims::{ClaimTask, Claiming, Me};
+use limehollow_gateway::control::{Control, Event};
+use limehollow_gateway::desk::Desk;
+use limehollow_gateway::limit::Limited;
+use limehollow_gateway::metrics::Metrics;
+use limehollow_gateway::settings::GatewaySettings;
+use limehollow_gateway::shared::Shared;
+use limehollow_wire::peer::{Reply, Request};
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+const PROGRAM: Program = Program {
+    name: "limehollow-gateway",
+    version: env!("CARGO_PKG_VERSION"),
+    about: "Takes callers' requests and routes them to endpoints.",
+};
+const EVENTS: usize = 256;
+const LIST_EVERY: Duration = Duration::from_secs(1);
+const NEWS_EVERY: Duration = Duration::from_millis(500);
+const NEWS_TIMEOUT: Duration = Duration::from_millis(800);
+const STATE_TIMEOUT: Duration = Duration::from_secs(3);
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
+fn main() -> ExitCode {
+    let settings: GatewaySettings = match start(&PROGRAM) {
+        Ok((_, s)) => s,
+        Err(exit) => return exit.into(),
+    };
+    match run(settings) {
+        Ok(()) => Exit::Ok.into(),
+        Err(e) => {
+            eprintln!("{}: {e}", PROGRAM.name);
+            Exit::from(&e).into()
+        }
+    }
+}
+
+fn run(settings: GatewaySettings) -> Result<()> {
+    let failed = |e: std::io::Error| {
+        ListenSnafu {
+            address: "threads",
+            why: e.to_string(),
+        }
+        .build()
+    };
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(failed)?;
+    let control = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(failed)?;
+    let (events_tx, events_rx) = mpsc::channel(EVENTS);
+    let (ready_tx, ready_rx) = watch::channel(Readiness::Not("starting".to_owned()));
+    let table = Arc::new(ArcSwap::from_pointee(Table::default()));
+    let zone = ZoneName::from(settings.availability_zone.as_str());
+    let vm = VmName::from(settings.name.as_str());
+    let born = incarnation();
+    let desk = Desk::new(zone.clone(), Arc::clone(&table));
+    let metrics = Metrics::default();
+    let me = Me {
+        vm: vm.clone(),
+        incarnation: born,
+        address: settings.peer_address.clone(),
+    };
+    let log = HttpLog::new(&settings.platform_address)?;
+    let claims = ClaimTask::new(log.clone(), me, settings.claims, metrics.clone());
+    let claiming = claims.claiming();
+    let (table2, desk2) = (Arc::clone(&table), Arc::clone(&desk));
+    let shared = Shared::new(settings, table2, desk2, claiming.clone(), metrics.clone())?;
+    let shared = Arc::new(shared);
+
+    traffic.spawn(claims.run());
+    traffic.spawn(Arc::clone(&desk).run());
+    traffic.spawn(follow_log(log, events_tx.clone()));
+    let members = HttpMembers::new(&shared.settings.platform_address)?;
+    traffic.spawn(follow_list(members, events_tx.clone()));
+    traffic.spawn(follow_controller(
+        shared.settings.controller_address.clone(),
+        events_tx.clone(),
+    ));
+    traffic.spawn(answer_peers(shared.settings.peer_address.clone(), claiming));
+    traffic.spawn(count_connections(Arc::clone(&shared)));
+    let served = traffic.spawn(serve(Arc::clone(&shared), ready_rx, events_tx));
+    let state = Control::new((vm, zone, born), table, desk, metrics, ready_tx);
+    control.block_on(state.run(events_rx));
+    control.block_on(served).unwrap_or(Ok(()))
+}
+
+/// Serves callers and operators until a signal, then ends in the right order: first the process
+/// says that it is not ready, then it takes no new connections, then it ends what it has.
+async fn serve(
+    shared: Arc<Shared>,
+    ready: watch::Receiver<Readiness>,
+    events: mpsc::Sender<Event>,
+) -> Result<()> {
+    let (dumps_tx, mut dumps_rx) = mpsc::channel(4);
+    let dump_events = events.clone();
+    tokio::spawn(async move {
+        while let Some(d) = dumps_rx.recv().await {
+            let _stopped = dump_events.send(Event::Dump(d)).await;
+        }
+    });
+    let registry = Arc::new(shared.metrics.registry());
+    let admin = Admin {
+        registry,
+        ready,
+        dumps: dumps_tx,
+    };
+    let (ended_tx, mut ended_rx) = watch::channel(false);
+    let admin_address = shared.settings.admin_address.clone();
+    let admin_served = tokio::spawn(async move {
+        let ended = async move {
+            let _dropped = ended_rx.wait_for(|e| *e).await;
+        };
+        admin::serve(&admin_address, admin, poem::Route::new(), ended).await
+    });
+    let res = serve_callers(&shared, &events).await;
+    let _gone = ended_tx.send(true);
+    let _stopped = events.send(Event::Stop).await;
+    res.and(admin_served.await.unwrap_or(Ok(())))
+}
+
+async fn serve_callers(shared: &Arc<Shared>, events: &mpsc::Sender<Event>) -> Result<()> {
+    let s = &shared.settings;
+    let address = s.address.as_str();
+    let failed = |e: std::io::Error| {
+        ListenSnafu {
+            address,
+            why: e.to_string(),
+        }
+        .build()
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let acceptor = TcpAcceptor::from_tokio(listener).map_err(failed)?;
+    let acceptor = Limited::new(
+        acceptor,
+        Arc::clone(&shared.connections),
+        s.limits.connections,
+    );
+    let grace = Duration::from_millis(s.stop_grace_ms);
+    let stop = async {
+        stop_signal().await;
+        tracing::info!("stopping: not ready any more");
+        let _stopped = events.send(Event::Stopping).await;
+        sleep(grace).await;
+    };
+    Server::new_with_acceptor(acceptor)
+        .idle_timeout(Duration::from_millis(s.limits.idle_ms))
+        .run_with_graceful_shutdown(caller::routes(Arc::clone(shared)), stop, None)
+        .await
+        .map_err(failed)
+}
+
+async fn follow_log(log: HttpLog, events: mpsc::Sender<Event>) {
+    let (tx, mut rx) = mpsc::channel(4);
+    tokio::spawn(tail(log, Offset(0), tx));
+    while let Some(batch) = rx.recv().await {
+        if events.send(Event::Log(batch)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_list(members: HttpMembers, events: mpsc::Sender<Event>) {
+    loop {
+        if let Ok(listing) = members.list().await
+            && events.send(Event::List(listing.rows)).await.is_err()
+        {
+            return;
+        }
+        sleep(LIST_EVERY).await;
+    }
+}
+
+/// Asks the controller of this VM for its state once, since the log may be out of reach, and for
+/// news all the time.
+async fn follow_controller(address: String, events: mpsc::Sender<Event>) {
+    let mut client = PeerClient::new(&address);
+    let mut has_state = false;
+    loop {
+        if !has_state
+            && let Ok(Reply::State(Some(text))) = client.ask(&Request::State, STATE_TIMEOUT).await
+            && let Ok(Some((next, fleet))) = snapshot(&text)
+        {
+            has_state = true;
+            if events
+                .send(Event::State(next, Box::new(fleet)))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        if let Ok(Reply::News(news)) = client.ask(&Request::News, NEWS_TIMEOUT).await
+            && events.send(Event::News(news)).await.is_err()
+        {
+            return;
+        }
+        sleep(NEWS_EVERY).await;
+    }
+}
+
+async fn answer_peers(address: String, claiming: Claiming) {
+    let answer = |req| {
+        let claiming = claiming.clone();
+        async move {
+            match req {
+                Request::Claim {
+                    incarnation,
+                    number,
+                } => Some(Reply::Claim(claiming.fate(incarnation, number).await)),
+                _ => None,
+            }
+        }
+    };
+    if let Err(e) = peer::serve(&address, answer).await {
+        tracing::error!(error = %e, "other gateways can't reach this one");
+    }
+}
+
+async fn count_connections(shared: Arc<Shared>) {
+    loop {
+        let open = shared.connections.load(Ordering::Relaxed);
+        shared
+            .metrics
+            .connections
+            .set(i64::try_from(open).unwrap_or(i64::MAX));
+        sleep(COUNT_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/relay.rs
@@ -0,0 +1,221 @@
+//! Streams an answer to the caller, event by event, and goes on elsewhere when an endpoint breaks.
+//!
+//! Only whole events are passed on, so a break in the middle of one leaves nothing half-said. At
+//! most one event and one network buffer are held: the next is read when the caller took the last
+//! (`docs/design/streams.md`).
+
+use crate::answer::Instead;
+use crate::attempt::{Head, head};
+use crate::desk::Slot;
+use crate::dispatch::{Course, gave_up};
+use crate::shared::Shared;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::Stream;
+use limehollow::load::Ending;
+use limehollow::retry::Next;
+use limehollow::verdict::Failure;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// The largest event, in bytes.
+const MAX_EVENT: usize = 1 << 20;
+const DONE: &[u8] = b"data: [DONE]";
+
+/// A stream under way.
+#[derive(Debug)]
+pub struct Relay {
+    shared: Arc<Shared>,
+    course: Course,
+    slot: Option<Slot>,
+    body: reqwest::Response,
+    buf: BytesMut,
+    version: SmolStr,
+    /// Tokens that the caller was given.
+    delivered: u32,
+    first: Option<Instant>,
+    sent_at: Instant,
+    settled: bool,
+}
+
+/// What follows in the caller's stream.
+enum Piece {
+    /// An event.
+    Event(Bytes),
+    /// The last event of a whole answer.
+    Last(Bytes),
+    /// The stream is cut; this says so, and no `[DONE]` follows.
+    Cut(Bytes),
+}
+
+impl Relay {
+    /// Starts to relay an answer whose head has come.
+    #[must_use]
+    pub fn new(
+        shared: Arc<Shared>,
+        course: Course,
+        slot: Slot,
+        head: Head,
+        version: SmolStr,
+        sent_at: Instant,
+    ) -> Self {
+        Self {
+            shared,
+            course,
+            slot: Some(slot),
+            body: head.body,
+            buf: BytesMut::new(),
+            version,
+            delivered: 0,
+            first: None,
+            sent_at,
+            settled: false,
+        }
+    }
+
+    /// Gives the caller's stream. It ends with an error, not cleanly, if the answer isn't whole.
+    pub fn into_stream(self) -> impl Stream<Item = std::io::Result<Bytes>> + Send + 'static {
+        futures_util::stream::unfold(State::Open(Box::new(self)), |state| async move {
+            match state {
+                State::Open(mut relay) => match relay.next().await {
+                    Piece::Event(b) => Some((Ok(b), State::Open(relay))),
+                    Piece::Last(b) => Some((Ok(b), State::Closed)),
+                    Piece::Cut(b) => Some((Ok(b), State::Cut)),
+                },
+                State::Cut => Some((Err(std::io::Error::other("cut")), State::Closed)),
+                State::Closed => None,
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Piece {
+        loop {
+            let failure = match self.event().await {
+                Ok(event) if event.starts_with(DONE) => return self.last(event),
+                Ok(event) => {
+                    self.delivered += 1;
+                    self.first.get_or_insert_with(Instant::now);
+                    return Piece::Event(event);
+                }
+                Err(f) => f,
+            };
+            if let Err(instead) = self.go_on(failure).await {
+                return self.cut(&instead);
+            }
+        }
+    }
+
+    /// Reads the next whole event.
+    async fn event(&mut self) -> Result<Bytes, Failure> {
+        loop {
+            if let Some(end) = find_end(&self.buf) {
+                return Ok(self.buf.split_to(end).freeze());
+            }
+            if self.buf.len() > MAX_EVENT {
+                return Err(Failure::Broken);
+            }
+            let deadline = self.course.ask.terms.deadline;
+            match timeout_at(deadline, self.body.chunk()).await {
+                Err(_) => return Err(Failure::Deadline),
+                // The end without `[DONE]` isn't the end of an answer.
+                Ok(Err(_) | Ok(None)) => return Err(Failure::Broken),
+                Ok(Ok(Some(chunk))) => self.buf.extend_from_slice(chunk.chunk()),
+            }
+        }
+    }
+
+    /// Goes on at another endpoint from the last event that was delivered.
+    async fn go_on(&mut self, failure: Failure) -> Result<(), Instead> {
+        let mut failure = failure;
+        loop {
+            if let Some(slot) = self.slot.take() {
+                self.course.offer.failed.push(slot.key);
+                slot.finish(Ending::Failed(failure));
+            }
+            self.buf.clear();
+            let now = Instant::now();
+            let attempts = &mut self.course.attempts;
+            let next = self
+                .shared
+                .budget()
+                .after(now, attempts, failure, rand::random());
+            match next {
+                Next::GiveUp(verdict) => return Err(gave_up(failure, verdict)),
+                Next::Retry(pause) => sleep(pause).await,
+            }
+            let (slot, target) = self.course.admit(&self.shared).await?;
+            if target.version != self.version {
+                // Another version's words don't continue this one's.
+                slot.finish(Ending::Cancelled);
+                return Err(gave_up(failure, self.course.attempts.verdict));
+            }
+            self.shared.metrics.retries.inc();
+            self.shared.metrics.attempts.inc();
+            match head(&self.shared, &self.course.ask, &target, self.delivered).await {
+                Ok(h) if h.status.is_success() => {
+                    self.shared.metrics.resumed.inc();
+                    self.body = h.body;
+                    self.slot = Some(slot);
+                    return Ok(());
+                }
+                Ok(_) => failure = Failure::ServerError,
+                Err(f) => failure = f,
+            }
+            self.slot = Some(slot);
+        }
+    }
+
+    fn last(&mut self, event: Bytes) -> Piece {
+        self.settled = true;
+        let now = Instant::now();
+        let first = self.first.unwrap_or(now);
+        if let Some(slot) = self.slot.take() {
+            slot.finish(Ending::Whole {
+                first: first - self.sent_at,
+            });
+        }
+        let (subject, tokens) = (self.course.ask.subject.clone(), self.delivered);
+        let (to_first, rest) = (first - self.sent_at, now - first);
+        self.shared
+            .desk
+            .with(|a| a.learn(&subject, to_first, rest, tokens));
+        let outcome = if now <= self.course.ask.terms.deadline {
+            "attained"
+        } else {
+            "late"
+        };
+        self.course.ended(&self.shared, outcome);
+        Piece::Last(event)
+    }
+
+    fn cut(&mut self, instead: &Instead) -> Piece {
+        self.settled = true;
+        self.course.ended(&self.shared, "cut");
+        Piece::Cut(Bytes::from(format!("data: {}\n\n", instead.body())))
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.course.ended(&self.shared, "left");
+        }
+    }
+}
+
+/// Where the caller's stream stands.
+enum State {
+    Open(Box<Relay>),
+    Cut,
+    Closed,
+}
+
+/// Finds the end of the first event: the byte after its empty line.
+fn find_end(buf: &[u8]) -> Option<usize> {
+    let lf = buf.windows(2).position(|w| w == b"\n\n").map(|i| i + 2);
+    let crlf = buf.windows(4).position(|w| w == b"\r\n\r\n").map(|i| i + 4);
+    match (lf, crlf) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
--- /dev/null
+++ b/crates/limehollow-gateway/src/shared.rs
@@ -0,0 +1,82 @@
+//! What the traffic threads share.
+
+use crate::claims::Claiming;
+use crate::desk::Desk;
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+use arc_swap::ArcSwap;
+use limehollow::retry::RetryBudget;
+use limehollow::routing::Table;
+use limehollow_edge::http::{CONNECT_TIMEOUT, classify};
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long an idle connection to an endpoint is kept for the next request.
+const POOL_IDLE: Duration = Duration::from_secs(15);
+
+/// What the traffic threads share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// The routing table, read without a lock.
+    pub table: Arc<ArcSwap<Table>>,
+    /// Admission, and those who wait for it.
+    pub desk: Arc<Desk>,
+    /// Claims on keys.
+    pub claiming: Claiming,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// Open connections of callers.
+    pub connections: Arc<AtomicUsize>,
+    /// For requests that may be sent again.
+    pub client: reqwest::Client,
+    /// For requests that may not: each has a connection of its own, since on a used one a request
+    /// can meet the endpoint's closing and then nobody knows whether it ran.
+    pub once_client: reqwest::Client,
+    budget: Mutex<RetryBudget>,
+}
+
+impl Shared {
+    /// Makes the shared state.
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP library can't start.
+    pub fn new(
+        settings: GatewaySettings,
+        table: Arc<ArcSwap<Table>>,
+        desk: Arc<Desk>,
+        claiming: Claiming,
+        metrics: Metrics,
+    ) -> limehollow_edge::Result<Self> {
+        Ok(Self {
+            settings,
+            table,
+            desk,
+            claiming,
+            metrics,
+            connections: Arc::default(),
+            client: client(usize::MAX)?,
+            once_client: client(0)?,
+            budget: Mutex::default(),
+        })
+    }
+
+    /// Gives the retry budget.
+    pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn client(idle: usize) -> limehollow_edge::Result<reqwest::Client> {
+    let builder = reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_max_idle_per_host(idle)
+        .pool_idle_timeout(POOL_IDLE)
+        .redirect(reqwest::redirect::Policy::none())
+        .tcp_nodelay(true);
+    builder.build().map_err(|e| classify("client", e))
+}
--- /dev/null
+++ b/crates/limehollow/src/lib.rs
@@ -0,0 +1,47 @@
+//! The decisions of limehollow, without input or output.
+//!
+//! Everything that has to hold is decided in this crate by plain calls: events and the time go in,
+//! commands come out. There is no socket, task, lock or log line here, so a test, a bench or a
+//! process drives the same code. The reasons behind the parts are in `docs/design/`.
+//!
+//! # A short tour
+//!
+//! * [`fleet::Fleet`] is the state that the platform's log agrees on. Each process folds the same
+//!   records in the same order and so reaches the same state; a record that would break a promise
+//!   is void for everybody (`docs/design/log-order.md`).
+//! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
+//! * [`lease`], [`membership`] and [`order`] drive a controller.
+//! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] drive a gateway.
+//!
+//! ```
+//! use limehollow::fleet::Fleet;
+//! use limehollow::id::{LogTime, Offset};
+//! use limehollow::record::{LeaseTaken, Record};
+//!
+//! let mut fleet = Fleet::default();
+//! let lease = LeaseTaken { zone: "a".into(), holder: "vm-1".into(), incarnation: 1, replaces: None };
+//! fleet.apply(Offset(0), LogTime(0), &Record::LeaseTaken(lease)).unwrap();
+//! assert_eq!(fleet.epoch(&"a".into()), Some(Offset(0)));
+//! ```
+
+pub mod admission;
+pub mod claim;
+pub mod error;
+pub mod explain;
+pub mod fleet;
+pub mod id;
+pub mod intent;
+pub mod lease;
+pub mod listing;
+pub mod load;
+pub mod membership;
+pub mod order;
+pub mod placement;
+pub mod plan;
+pub mod record;
+pub mod replay;
+pub mod retry;
+pub mod routing;
+pub mod verdict;
+
+pub use error::{Category, Error, Result};
