--- a/crates/limehollow-controller/src/settings.rs
+++ b/crates/limehollow-controller/src/settings.rs
@@ -108,6 +108,13 @@
             1_000..=3_600_000,
         )?;
         check_range("rules.dead_after_ms", r.dead_after_ms, 500..=600_000)?;
+        if r.dead_after_ms <= r.report_lag_ms {
+            let why = format!(
+                "must be more than rules.report_lag_ms, which is {}",
+                r.report_lag_ms
+            );
+            return Err(Invalid::new("rules.dead_after_ms", why));
+        }
         check_range("rules.repair_after_ms", r.repair_after_ms, 0..=DAY_MS)?;
         check_range("rules.plan_patience_ms", r.plan_patience_ms, 0..=600_000)?;
         check_range("rules.look_every_ms", r.look_every_ms, 50..=60_000)?;
--- a/crates/limehollow/src/intent.rs
+++ b/crates/limehollow/src/intent.rs
@@ -146,6 +146,13 @@
         Ok(())
     }
 
+    /// Gives the part of an accelerator's memory that models may take, in bytes.
+    #[must_use]
+    pub fn budget(&self, capacity: u64) -> u64 {
+        let headroom = u128::from(capacity) * u128::from(self.kv_headroom_percent.min(100)) / 100;
+        capacity - u64::try_from(headroom).unwrap_or(capacity)
+    }
+
     /// Finds a model by its name.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<&ModelIntent> {
--- a/crates/limehollow/src/order.rs
+++ b/crates/limehollow/src/order.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::{Fleet, OrderState, Presence, ReplicaState};
 use crate::id::{Incarnation, ModelName, Offset, VmName, ZoneName};
+use crate::intent::Intent;
 use crate::listing::{Listed, ListedKind, Look};
 use crate::membership::{Membership, rendezvous};
 use crate::placement;
@@ -128,6 +129,8 @@
     next_look: Option<Instant>,
     look: Option<Look>,
     failing_since: Option<Instant>,
+    /// When this process last told the log that the endpoint is gone.
+    departed: Option<Instant>,
     fencing: bool,
     /// The number that this incarnation was fenced with, and when it agreed.
     fenced: Option<(Incarnation, Offset, Instant)>,
@@ -149,6 +152,8 @@
     sent: BTreeMap<Offset, Sent>,
     /// When this process first saw each unsettled order.
     first_seen: BTreeMap<Offset, Instant>,
+    /// Since when this process has held the lease.
+    held_since: Option<Instant>,
     /// Since when the sender of an unsettled order can't send it any more.
     released: BTreeMap<Offset, Instant>,
     intent_seen: Option<(Offset, Instant)>,
@@ -170,6 +175,7 @@
             watches: BTreeMap::new(),
             sent: BTreeMap::new(),
             first_seen: BTreeMap::new(),
+            held_since: None,
             released: BTreeMap::new(),
             intent_seen: None,
         }
@@ -235,11 +241,12 @@
             return Vec::new();
         };
         let epoch = lease.epoch;
+        self.held_since.get_or_insert(now);
         let mut out = Vec::new();
         self.note_orders(now, fleet);
         self.look_around(now, fleet, &mut out);
         self.settle(now, fleet, epoch, peers, &mut out);
-        self.find_endpoints(now, fleet, epoch, &mut out);
+        self.find_endpoints(fleet, epoch, &mut out);
         self.find_departures(now, fleet, epoch, &mut out);
         self.find_losses(now, fleet, epoch, &mut out);
         self.answer_intent(now, fleet, &mut out);
@@ -251,6 +258,7 @@
     fn stand_by(&mut self) {
         self.sent.clear();
         self.first_seen.clear();
+        self.held_since = None;
         self.released.clear();
         self.intent_seen = None;
         for w in self.watches.values_mut() {
@@ -395,6 +403,12 @@
         };
         let began = ended.map_or(self.first_seen[&number], |(_, at)| at);
         let e = fleet.endpoint(o.place.endpoint.as_str())?;
+        let released = ended.is_some() || self.sender_is_gone(o, epoch, peers);
+        if e.presence == Presence::Gone {
+            // Nothing can be seen there any more. What it holds is looked at anew if it comes back.
+            let waited = self.has_waited(now, number, ended.map(|(_, at)| at), released);
+            return waited.then_some((Outcome::NotDone, Evidence::DelayPassed));
+        }
         let look = self.fresh_look(&o.place.endpoint, e.incarnation, began);
         let accepted = matches!(ended, Some((SendResult::Accepted, _)));
         if accepted && let Some(l) = look {
@@ -409,7 +423,6 @@
         if e.checks_fencing() {
             return self.outcome_fenced(number, o, e.incarnation, &e.address, out);
         }
-        let released = self.sender_is_gone(o, epoch, peers);
         self.outcome_unfenced(
             now,
             number,
@@ -466,10 +479,7 @@
         released: bool,
     ) -> Option<(Outcome, Evidence)> {
         let first_seen = self.first_seen[&number];
-        if released || ended.is_some() {
-            self.released.entry(number).or_insert(ended.unwrap_or(now));
-        }
-        let released = self.released.get(&number).copied();
+        let waited = self.has_waited(now, number, ended, released);
         let look = self.fresh_look(&o.place.endpoint, incarnation, first_seen)?;
         if look.is_changing(&o.place, &o.model) {
             return None;
@@ -477,10 +487,24 @@
         if effect(o, look) == Outcome::Done {
             return Some((Outcome::Done, Evidence::EffectSeen));
         }
-        let waited = released.is_some_and(|t| now >= t + self.rules.longest_delay);
         waited.then_some((Outcome::NotDone, Evidence::DelayPassed))
     }
 
+    /// Tells whether the longest delay has passed since nobody could send an order any more.
+    fn has_waited(
+        &mut self,
+        now: Instant,
+        number: Offset,
+        ended: Option<Instant>,
+        released: bool,
+    ) -> bool {
+        if released {
+            self.released.entry(number).or_insert(ended.unwrap_or(now));
+        }
+        let since = self.released.get(&number);
+        since.is_some_and(|t| now >= *t + self.rules.longest_delay)
+    }
+
     /// Tells whether the process that may send an order surely won't any more: it has another
     /// incarnation, it is off the platform's list, or it has itself read past the takeover.
     fn sender_is_gone(&self, o: &OrderState, epoch: Offset, peers: &Membership) -> bool {
@@ -505,13 +529,7 @@
     }
 
     /// Tells the log of endpoints that are listed, answer, and aren't known as they are now.
-    fn find_endpoints(
-        &mut self,
-        now: Instant,
-        fleet: &Fleet,
-        epoch: Offset,
-        out: &mut Vec<Command>,
-    ) {
+    fn find_endpoints(&mut self, fleet: &Fleet, epoch: Offset, out: &mut Vec<Command>) {
         let rows: Vec<Listed> = self.own_listed().filter(|l| !l.leaving).cloned().collect();
         for l in rows {
             let known = fleet.endpoint(l.vm.as_str());
@@ -547,9 +565,11 @@
                 }
                 continue;
             }
-            // What the look shows must be from after the fence, or an old order may have come between.
-            let since = fenced.map_or(look.began, |(.., at)| at + self.rules.report_lag);
-            if look.began < since || now < look.began {
+            // What the look shows must be from after the fence, or an old order may have come between;
+            // and from after the last order that could settle here before it went.
+            let since = [self.held_since, w.departed, fenced.map(|(.., at)| at)];
+            let since = since.into_iter().flatten().max();
+            if since.is_some_and(|t| look.began < t + self.rules.report_lag) {
                 continue;
             }
             let seen = EndpointSeen {
@@ -592,6 +612,9 @@
             if so_already {
                 continue;
             }
+            if departure == Departure::Gone {
+                self.watches.entry(vm.clone()).or_default().departed = Some(now);
+            }
             let (zone, endpoint) = (self.zone.clone(), vm.clone());
             let left = EndpointLeft {
                 zone,
@@ -735,8 +758,7 @@
                 name: m.name.clone(),
                 version: m.version.clone(),
             };
-            let limit = intent.kv_headroom_percent;
-            if let Some(place) = self.free_place(fleet, &version, m.bytes, limit, round) {
+            if let Some(place) = self.free_place(fleet, intent, &version, m.bytes, round) {
                 round.issue(place, Action::Load, version, m.bytes, Cause::Repair);
             }
         }
@@ -781,9 +803,9 @@
     fn free_place(
         &self,
         fleet: &Fleet,
+        intent: &Intent,
         model: &ModelVersion,
         bytes: u64,
-        kv_headroom_percent: u8,
         round: &Round<'_>,
     ) -> Option<Place> {
         let mut best: Option<(u64, Place)> = None;
@@ -794,7 +816,7 @@
                     endpoint: vm.clone(),
                     accelerator,
                 };
-                let headroom = a.capacity / 100 * u64::from(kv_headroom_percent);
+                let headroom = a.capacity - intent.budget(a.capacity);
                 let has_it = a.replicas.keys().any(|m| m.name == model.name);
                 let better = best.as_ref().is_none_or(|(free, _)| a.free() > *free);
                 let fits = a.free() >= bytes + headroom;
--- a/crates/limehollow/src/placement.rs
+++ b/crates/limehollow/src/placement.rs
@@ -22,18 +22,29 @@
     /// What the plan has put here so far, in bytes.
     planned: u64,
     /// What is there or may be there now.
-    present: Vec<(ModelVersion, u64, ReplicaState)>,
+    present: Vec<Present>,
     /// What stands here in the end: indices into the intent's models.
     targets: Vec<usize>,
 }
 
+/// What is there or may be there now.
+#[derive(Clone, Debug)]
+struct Present {
+    model: ModelVersion,
+    bytes: u64,
+    state: ReplicaState,
+    /// The base that it stands on, by what was confirmed when it was loaded: the new intent may not
+    /// name it any more.
+    base: Option<ModelName>,
+}
+
 impl Slot {
     fn room(&self) -> u64 {
         self.budget.saturating_sub(self.planned)
     }
 
     fn has(&self, m: &ModelVersion) -> bool {
-        self.present.iter().any(|(p, _, _)| p == m)
+        self.present.iter().any(|p| p.model == *m)
     }
 }
 
@@ -211,22 +222,22 @@
             continue;
         };
         for (i, a) in (0_u16..).zip(&e.accelerators) {
-            let percent = u64::from(100 - intent.kv_headroom_percent);
-            let present = a
-                .replicas
-                .iter()
-                .map(|(m, r)| (m.clone(), r.bytes, r.state))
-                .collect();
+            let present = a.replicas.iter().map(|(m, r)| Present {
+                model: m.clone(),
+                bytes: r.bytes,
+                state: r.state,
+                base: r.base.clone(),
+            });
             slots.push(Slot {
                 place: Place {
                     endpoint: name.clone(),
                     accelerator: i,
                 },
                 zone,
-                budget: a.capacity / 100 * percent,
+                budget: intent.budget(a.capacity),
                 capacity: a.capacity,
                 planned: 0,
-                present,
+                present: present.collect(),
                 targets: Vec::new(),
             });
         }
@@ -238,9 +249,9 @@
 fn keep_present(placed: &mut Placed, intent: &Intent, order: &[usize], counts: &mut [ZoneCounts]) {
     let mut holders: HashMap<ModelVersion, Vec<usize>> = HashMap::new();
     for (i, s) in placed.slots.iter().enumerate() {
-        for (m, _, state) in &s.present {
-            if !matches!(state, ReplicaState::Unloading(_)) {
-                holders.entry(m.clone()).or_default().push(i);
+        for p in &s.present {
+            if !matches!(p.state, ReplicaState::Unloading(_)) {
+                holders.entry(p.model.clone()).or_default().push(i);
             }
         }
     }
@@ -441,24 +452,19 @@
         .iter()
         .map(|&t| version_of(&intent.models[t]))
         .collect();
-    let used: u64 = slot.present.iter().map(|(_, b, _)| b).sum();
+    let used: u64 = slot.present.iter().map(|p| p.bytes).sum();
     let missing = slot.targets.iter().map(|&t| &intent.models[t]);
     let mut loads: Vec<_> = missing
         .filter(|m| !slot.has(&version_of(m)))
         .map(|m| (version_of(m), m.bytes, m.base.clone()))
         .collect();
     loads.sort_by_key(|(m, _, base)| (base.is_some(), m.clone()));
-    let unloads = slot
-        .present
-        .iter()
-        .filter(|(m, _, _)| !targets.contains(m))
-        .map(|(m, b, _)| (m.clone(), *b))
-        .collect();
-    let base_of = |m: &ModelVersion| intent.model(m.name.as_str()).and_then(|x| x.base.clone());
+    let leaving = slot.present.iter().filter(|p| !targets.contains(&p.model));
+    let unloads = leaving.map(|p| (p.model.clone(), p.bytes)).collect();
     let here = slot
         .present
         .iter()
-        .map(|(m, _, _)| (m.clone(), base_of(m)))
+        .map(|p| (p.model.clone(), p.base.clone()))
         .collect();
     Sim {
         free: slot.capacity.saturating_sub(used),
