--- a/crates/limehollow-edge/src/follow.rs
+++ b/crates/limehollow-edge/src/follow.rs
@@ -55,12 +55,16 @@
     L: LogService,
 {
     let mut pause = FIRST_PAUSE;
+    // Until the end was reached there is nothing to wait for, and a process that starts waits for this.
+    let mut wait = Duration::ZERO;
     loop {
-        let batch = read(&log, from, LONG_POLL).await.ok();
+        let batch = read(&log, from, wait).await.ok();
         let failed = batch.is_none();
         if let Some(last) = batch.as_ref().and_then(|b| b.entries.last()) {
             from = last.offset.next();
         }
+        let at_end = batch.as_ref().is_some_and(|b| from >= b.end);
+        wait = if at_end { LONG_POLL } else { Duration::ZERO };
         if tx.send(batch).await.is_err() {
             return;
         }
--- a/crates/limehollow-gateway/src/caller.rs
+++ b/crates/limehollow-gateway/src/caller.rs
@@ -12,7 +12,6 @@
 use serde_json::json;
 use smol_str::SmolStr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -61,7 +60,7 @@
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(Instead::bad(status, "headers_too_large", message));
     }
-    if shared.connections.load(Ordering::Relaxed) > limits.connections {
+    if shared.connections.open() > limits.connections {
         return Err(Instead::later(
             StatusCode::TOO_MANY_REQUESTS,
             "too_many_connections",
@@ -78,13 +77,9 @@
 }
 
 fn terms(shared: &Shared, req: &Request, id: SmolStr) -> Result<Terms, Instead> {
-    let remote = req
-        .remote_addr()
-        .as_socket_addr()
-        .map(|a| a.ip().to_string())
-        .unwrap_or_default();
+    let remote = req.remote_addr().as_socket_addr().copied();
     let default = Duration::from_millis(shared.settings.limits.default_deadline_ms);
-    request::terms(req.headers(), &remote, id, default).map_err(|bad| bad_request(&bad))
+    request::terms(req.headers(), remote, id, default).map_err(|bad| bad_request(&bad))
 }
 
 /// Reads a body within the limits on size and time, and within the request's own deadline.
--- a/crates/limehollow-gateway/src/claims.rs
+++ b/crates/limehollow-gateway/src/claims.rs
@@ -324,7 +324,7 @@
     /// Runs for ever.
     pub async fn run(mut self) {
         let (records_tx, mut records) = mpsc::channel(2);
-        tokio::spawn(tail(self.log.clone(), records_tx));
+        tokio::spawn(tail(self.log.clone(), records_tx.clone()));
         let (appended_tx, mut appended) = mpsc::channel(1);
         let mut appending = false;
         // What the claims in flight wait for: an offset, or a read to the end after a lost append.
@@ -348,7 +348,9 @@
                     if let Some(text) = self.batch() {
                         appending = true;
                         self.metrics.claim_appends.inc();
-                        tokio::spawn(append(self.log.clone(), text, appended_tx.clone()));
+                        let (done, records) = (appended_tx.clone(), records_tx.clone());
+                        let from = self.claims.next_offset().0;
+                        tokio::spawn(append(self.log.clone(), text, from, done, records));
                     }
                 }
             }
@@ -546,16 +548,32 @@
     }
 }
 
-async fn append<L>(log: L, text: String, tx: mpsc::Sender<Appended>)
-where
+/// Appends a batch. If its fate isn't known, reads on at once: the long read that is under way began
+/// before and tells nothing.
+async fn append<L>(
+    log: L,
+    text: String,
+    from: u64,
+    tx: mpsc::Sender<Appended>,
+    records: mpsc::Sender<Option<(Instant, Records)>>,
+) where
     L: LogService,
 {
     let res = timeout(LONGEST_WAIT, log.append(STREAM, vec![text])).await;
+    let since = Instant::now();
     let done = match res {
         Ok(Ok(first)) => Appended::At(Offset(first)),
-        _ => Appended::Lost(Instant::now()),
+        _ => Appended::Lost(since),
     };
+    let lost = matches!(done, Appended::Lost(_));
     let _ended = tx.send(done).await;
+    if lost {
+        let batch = log
+            .read(STREAM, from, READ_LIMIT, Duration::ZERO)
+            .await
+            .ok();
+        let _ended = records.send(batch.map(|b| (since, b))).await;
+    }
 }
 
 /// Reads the claims stream for ever; a failed read is passed on as nothing.
@@ -564,13 +582,17 @@
     L: LogService,
 {
     let mut from = 0;
+    // Until the end was reached once there is nothing to wait for, and callers wait for this.
+    let mut wait = Duration::ZERO;
     loop {
         let began = Instant::now();
-        let batch = log.read(STREAM, from, READ_LIMIT, LONG_POLL).await.ok();
+        let batch = log.read(STREAM, from, READ_LIMIT, wait).await.ok();
         let failed = batch.is_none();
         if let Some(last) = batch.as_ref().and_then(|b| b.records.last()) {
             from = last.offset + 1;
         }
+        let at_end = batch.as_ref().is_some_and(|b| from >= b.next);
+        wait = if at_end { LONG_POLL } else { Duration::ZERO };
         if tx.send(batch.map(|b| (began, b))).await.is_err() {
             return;
         }
--- a/crates/limehollow-gateway/src/limit.rs
+++ b/crates/limehollow-gateway/src/limit.rs
@@ -3,10 +3,12 @@
 use poem::http::uri::Scheme;
 use poem::listener::Acceptor;
 use poem::web::{LocalAddr, RemoteAddr};
+use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -16,19 +18,68 @@
 const ABOVE: usize = 64;
 const PAUSE: Duration = Duration::from_millis(5);
 
+/// The open connections of callers.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: AtomicUsize,
+    cut: Mutex<HashMap<SocketAddr, Arc<AtomicBool>>>,
+}
+
+impl Connections {
+    /// Gives how many there are.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Breaks a caller's connection off: not a byte more is written.
+    ///
+    /// The HTTP library ends a chunked body properly even if it fails, and then a cut answer would
+    /// look whole.
+    pub fn cut(&self, caller: SocketAddr) {
+        if let Some(flag) = self.lock().get(&caller) {
+            flag.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn opened(&self, caller: Option<SocketAddr>) -> Arc<AtomicBool> {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let flag = Arc::new(AtomicBool::new(false));
+        if let Some(c) = caller {
+            self.lock().insert(c, Arc::clone(&flag));
+        }
+        flag
+    }
+
+    fn closed(&self, caller: Option<SocketAddr>) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        if let Some(c) = caller {
+            self.lock().remove(&c);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<AtomicBool>>> {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// An acceptor that counts.
 #[derive(Debug)]
 pub struct Limited<A> {
     inner: A,
-    open: Arc<AtomicUsize>,
+    connections: Arc<Connections>,
     limit: usize,
 }
 
 impl<A> Limited<A> {
-    /// Bounds an acceptor; the count is shown in `open`.
+    /// Bounds an acceptor.
     #[must_use]
-    pub fn new(inner: A, open: Arc<AtomicUsize>, limit: usize) -> Self {
-        Self { inner, open, limit }
+    pub fn new(inner: A, connections: Arc<Connections>, limit: usize) -> Self {
+        Self {
+            inner,
+            connections,
+            limit,
+        }
     }
 }
 
@@ -43,15 +94,19 @@
     }
 
     async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        while self.open.load(Ordering::Relaxed) >= self.limit + ABOVE {
+        while self.connections.open() >= self.limit + ABOVE {
             sleep(PAUSE).await;
         }
         let (io, local, remote, scheme) = self.inner.accept().await?;
-        self.open.fetch_add(1, Ordering::Relaxed);
+        let caller = remote.as_socket_addr().copied();
+        let cut = self.connections.opened(caller);
+        let connections = Arc::clone(&self.connections);
         Ok((
             Counted {
                 io,
-                open: Arc::clone(&self.open),
+                caller,
+                cut,
+                connections,
             },
             local,
             remote,
@@ -60,16 +115,27 @@
     }
 }
 
-/// A connection that counts itself out when it closes.
+/// A connection that counts itself out when it closes, and that can be cut.
 #[derive(Debug)]
 pub struct Counted<T> {
     io: T,
-    open: Arc<AtomicUsize>,
+    caller: Option<SocketAddr>,
+    cut: Arc<AtomicBool>,
+    connections: Arc<Connections>,
+}
+
+impl<T> Counted<T> {
+    fn check(&self) -> io::Result<()> {
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
 }
 
 impl<T> Drop for Counted<T> {
     fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
+        self.connections.closed(self.caller);
     }
 }
 
@@ -95,10 +161,12 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check()?;
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check()?;
         Pin::new(&mut self.io).poll_flush(cx)
     }
 
--- a/crates/limehollow-gateway/src/main.rs
+++ b/crates/limehollow-gateway/src/main.rs
@@ -25,7 +25,6 @@
 use poem::listener::TcpAcceptor;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -246,7 +245,7 @@
 
 async fn count_connections(shared: Arc<Shared>) {
     loop {
-        let open = shared.connections.load(Ordering::Relaxed);
+        let open = shared.connections.open();
         shared
             .metrics
             .connections
--- a/crates/limehollow-gateway/src/relay.rs
+++ b/crates/limehollow-gateway/src/relay.rs
@@ -16,10 +16,13 @@
 use limehollow::verdict::Failure;
 use smol_str::SmolStr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// The largest event, in bytes.
 const MAX_EVENT: usize = 1 << 20;
+/// How long the last event of a cut stream has to leave before the connection is broken off.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 const DONE: &[u8] = b"data: [DONE]";
 
 /// A stream under way.
@@ -80,9 +83,12 @@
                 State::Open(mut relay) => match relay.next().await {
                     Piece::Event(b) => Some((Ok(b), State::Open(relay))),
                     Piece::Last(b) => Some((Ok(b), State::Closed)),
-                    Piece::Cut(b) => Some((Ok(b), State::Cut)),
+                    Piece::Cut(b) => Some((Ok(b), State::Cut(relay))),
                 },
-                State::Cut => Some((Err(std::io::Error::other("cut")), State::Closed)),
+                State::Cut(relay) => {
+                    relay.break_off().await;
+                    Some((Err(std::io::Error::other("cut")), State::Closed))
+                }
                 State::Closed => None,
             }
         })
@@ -188,6 +194,14 @@
         Piece::Last(event)
     }
 
+    /// Breaks the caller's connection off, once what was written last is on its way.
+    async fn break_off(&self) {
+        sleep(FLUSH_TIME).await;
+        if let Some(remote) = self.course.ask.terms.remote {
+            self.shared.connections.cut(remote);
+        }
+    }
+
     fn cut(&mut self, instead: &Instead) -> Piece {
         self.settled = true;
         self.course.ended(&self.shared, "cut");
@@ -206,7 +220,7 @@
 /// Where the caller's stream stands.
 enum State {
     Open(Box<Relay>),
-    Cut,
+    Cut(Box<Relay>),
     Closed,
 }
 
--- a/crates/limehollow-gateway/src/request.rs
+++ b/crates/limehollow-gateway/src/request.rs
@@ -7,8 +7,9 @@
 use limehollow::retry::Repeat;
 use poem::http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use snafu::Snafu;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -80,6 +81,8 @@
     pub key: Option<SmolStr>,
     /// Who sent it.
     pub caller: SmolStr,
+    /// The caller's end of the connection.
+    pub remote: Option<SocketAddr>,
 }
 
 /// A request that was read.
@@ -154,7 +157,7 @@
 /// [`Bad::Header`] names the header and what would be valid.
 pub fn terms(
     headers: &HeaderMap,
-    remote: &str,
+    remote: Option<SocketAddr>,
     id: SmolStr,
     default_deadline: Duration,
 ) -> Result<Terms, Bad> {
@@ -184,7 +187,7 @@
     // Callers are told apart by what they authenticate with; the hash keeps secrets out of dumps.
     let caller = match headers.get("authorization") {
         Some(v) => format_smolstr!("auth-{:016x}", hash(v.as_bytes())),
-        None => SmolStr::new(remote),
+        None => remote.map(|r| r.ip().to_smolstr()).unwrap_or_default(),
     };
     Ok(Terms {
         id,
@@ -194,6 +197,7 @@
         never_repeat,
         key,
         caller,
+        remote,
     })
 }
 
--- a/crates/limehollow-gateway/src/shared.rs
+++ b/crates/limehollow-gateway/src/shared.rs
@@ -2,13 +2,13 @@
 
 use crate::claims::Claiming;
 use crate::desk::Desk;
+use crate::limit::Connections;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use arc_swap::ArcSwap;
 use limehollow::retry::RetryBudget;
 use limehollow::routing::Table;
 use limehollow_edge::http::{CONNECT_TIMEOUT, classify};
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,7 +29,7 @@
     /// The metrics.
     pub metrics: Metrics,
     /// Open connections of callers.
-    pub connections: Arc<AtomicUsize>,
+    pub connections: Arc<Connections>,
     /// For requests that may be sent again.
     pub client: reqwest::Client,
     /// For requests that may not: each has a connection of its own, since on a used one a request
--- a/crates/stand-ins/src/service.rs
+++ b/crates/stand-ins/src/service.rs
@@ -163,8 +163,11 @@
         s.settings.name
     );
     if faults.break_bodies > 0 {
+        // Fewer bytes than were promised: the connection has to break off.
+        let promised = (answer.len() + 10).to_string();
         let parts = [Ok(answer), Err(std::io::Error::other("broken off"))];
         return Response::builder()
+            .header("content-length", promised)
             .body(Body::from_bytes_stream(futures_util::stream::iter(parts)));
     }
     Response::builder()
