--- a/crates/limehollow-gateway/tests/faults.rs
+++ b/crates/limehollow-gateway/tests/faults.rs
@@ -258,7 +258,7 @@
     // Every gateway is replaced in turn under load; a balancer that follows readiness sends each
     // request to a ready one.
     let rig = Rig::new(2).await;
-    let mut gateways = vec![rig.gateway("vm-1", "").await, rig.gateway("vm-2", "").await];
+    let mut gateways = [rig.gateway("vm-1", "").await, rig.gateway("vm-2", "").await];
     let mut sent = 0;
     for round in 0..4 {
         let i = round % 2;
--- a/crates/limehollow/tests/events.rs
+++ b/crates/limehollow/tests/events.rs
@@ -19,18 +19,18 @@
     Evidence::DelayPassed,
 ];
 
-/// Makes a record of four bytes. The epoch is sometimes an old one, and so is the incarnation.
+/// Makes a record of four bytes.  The epoch is sometimes an old one, and so is the incarnation.
 fn record(s: &Story, bytes: [u8; 4]) -> Record {
-    let [kind, a, b, c] = bytes.map(usize::from);
-    let endpoint = ENDPOINTS[a % 2];
-    let epoch = match c % 5 {
+    let [kind, which, what, how] = bytes.map(usize::from);
+    let endpoint = ENDPOINTS[which % 2];
+    let epoch = match how % 5 {
         0 => Offset(0),
         _ => s.fleet.epoch(&"a".into()).unwrap_or_default(),
     };
     let incarnation = s.fleet.endpoint(endpoint).map_or(1, |e| e.incarnation);
     match kind % 8 {
         0..=3 => {
-            let (name, size) = MODELS[b % 3];
+            let (name, size) = MODELS[what % 3];
             let action = if kind % 2 == 0 { Load } else { Unload };
             let mut o = issued(endpoint, action, name, "1", size);
             o.epoch = epoch;
@@ -44,15 +44,18 @@
                 .filter(|(_, o)| o.settled.is_none())
                 .map(|(k, _)| k)
                 .collect();
-            let order = open.get(b % open.len().max(1)).copied().unwrap_or_default();
-            let mut r = settled(order, OUTCOMES[a % 2], EVIDENCE[c % 4]);
+            let order = open
+                .get(what % open.len().max(1))
+                .copied()
+                .unwrap_or_default();
+            let mut r = settled(order, OUTCOMES[which % 2], EVIDENCE[how % 4]);
             if let Record::OrderSettled(r) = &mut r {
                 r.epoch = epoch;
             }
             r
         }
-        6 => lease(["vm-1", "vm-2"][a % 2], Some(epoch.0)),
-        _ if b % 4 == 0 => Record::EndpointLeft(EndpointLeft {
+        6 => lease(["vm-1", "vm-2"][which % 2], Some(epoch.0)),
+        _ if what % 4 == 0 => Record::EndpointLeft(EndpointLeft {
             zone: "a".into(),
             epoch,
             endpoint: endpoint.into(),
@@ -62,7 +65,7 @@
             let mut r = seen(
                 endpoint,
                 endpoint == "fenced",
-                incarnation + (b % 2) as u64,
+                incarnation + (what % 2) as u64,
                 Vec::new(),
             );
             if let Record::EndpointSeen(r) = &mut r {
--- a/crates/limehollow/tests/fleet.rs
+++ b/crates/limehollow/tests/fleet.rs
@@ -3,7 +3,7 @@
 mod records;
 
 use limehollow::Category;
-use limehollow::fleet::{Fleet, Presence, ReplicaState};
+use limehollow::fleet::{Accelerator, Fleet, Presence, ReplicaState};
 use limehollow::id::{LogTime, Offset};
 use limehollow::plan::Action::{Load, Unload};
 use limehollow::record::{
@@ -64,7 +64,7 @@
     s.load("fenced", "m", 40);
     s.ok(order("open", Unload, "m", "1", 40));
     assert_eq!(
-        s.fleet.accelerator(&place("open")).map(|a| a.free()),
+        s.fleet.accelerator(&place("open")).map(Accelerator::free),
         Some(10)
     );
     s.confirm(intent(vec![
@@ -198,7 +198,7 @@
 fn replica_counts_by_state() {
     // Memory counts all three states; reachability only the one that is sure.
     let mut s = Story::begin();
-    let used = |s: &Story| s.fleet.accelerator(&place("open")).map(|a| a.used());
+    let used = |s: &Story| s.fleet.accelerator(&place("open")).map(Accelerator::used);
     let load = s.ok(order("open", Load, "m", "1", 40));
     assert_eq!((used(&s), s.fleet.ready("m").count()), (Some(40), 0));
     s.ok(settled(load, Outcome::Done, Evidence::EffectSeen));
--- a/crates/limehollow/tests/placement.rs
+++ b/crates/limehollow/tests/placement.rs
@@ -3,7 +3,7 @@
 mod records;
 
 use limehollow::fleet::Fleet;
-use limehollow::id::{LogTime, Offset, ZoneName};
+use limehollow::id::{Offset, ZoneName};
 use limehollow::intent::{Intent, Priority};
 use limehollow::placement::{memory_use, plan};
 use limehollow::plan::{Action, Plan};
@@ -11,11 +11,11 @@
 use records::{Story, adapter, intent, model, place, version};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// An engine: zone, name, memory of each accelerator, residents.
+type Row<'a> = (&'a str, &'a str, &'a [u64], &'a [(&'a str, &'a str, u64)]);
+
 /// A fleet of engines, given as (zone, name, memory of each accelerator, residents).
-fn fleet(
-    engines: &[(&str, &str, &[u64], &[(&str, &str, u64)])],
-    confirmed: Option<Intent>,
-) -> Fleet {
+fn fleet(engines: &[Row<'_>], confirmed: Option<Intent>) -> Fleet {
     let mut s = Story::default();
     let mut epochs: BTreeMap<ZoneName, Offset> = BTreeMap::new();
     if let Some(i) = confirmed {
@@ -296,7 +296,7 @@
             intent(models)
         };
         let (old, new) = (random(1), random(2));
-        let engines: [(&str, &str, &[u64], &[(&str, &str, u64)]); 3] = [
+        let engines: [Row<'_>; 3] = [
             ("a", "e1", &[100], &[]),
             ("b", "e2", &[100], &[]),
             ("c", "e3", &[100], &[]),
@@ -326,5 +326,4 @@
         }
     }
     assert!(made > 150, "only {made} changes had a plan");
-    let _time = LogTime(0);
 }
--- a/crates/limehollow/tests/records/mod.rs
+++ b/crates/limehollow/tests/records/mod.rs
@@ -44,6 +44,10 @@
     }
 
     /// Applies a record that has to take effect, and gives its offset.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "calls read better without a reference"
+    )]
     pub fn ok(&mut self, r: Record) -> Offset {
         let offset = Offset(self.offset);
         self.next(&r)
@@ -52,6 +56,10 @@
     }
 
     /// Applies a record that has to be void, and gives why.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "calls read better without a reference"
+    )]
     pub fn void(&mut self, r: Record) -> String {
         match self.next(&r) {
             Ok(_) => panic!("{r:?} took effect"),
--- a/crates/limehollow/tests/retry.rs
+++ b/crates/limehollow/tests/retry.rs
@@ -61,7 +61,7 @@
 fn after_attempts_bounded() {
     let mut a = attempts(Repeat::Allowed);
     let (mut b, now) = (RetryBudget::default(), Instant::now());
-    let made = (0..)
+    let made = (0..100)
         .take_while(|_| is_retry(b.after(now, &mut a, Failure::Connect, 0.5)))
         .count();
     assert_eq!(made + 1, MAX_ATTEMPTS as usize);
--- a/crates/limehollow/tests/world/mod.rs
+++ b/crates/limehollow/tests/world/mod.rs
@@ -469,7 +469,7 @@
     }
 
     fn exchange_heartbeats(&mut self) {
-        if self.ticks % 5 != 0 {
+        if !self.ticks.is_multiple_of(5) {
             return;
         }
         let now = self.now;
