--- a/crates/limehollow-controller/src/control.rs
+++ b/crates/limehollow-controller/src/control.rs
@@ -14,7 +14,7 @@
 use limehollow::replay::{Applied, Replay, SNAPSHOT_EVERY};
 use limehollow_edge::admin::Readiness;
 use limehollow_edge::follow::Batch;
-use limehollow_wire::peer::{ClaimFate, Digest, Reply, Request};
+use limehollow_wire::peer::{ClaimFate, Reply, Request};
 use limehollow_wire::record::{encode, encode_snapshot};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -228,7 +228,7 @@
             self.next_gossip = now + GOSSIP_EVERY;
             self.gossip.tick(now, next);
             for peer in self.gossip.choose_peers() {
-                let digest = self.gossip.digest(now);
+                let digest = self.gossip.digest(now, &[]);
                 self.io.gossip(peer, digest);
             }
             self.ask_for_state();
@@ -329,9 +329,9 @@
         let next = self.replay.fleet().next_offset();
         match req {
             Request::Gossip(digest) => {
+                let said = digest.heartbeats.clone();
                 self.gossip.on_digest(now, digest);
-                // The asker has just said what it knows; it gets only what it may not know.
-                Reply::Gossip(self.gossip.digest(now))
+                Reply::Gossip(self.gossip.digest(now, &said))
             }
             Request::State => {
                 let known = self.caught_up && !self.replay.has_gap() && next > Offset(0);
@@ -395,7 +395,7 @@
                         "liveness": format!("{liveness:?}") })
             })
             .collect();
-        let Digest { leaving, .. } = self.gossip.digest(now);
+        let leaving = self.gossip.leaving();
         json!({
             "role": "controller",
             "name": self.settings.name,
--- a/crates/limehollow-controller/src/gossip.rs
+++ b/crates/limehollow-controller/src/gossip.rs
@@ -13,7 +13,7 @@
 /// How many controllers look at each endpoint for its load.
 pub const WATCHERS: usize = 2;
 /// The most load reports in one message.
-pub const MAX_LOADS: usize = 32;
+pub const MAX_LOADS: usize = 8;
 
 #[derive(Debug)]
 struct Heard {
@@ -123,14 +123,15 @@
             .retain(|_, h| now.duration_since(h.taken) < REPORT_LIFE);
     }
 
-    /// Gives what to tell a peer: the reports that were told least, the youngest first.
-    pub fn digest(&mut self, now: Instant) -> Digest {
-        let heartbeats = self
-            .members
-            .digest(now)
+    /// Gives what to tell a peer: the reports that were told least, the youngest first, and what it
+    /// hasn't just said itself.
+    pub fn digest(&mut self, now: Instant, said: &[WireHeartbeat]) -> Digest {
+        let known: Vec<Heartbeat> = said
             .iter()
-            .map(WireHeartbeat::from)
+            .filter_map(|h| Heartbeat::try_from(h.clone()).ok())
             .collect();
+        let heartbeats = self.members.digest(now, &known);
+        let heartbeats = heartbeats.iter().map(WireHeartbeat::from).collect();
         let mut rows: Vec<(&VmName, &mut Heard)> = self.loads.iter_mut().collect();
         rows.sort_by_key(|(_, h)| (h.told, std::cmp::Reverse(h.taken)));
         rows.truncate(MAX_LOADS);
@@ -165,6 +166,12 @@
         }
     }
 
+    /// Gives the endpoints that are known to leave.
+    #[must_use]
+    pub fn leaving(&self) -> &BTreeSet<VmName> {
+        &self.leaving
+    }
+
     /// Chooses the peers to speak to now; the seeds while none is known.
     pub fn choose_peers(&mut self) -> Vec<String> {
         let mut from: Vec<String> = self.peers.values().cloned().collect();
--- a/crates/limehollow/src/membership.rs
+++ b/crates/limehollow/src/membership.rs
@@ -18,7 +18,7 @@
 /// To how many peers a controller speaks at each tick.
 pub const FANOUT: usize = 3;
 /// The most heartbeats in one message.
-pub const MAX_HEARTBEATS: usize = 32;
+pub const MAX_HEARTBEATS: usize = 24;
 
 /// One peer's heartbeat, as it is passed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,13 +132,22 @@
     }
 
     /// Gives the heartbeats for one message: this VM's own, then those that were told least since
-    /// they changed, the latest changes first.
-    pub fn digest(&mut self, now: Instant) -> Vec<Heartbeat> {
+    /// they changed, the latest changes first. What the receiver has just said itself is left out.
+    pub fn digest(&mut self, now: Instant, known: &[Heartbeat]) -> Vec<Heartbeat> {
+        let known: BTreeMap<&VmName, (Incarnation, u64)> = known
+            .iter()
+            .map(|h| (&h.vm, (h.incarnation, h.counter)))
+            .collect();
+        let is_news = |h: &Heartbeat| {
+            known
+                .get(&h.vm)
+                .is_none_or(|k| *k < (h.incarnation, h.counter))
+        };
         let me = &self.me;
         let mut rows: Vec<&mut Peer> = self
             .peers
             .values_mut()
-            .filter(|p| now.duration_since(p.changed) < DEAD_AFTER)
+            .filter(|p| now.duration_since(p.changed) < DEAD_AFTER && is_news(&p.heartbeat))
             .collect();
         rows.sort_by_key(|p| (p.heartbeat.vm != *me, p.told, std::cmp::Reverse(p.changed)));
         rows.truncate(MAX_HEARTBEATS);
--- a/crates/limehollow/src/order.rs
+++ b/crates/limehollow/src/order.rs
@@ -21,6 +21,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// How often the whole fleet is gone through while nothing changes.
+const ROUND_EVERY: Duration = Duration::from_secs(1);
+
 /// The times and counts that a driver goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rules {
@@ -161,6 +164,10 @@
     intent_seen: Option<(Offset, Instant)>,
     /// The next offset and when it was first seen, for estimating the log's time.
     last_record: Option<(Offset, Instant)>,
+    /// Whether something came in that a whole round has to consider.
+    news: bool,
+    /// The next offset and the time of the last whole round.
+    last_round: Option<(Offset, Instant)>,
 }
 
 /// Events.
@@ -183,11 +190,14 @@
             released: BTreeMap::new(),
             intent_seen: None,
             last_record: None,
+            news: true,
+            last_round: None,
         }
     }
 
     /// Takes in the platform's membership list.
     pub fn on_list(&mut self, now: Instant, rows: Vec<Listed>) {
+        self.news = true;
         let names: BTreeSet<VmName> = rows.iter().map(|l| l.vm.clone()).collect();
         for vm in self.list.keys().filter(|vm| !names.contains(*vm)) {
             self.unlisted_since.entry(vm.clone()).or_insert(now);
@@ -201,6 +211,16 @@
     pub fn on_look(&mut self, now: Instant, endpoint: &VmName, look: Option<Look>) {
         let w = self.watches.entry(endpoint.clone()).or_default();
         w.looking = false;
+        let says_new = match (&w.look, &look) {
+            (Some(old), Some(new)) => {
+                w.failing_since.is_some()
+                    || old.incarnation != new.incarnation
+                    || old.residents != new.residents
+                    || old.changing != new.changing
+            }
+            _ => true,
+        };
+        self.news |= says_new || !self.first_seen.is_empty();
         match look {
             Some(l) => {
                 w.failing_since = None;
@@ -222,6 +242,7 @@
     ) {
         let w = self.watches.entry(endpoint.clone()).or_default();
         w.fencing = false;
+        self.news = true;
         let Some(i) = incarnation else { return };
         // A fence that says nothing new must not make the looks since the first one count as old.
         if w.fenced.is_some_and(|(j, n, _)| i == j && n >= number) {
@@ -233,6 +254,7 @@
 
     /// Takes in how sending an order ended.
     pub fn on_sent(&mut self, now: Instant, order: Offset, res: SendResult) {
+        self.news = true;
         self.sent.insert(order, Sent::Ended(res, now));
     }
 }
@@ -251,8 +273,11 @@
         let epoch = lease.epoch;
         self.held_since.get_or_insert(now);
         let mut out = Vec::new();
-        self.note_orders(now, fleet);
         self.look_around(now, fleet, &mut out);
+        if !self.has_news(now, fleet) {
+            return out;
+        }
+        self.note_orders(now, fleet);
         self.settle(now, fleet, epoch, peers, &mut out);
         self.find_endpoints(fleet, epoch, &mut out);
         self.find_departures(now, fleet, epoch, &mut out);
@@ -271,11 +296,28 @@
         self.held_since = None;
         self.released.clear();
         self.intent_seen = None;
+        self.last_round = None;
         for w in self.watches.values_mut() {
             w.fenced = None;
         }
     }
 
+    /// Tells whether anything has changed since the last whole round, or that one is long past. A
+    /// round looks at the whole fleet, which at the size to come costs milliseconds
+    /// (`docs/CAPACITY.md`).
+    fn has_news(&mut self, now: Instant, fleet: &Fleet) -> bool {
+        let next = fleet.next_offset();
+        let same = self
+            .last_round
+            .is_some_and(|(o, at)| o == next && now < at + ROUND_EVERY);
+        if same && !self.news {
+            return false;
+        }
+        self.news = false;
+        self.last_round = Some((next, now));
+        true
+    }
+
     /// Estimates the log's time from the last record and the time since it was read. It is never
     /// ahead of the true one by more than the clocks' drift, and the log itself has the last word.
     fn log_time(&mut self, now: Instant, fleet: &Fleet) -> LogTime {
--- a/crates/limehollow/tests/membership.rs
+++ b/crates/limehollow/tests/membership.rs
@@ -106,7 +106,7 @@
     }
     let mut told: BTreeMap<VmName, u32> = BTreeMap::new();
     for round in 0..3 {
-        let d = m.digest(t + Duration::from_millis(round));
+        let d = m.digest(t + Duration::from_millis(round), &[]);
         assert!(d.len() <= MAX_HEARTBEATS);
         assert_eq!(d[0].vm.as_str(), "me");
         for h in d {
@@ -145,16 +145,18 @@
         for i in 0..self.all.len() {
             for _ in 0..FANOUT {
                 let peer = self.rng.random_range(0..self.all.len());
-                self.tell(i, peer);
-                self.tell(peer, i);
+                let said = self.tell(i, peer, &[]);
+                self.tell(peer, i, &said);
             }
         }
     }
 
-    fn tell(&mut self, from: usize, to: usize) {
-        for h in self.all[from].digest(self.now) {
-            self.all[to].merge(self.now, h);
+    fn tell(&mut self, from: usize, to: usize, known: &[Heartbeat]) -> Vec<Heartbeat> {
+        let digest = self.all[from].digest(self.now, known);
+        for h in &digest {
+            self.all[to].merge(self.now, h.clone());
         }
+        digest
     }
 
     /// Gives how many pairs take each other for anything but alive.
--- a/crates/limehollow/tests/world/mod.rs
+++ b/crates/limehollow/tests/world/mod.rs
@@ -484,7 +484,7 @@
             .controllers
             .iter_mut()
             .filter(|c| c.power == Power::Up)
-            .map(|c| (c.zone.clone(), c.members.digest(now)))
+            .map(|c| (c.zone.clone(), c.members.digest(now, &[])))
             .collect();
         for c in self.controllers.iter_mut().filter(|c| c.power == Power::Up) {
             for (_, d) in digests.iter().filter(|(z, _)| *z == c.zone) {
