Routing: reports steer the choice and don't gate it; refusals at the pace of the queue

Expected answers now take two mean deviations above the mean, and the wait follows the pace of the last 32 starts.

--- a/crates/limehollow-bench/src/lib.rs
+++ b/crates/limehollow-bench/src/lib.rs
@@ -6,3 +6,5 @@
 
 pub mod demand;
 pub mod fleets;
+pub mod placing;
+pub mod routing;
--- a/crates/limehollow/src/admission.rs
+++ b/crates/limehollow/src/admission.rs
@@ -20,6 +20,8 @@
 pub const MAX_WAITING: usize = 4096;
 /// The shortest time after which a refused caller is asked to come back.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How many starts the pace of a queue is taken from.
+const STARTS_SEEN: usize = 32;
 const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
 
 /// What a request is for.
@@ -204,6 +206,27 @@
     }
 }
 
+/// The last requests that were started for one subject, from which follows how fast a queue drains.
+#[derive(Debug, Default)]
+struct Starts(VecDeque<Instant>);
+
+impl Starts {
+    fn note(&mut self, now: Instant) {
+        self.0.push_back(now);
+        if self.0.len() > STARTS_SEEN {
+            self.0.pop_front();
+        }
+    }
+
+    /// Gives the time that one place in the queue takes, once enough was seen.
+    fn pace(&self, now: Instant) -> Option<f64> {
+        let first = self.0.front().filter(|_| self.0.len() == STARTS_SEEN)?;
+        #[expect(clippy::cast_precision_loss, reason = "the number is small")]
+        let n = STARTS_SEEN as f64;
+        Some(now.duration_since(*first).as_secs_f64() / n)
+    }
+}
+
 /// The admission of one gateway.
 #[derive(Debug)]
 pub struct Admission {
@@ -211,6 +234,7 @@
     loads: Loads,
     times: BTreeMap<Subject, ServiceTime>,
     queues: BTreeMap<Subject, Queue>,
+    starts: BTreeMap<Subject, Starts>,
     waiting: usize,
     last_ticket: u64,
 }
@@ -224,6 +248,7 @@
             loads: Loads::default(),
             times: BTreeMap::new(),
             queues: BTreeMap::new(),
+            starts: BTreeMap::new(),
             waiting: 0,
             last_ticket: 0,
         }
@@ -281,6 +306,7 @@
             .is_none_or(|q| q.ahead_of(offer.priority) == 0);
         if first_in_line && let Some(key) = self.pick(now, route, &offer) {
             self.loads.start(key);
+            self.starts.entry(offer.subject).or_default().note(now);
             return Admit::Start(key);
         }
         if now + service > offer.deadline {
@@ -395,6 +421,7 @@
             turns.push((*ticket, turn));
             if let Turn::Start(key) = turn {
                 self.loads.start(key);
+                self.starts.entry(subject.clone()).or_default().note(now);
             }
             if let Some(q) = self.queues.get_mut(subject) {
                 q.pop();
@@ -426,7 +453,9 @@
             .all(|t| self.loads.outstanding(t.key) == 0)
     }
 
-    /// Estimates the wait of a new request: those ahead of it, over the slots of its endpoints.
+    /// Estimates the wait of a new request: those ahead of it, at the pace at which requests were
+    /// started lately; before there is a pace, over the slots of its endpoints, which is too short
+    /// where other gateways use them too.
     fn wait_estimate(&self, now: Instant, route: &Route, offer: &Offer) -> Duration {
         if self.pick(now, route, offer).is_some() {
             return Duration::ZERO;
@@ -435,18 +464,22 @@
             .queues
             .get(&offer.subject)
             .map_or(0, |q| q.ahead_of(offer.priority));
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a queue is bounded by MAX_QUEUE"
+        )]
+        let places = ahead as f64 + 1.0;
+        let pace = self.starts.get(&offer.subject).and_then(|s| s.pace(now));
+        if let Some(pace) = pace {
+            return Duration::from_secs_f64(pace * places);
+        }
         let slots: f64 = route
             .targets
             .iter()
             .map(|t| self.loads.slots(now, t.key))
             .sum();
         let service = self.service_time(offer).as_secs_f64();
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "a queue is bounded by MAX_QUEUE"
-        )]
-        let rounds = (ahead as f64 + 1.0) / slots.max(1.0);
-        Duration::from_secs_f64(service * rounds)
+        Duration::from_secs_f64(service * places / slots.max(1.0))
     }
 }
 
--- a/crates/limehollow/src/load.rs
+++ b/crates/limehollow/src/load.rs
@@ -23,6 +23,11 @@
 /// A first answer that takes this many times the usual shortest one is a sign of overload.
 const SLOW_FACTOR: f64 = 3.0;
 const SMOOTHING: f64 = 0.2;
+/// A first answer that is late by no more than this is no sign of overload, whatever the usual one
+/// takes: engines batch, so a short queue inside them keeps them busy.
+const SLACK: f64 = 0.25;
+/// How many mean deviations above the mean an answer is expected to take at most.
+const DEVIATIONS: f64 = 2.0;
 
 /// What an endpoint says of its own load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,11 +108,12 @@
         self.limit.min(reported)
     }
 
-    fn has_room(&self, now: Instant) -> bool {
+    fn has_room(&self) -> bool {
         let with_one_more = f64::from(self.outstanding) + 1.0;
         // One request of our own always may go, or a lying report could shut an endpoint for good.
-        self.outstanding == 0
-            || (with_one_more <= self.limit && with_one_more + self.others(now) <= self.slots(now))
+        // What others have there only steers the choice: gating on it as well leaves slots empty, since
+        // every gateway steps back for the same late report (docs/design/routing.md).
+        self.outstanding == 0 || with_one_more <= self.limit
     }
 
     fn is_ejected(&self, now: Instant) -> bool {
@@ -143,7 +149,7 @@
             }
         });
         self.floor = Some(floor);
-        if secs > floor * SLOW_FACTOR + 0.01 {
+        if secs > floor * SLOW_FACTOR + SLACK {
             self.cut(now, first);
         } else if f64::from(self.outstanding) + 1.0 >= self.limit * 0.8 {
             self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(MAX_LIMIT);
@@ -190,10 +196,10 @@
 
     /// Tells whether an endpoint can take one more request of this gateway now.
     #[must_use]
-    pub fn has_room(&self, now: Instant, key: EndpointKey) -> bool {
+    pub fn has_room(&self, key: EndpointKey) -> bool {
         self.rows
             .get(key)
-            .is_none_or(|l| l.has_room(now) && !l.on_probation())
+            .is_none_or(|l| l.has_room() && !l.on_probation())
     }
 
     /// Tells whether an endpoint is ejected for its failures.
@@ -255,13 +261,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceTime {
     first: Option<f64>,
+    deviation: f64,
     per_token: Option<f64>,
 }
 
 impl ServiceTime {
     /// Takes in a whole answer: the time to its first byte, the time after that, and its tokens.
     pub fn observe(&mut self, first: Duration, rest: Duration, tokens: u32) {
-        smooth(&mut self.first, first.as_secs_f64());
+        let sample = first.as_secs_f64();
+        let off = (sample - self.first.unwrap_or(sample)).abs();
+        self.deviation += (off - self.deviation) * SMOOTHING;
+        smooth(&mut self.first, sample);
         if tokens > 1 {
             smooth(
                 &mut self.per_token,
@@ -270,11 +280,13 @@
         }
     }
 
-    /// Estimates the time of an answer of this many tokens; zero as long as nothing is known.
+    /// Estimates the time that most answers of this many tokens take at most; zero as long as nothing
+    /// is known. By the mean alone, half of what is started last would be late.
     #[must_use]
     pub fn estimate(&self, tokens: u32) -> Duration {
         let rest = self.per_token.unwrap_or(0.0) * f64::from(tokens.saturating_sub(1));
-        Duration::from_secs_f64(self.first.unwrap_or(0.0) + rest)
+        let first = self.first.unwrap_or(0.0) + DEVIATIONS * self.deviation;
+        Duration::from_secs_f64(first + rest)
     }
 }
 
--- a/crates/limehollow/src/routing.rs
+++ b/crates/limehollow/src/routing.rs
@@ -229,7 +229,7 @@
     let bound = (mean * LOAD_BOUND).max(mean + 1.0);
     let mut open: Vec<(u64, f64, &Target)> = targets
         .iter()
-        .filter(|t| loads.has_room(now, t.key))
+        .filter(|t| loads.has_room(t.key))
         .map(|t| (weight(wish.affinity, t), loads.estimate(now, t.key), *t))
         .collect();
     open.sort_by_key(|(w, _, _)| std::cmp::Reverse(*w));
--- a/crates/limehollow/tests/routing.rs
+++ b/crates/limehollow/tests/routing.rs
@@ -128,7 +128,7 @@
         "one at a time"
     );
     loads.finish(later, bad, Ending::Whole { first: ms(10) });
-    assert!(loads.has_room(later, bad));
+    assert!(loads.has_room(bad));
     // A failure on probation ejects for longer, at once.
     for _ in 0..3 {
         fail(&mut loads, later, bad, Failure::Connect);
