--- a/crates/limehollow-bench/src/bin/overhead.rs
+++ b/crates/limehollow-bench/src/bin/overhead.rs
@@ -3,12 +3,20 @@
 //!
 //! usage: overhead --direct URL --through URL [--pid N] [--model NAME] [--requests N] [--at-once N]
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a measurement are far below 2^52"
+)]
+
 use hdrhistogram::Histogram;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
+/// The longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
 struct Call {
     direct: String,
     through: String,
@@ -71,7 +79,8 @@
         let (client, url, body) = (client.clone(), url.clone(), body.clone());
         let (next, requests) = (Arc::clone(&next), call.requests);
         tasks.push(tokio::spawn(async move {
-            let mut h = Histogram::<u64>::new(3).expect("three digits are valid");
+            let mut h =
+                Histogram::<u64>::new_with_max(MAX_MICROS, 3).expect("three digits are valid");
             let mut failed = 0;
             while next.fetch_add(1, Ordering::Relaxed) < requests {
                 let at = Instant::now();
@@ -86,7 +95,7 @@
             (h, failed)
         }));
     }
-    let mut all = Histogram::<u64>::new(3).expect("three digits are valid");
+    let mut all = Histogram::<u64>::new_with_max(MAX_MICROS, 3).expect("three digits are valid");
     let mut failed = 0;
     for t in tasks {
         let (h, f) = t.await.expect("a task ends");
--- a/crates/limehollow-bench/src/demand.rs
+++ b/crates/limehollow-bench/src/demand.rs
@@ -1,5 +1,10 @@
 //! Seeded demand for many models: bursts, tenfold changes, peaks.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a measurement are far below 2^52"
+)]
+
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
--- a/crates/limehollow-bench/src/fleets.rs
+++ b/crates/limehollow-bench/src/fleets.rs
@@ -139,9 +139,9 @@
     /// # Panics
     ///
     /// If there is no plan.
-    pub fn confirm(&mut self, intent: Intent) -> Plan {
+    pub fn confirm(&mut self, intent: &Intent) -> Plan {
         let offset = self.ok(Record::Intent(intent.clone()));
-        let plan = placement::plan(&self.fleet, offset, &intent).expect("the intent fits");
+        let plan = placement::plan(&self.fleet, offset, intent).expect("the intent fits");
         let answered = self.ok(Record::Plan(plan.clone()));
         let kind = AnswerKind::Confirm;
         self.ok(Record::Answer(Answer {
@@ -180,7 +180,7 @@
     #[must_use]
     pub fn serving(size: &Size) -> Self {
         let mut s = Self::empty(size);
-        let plan = s.confirm(intent(size));
+        let plan = s.confirm(&intent(size));
         s.carry_out(&plan);
         s
     }
--- a/crates/limehollow-bench/src/placing.rs
+++ b/crates/limehollow-bench/src/placing.rs
@@ -39,11 +39,11 @@
 #[must_use]
 pub fn place_own(size: &Size, seed: u64) -> Placed {
     let mut story = Story::empty(size);
-    let i = intent(size);
-    let plan = story.confirm(i.clone());
+    let wanted = intent(size);
+    let plan = story.confirm(&wanted);
     let mut index: BTreeMap<(&str, u16), usize> = BTreeMap::new();
     let mut at: Vec<Vec<usize>> = Vec::new();
-    for m in &i.models {
+    for m in &wanted.models {
         let mut places = Vec::new();
         for t in plan.targets.iter().filter(|t| t.model.name == m.name) {
             let next = index.len();
@@ -56,7 +56,7 @@
         at.push(places);
     }
     let mut busy_until = vec![0.0_f64; index.len()];
-    let mut d = demand(size, seed);
+    let mut demand = demand(size, seed);
     let mut r = Placed {
         moves: u32::try_from(plan.moves()).unwrap_or(u32::MAX),
         ..Placed::default()
@@ -64,7 +64,7 @@
     let mut t = 0.0;
     while t < SPAN {
         for (m, places) in at.iter().enumerate() {
-            for _ in 0..d.arrivals(m, t, STEP) {
+            for _ in 0..demand.arrivals(m, t, STEP) {
                 r.requests += 1;
                 let best = places
                     .iter()
@@ -88,25 +88,25 @@
 pub fn place_lru(size: &Size, seed: u64) -> Placed {
     const LOADS_A_SECOND: f64 = 1.5;
     const LOAD_TIME: f64 = 5.0;
-    let n = size.engines * size.accelerators;
-    let mut holds = vec![usize::MAX; n];
-    let mut used = vec![0.0_f64; n];
-    let mut busy_until = vec![0.0_f64; n];
+    let slots = size.engines * size.accelerators;
+    let mut holds = vec![usize::MAX; slots];
+    let mut used = vec![0.0_f64; slots];
+    let mut busy_until = vec![0.0_f64; slots];
     let mut next_load = 0.0_f64;
-    let mut d = demand(size, seed);
+    let mut demand = demand(size, seed);
     let mut r = Placed::default();
     let mut t = 0.0;
     while t < SPAN {
         for m in 0..size.models + size.adapters {
-            for _ in 0..d.arrivals(m, t, STEP) {
+            for _ in 0..demand.arrivals(m, t, STEP) {
                 r.requests += 1;
-                let holder = (0..n)
+                let holder = (0..slots)
                     .filter(|a| holds[*a] == m)
                     .min_by(|a, b| busy_until[*a].total_cmp(&busy_until[*b]));
                 let (a, ready) = match holder {
                     Some(a) => (a, busy_until[a].max(t)),
                     None => {
-                        let a = (0..n)
+                        let a = (0..slots)
                             .min_by(|a, b| used[*a].total_cmp(&used[*b]))
                             .unwrap_or(0);
                         next_load = next_load.max(t) + 1.0 / LOADS_A_SECOND;
