--- a/crates/limectl/src/command.rs
+++ b/crates/limectl/src/command.rs
@@ -54,7 +54,13 @@
 
 async fn publish(call: &Call, file: &Path) -> Result<String> {
     let intent = load::<IntentFile>(file)?.into_intent(&call.operator);
-    let offset = open(call).await?.append(&Record::Intent(intent)).await?;
+    let mut s = open(call).await?;
+    // A change names the intent that this operator has read, so that a race is noticed.
+    let record = match s.fleet().latest_intent() {
+        Some(p) => Record::IntentChange(intent.change_from(p.offset, &p.intent)),
+        None => Record::Intent(intent),
+    };
+    let offset = s.append(&record).await?;
     Ok(format!("intent {offset}\n"))
 }
 
--- a/crates/limehollow-wire/src/record.rs
+++ b/crates/limehollow-wire/src/record.rs
@@ -2,8 +2,8 @@
 
 use crate::error::{JsonSnafu, Result};
 use limehollow::fleet::Fleet;
-use limehollow::id::{Incarnation, Offset, OperatorName, VmName, ZoneName};
-use limehollow::intent::{Intent, ModelIntent, Weights};
+use limehollow::id::{Incarnation, ModelName, Offset, OperatorName, VmName, ZoneName};
+use limehollow::intent::{Intent, IntentChange, ModelIntent, Weights};
 use limehollow::plan::{Action, ModelVersion, Place, Plan, Step, Target};
 use limehollow::record as core;
 use limehollow::record::{
@@ -55,10 +55,22 @@
         kv_headroom_percent: u8,
     }
 }
+mirror! {
+    WireIntentChange of IntentChange {
+        replaces: Offset,
+        operator: OperatorName,
+        set: Vec<ModelIntent>,
+        removed: Vec<ModelName>,
+        weights: Weights,
+        kv_headroom_percent: u8,
+    }
+}
 mirror! {
     WirePlan of Plan {
         intent: Offset,
         made_at: Offset,
+        base: Option<Offset>,
+        changed: Vec<ModelName>,
         targets: Vec<Target>,
         steps: Vec<Step>,
     }
@@ -146,6 +158,7 @@
 #[serde(tag = "rec", content = "body", rename_all = "snake_case")]
 enum Body {
     Intent(WireIntent),
+    IntentChange(WireIntentChange),
     Plan(WirePlan),
     PlanRefused(WirePlanRefused),
     Answer(WireAnswer),
@@ -159,8 +172,9 @@
     Snapshot(WireSnapshot),
 }
 
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 13] = [
     "intent",
+    "intent_change",
     "plan",
     "plan_refused",
     "answer",
@@ -196,6 +210,7 @@
 pub fn encode(r: &Record) -> String {
     write(match r {
         Record::Intent(c) => Body::Intent(c.into()),
+        Record::IntentChange(c) => Body::IntentChange(c.into()),
         Record::Plan(c) => Body::Plan(c.into()),
         Record::PlanRefused(c) => Body::PlanRefused(c.into()),
         Record::Answer(c) => Body::Answer(c.into()),
@@ -246,6 +261,7 @@
     fn from(body: Body) -> Self {
         Self::Record(match body {
             Body::Intent(w) => Record::Intent(w.into()),
+            Body::IntentChange(w) => Record::IntentChange(w.into()),
             Body::Plan(w) => Record::Plan(w.into()),
             Body::PlanRefused(w) => Record::PlanRefused(w.into()),
             Body::Answer(w) => Record::Answer(w.into()),
--- a/crates/limehollow/src/fleet/apply.rs
+++ b/crates/limehollow/src/fleet/apply.rs
@@ -10,8 +10,8 @@
     PlanAnsweredSnafu, PlanExistsSnafu, Result,
 };
 use crate::id::{LogTime, ModelName, Offset, VmName, ZoneName};
-use crate::intent::Intent;
-use crate::plan::{Action, ModelVersion, Place, Plan};
+use crate::intent::{Intent, IntentChange};
+use crate::plan::{Action, ModelVersion, Place, Plan, Target};
 use crate::record::{
     Answer, AnswerKind, Departure, EndpointKind, EndpointLeft, EndpointSeen, Evidence, LeaseTaken,
     OrderIssued, OrderSettled, Outcome, PlanRefused, Record, ReplicaFound, ReplicaLost, Resident,
@@ -73,6 +73,7 @@
     fn apply_kind(&mut self, offset: Offset, at: LogTime, record: &Record) -> Result<Effect> {
         match record {
             Record::Intent(r) => self.apply_intent(offset, at, r),
+            Record::IntentChange(r) => self.apply_intent_change(offset, at, r),
             Record::Plan(r) => self.apply_plan(offset, r),
             Record::PlanRefused(r) => self.apply_refused(r),
             Record::Answer(r) => self.apply_answer(offset, r),
@@ -98,6 +99,20 @@
         Ok(Effect::Configuration)
     }
 
+    fn apply_intent_change(
+        &mut self,
+        offset: Offset,
+        at: LogTime,
+        r: &IntentChange,
+    ) -> Result<Effect> {
+        self.check_latest(r.replaces)?;
+        let Some(latest) = &self.latest else {
+            return Err(unknown("intent", &r.replaces));
+        };
+        let whole = latest.intent.with(r);
+        self.apply_intent(offset, at, &whole)
+    }
+
     fn apply_plan(&mut self, offset: Offset, r: &Plan) -> Result<Effect> {
         self.check_latest(r.intent)?;
         if let Some(p) = &self.proposed {
@@ -107,6 +122,9 @@
             }
             .fail();
         }
+        if r.base != self.in_force.as_ref().map(|p| p.offset) {
+            return Err(unknown("plan in force that this one builds on", &r.made_at));
+        }
         self.proposed = Some(PlanState {
             offset,
             plan: r.clone(),
@@ -169,7 +187,9 @@
         }
         p.answer = Some((r.kind, r.operator.clone(), offset));
         if r.kind == AnswerKind::Confirm {
-            self.in_force = Some(p.clone());
+            let mut state = p.clone();
+            state.plan.targets = merged_targets(self.in_force.as_ref(), &state.plan);
+            self.in_force = Some(state);
             self.confirmed.clone_from(&self.latest);
             self.note_all_ready();
         }
@@ -524,3 +544,12 @@
         }
     }
 }
+
+/// Gives all targets once a plan is in force: its own, and those of its base that it doesn't change.
+fn merged_targets(base: Option<&PlanState>, plan: &Plan) -> Vec<Target> {
+    let old = base.into_iter().flat_map(|p| &p.plan.targets);
+    let kept = old.filter(|t| plan.changed.binary_search(&t.model.name).is_err());
+    let mut all: Vec<Target> = kept.chain(&plan.targets).cloned().collect();
+    all.sort();
+    all
+}
--- a/crates/limehollow/src/intent.rs
+++ b/crates/limehollow/src/intent.rs
@@ -1,10 +1,10 @@
 //! What operators want served, and the checks on it.
 
 use crate::error::{BadIntentSnafu, Result};
-use crate::id::{ModelName, OperatorName};
+use crate::id::{ModelName, Offset, OperatorName};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The most replicas that an intent may ask for per model.
 pub const MAX_REPLICAS: u16 = 1024;
@@ -83,6 +83,26 @@
     }
 }
 
+/// A change to the latest intent: what an operator appends who has read that one.
+///
+/// It is void if another intent came in between, so of two operators who race the earlier stands and
+/// the later is told. It also keeps a change to one model small however many models there are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IntentChange {
+    /// The offset of the intent that it changes.
+    pub replaces: Offset,
+    /// Who publishes it.
+    pub operator: OperatorName,
+    /// Models that are new or different.
+    pub set: Vec<ModelIntent>,
+    /// Models that aren't wanted any more.
+    pub removed: Vec<ModelName>,
+    /// The weights from now on.
+    pub weights: Weights,
+    /// The headroom from now on, in percent.
+    pub kv_headroom_percent: u8,
+}
+
 /// All that operators want served; a later intent replaces it whole.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Intent {
@@ -153,6 +173,41 @@
         capacity - u64::try_from(headroom).unwrap_or(capacity)
     }
 
+    /// Gives the change that turns an earlier intent into this one.
+    #[must_use]
+    pub fn change_from(&self, replaces: Offset, earlier: &Self) -> IntentChange {
+        let old: BTreeMap<&ModelName, &ModelIntent> =
+            earlier.models.iter().map(|m| (&m.name, m)).collect();
+        let new: BTreeSet<&ModelName> = self.models.iter().map(|m| &m.name).collect();
+        let differs = |m: &&ModelIntent| old.get(&m.name) != Some(m);
+        IntentChange {
+            replaces,
+            operator: self.operator.clone(),
+            set: self.models.iter().filter(differs).cloned().collect(),
+            removed: old
+                .into_keys()
+                .filter(|n| !new.contains(n))
+                .cloned()
+                .collect(),
+            weights: self.weights,
+            kv_headroom_percent: self.kv_headroom_percent,
+        }
+    }
+
+    /// Gives this intent with a change made to it.
+    #[must_use]
+    pub fn with(&self, c: &IntentChange) -> Self {
+        let set: BTreeMap<&ModelName, &ModelIntent> = c.set.iter().map(|m| (&m.name, m)).collect();
+        let stays = |m: &&ModelIntent| !c.removed.contains(&m.name) && !set.contains_key(&m.name);
+        let kept = self.models.iter().filter(stays);
+        Self {
+            operator: c.operator.clone(),
+            models: kept.chain(&c.set).cloned().collect(),
+            weights: c.weights,
+            kv_headroom_percent: c.kv_headroom_percent,
+        }
+    }
+
     /// Finds a model by its name.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<&ModelIntent> {
--- /dev/null
+++ b/crates/limehollow/src/order/choose.rs
@@ -0,0 +1,402 @@
+//! Which plans are proposed and which orders come next: steps of the plan in force, then repairs.
+
+use super::{Command, Driver};
+use crate::fleet::{Fleet, Presence, ReplicaState};
+use crate::id::{LogTime, ModelName, Offset, VmName, ZoneName};
+use crate::intent::Intent;
+use crate::listing::ListedKind;
+use crate::membership::rendezvous;
+use crate::placement;
+use crate::plan::{Action, ModelVersion, Place, Step};
+use crate::record::{Cause, OrderIssued, Outcome, PlanRefused, Record};
+use smol_str::ToSmolStr;
+use std::collections::HashSet;
+use tokio::time::Instant;
+
+impl Driver {
+    /// Proposes a plan for the latest intent, or says why there is none.
+    pub(super) fn answer_intent(&mut self, now: Instant, fleet: &Fleet, out: &mut Vec<Command>) {
+        let Some(latest) = fleet.latest_intent() else {
+            return;
+        };
+        if fleet.proposed_plan().is_some() || fleet.plan_refusal().is_some() {
+            return;
+        }
+        let since = match self.intent_seen {
+            Some((o, at)) if o == latest.offset => at,
+            _ => {
+                self.intent_seen = Some((latest.offset, now));
+                now
+            }
+        };
+        // The holders of several zones wait for each other, the first in order of zones not at all.
+        let rank = fleet.leases().take_while(|(z, _)| **z != self.zone).count();
+        let turn = since + self.rules.plan_patience / 4 * u32::try_from(rank).unwrap_or(u32::MAX);
+        let complete = self.all_listed_are_seen(fleet);
+        if now < turn || !complete && now < turn + self.rules.plan_patience {
+            return;
+        }
+        let record = match placement::plan(fleet, latest.offset, &latest.intent) {
+            Ok(plan) => Record::Plan(plan),
+            Err(e) => {
+                let refused = PlanRefused {
+                    intent: latest.offset,
+                    why: e.to_smolstr(),
+                };
+                Record::PlanRefused(refused)
+            }
+        };
+        out.push(Command::Append(record));
+    }
+
+    fn all_listed_are_seen(&self, fleet: &Fleet) -> bool {
+        let mut engines = self
+            .list
+            .values()
+            .filter(|l| matches!(l.kind, ListedKind::Engine { .. }));
+        self.list_known && engines.all(|l| l.leaving || fleet.endpoint(l.vm.as_str()).is_some())
+    }
+
+    /// Gives the next orders: steps of the plan in force in their order, then repairs.
+    pub(super) fn next_orders(
+        &self,
+        now: Instant,
+        at: LogTime,
+        fleet: &Fleet,
+        epoch: Offset,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(p) = fleet.plan_in_force() else {
+            return;
+        };
+        let mut round = Round::new(self, fleet, epoch, at);
+        for s in &p.plan.steps {
+            round.consider_step(s, p.offset);
+        }
+        for t in fleet.missing_targets() {
+            round.consider_target(&t.zone, &t.place, &t.model);
+        }
+        round.clear_strays();
+        if round.loads < self.rules.max_loads {
+            self.substitute(now, fleet, &mut round);
+        }
+        out.extend(
+            round
+                .orders
+                .into_iter()
+                .map(|o| Command::Append(Record::OrderIssued(o))),
+        );
+    }
+
+    /// Gives models whose place is gone for good another one in this zone.
+    fn substitute(&self, now: Instant, fleet: &Fleet, round: &mut Round<'_>) {
+        let Some(intent) = fleet.confirmed_intent().map(|p| &p.intent) else {
+            return;
+        };
+        let short: Vec<&ModelName> = fleet
+            .missing_targets()
+            .filter(|t| self.is_lost(now, fleet, &t.place) && self.is_mine_to_mend(fleet, t))
+            .map(|t| &t.model.name)
+            .collect();
+        let mut done = HashSet::new();
+        for name in short {
+            let Some(m) = intent.model(name.as_str()).filter(|_| done.insert(name)) else {
+                continue;
+            };
+            let there = replicas_in_reach(fleet, name);
+            if there >= usize::from(m.replicas) {
+                continue;
+            }
+            let version = ModelVersion {
+                name: m.name.clone(),
+                version: m.version.clone(),
+            };
+            if let Some(place) = self.free_place(fleet, intent, &version, m.bytes, round) {
+                round.issue(place, Action::Load, version, m.bytes, Cause::Repair);
+            }
+        }
+    }
+
+    /// Tells whether a place won't come back soon.
+    fn is_lost(&self, now: Instant, fleet: &Fleet, place: &Place) -> bool {
+        let presence = fleet.endpoint(place.endpoint.as_str()).map(|e| e.presence);
+        if presence == Some(Presence::Leaving) {
+            return true;
+        }
+        let gone = presence.is_none_or(|p| p == Presence::Gone);
+        let unlisted = self.unlisted_since.get(&place.endpoint);
+        let failing = self
+            .watches
+            .get(&place.endpoint)
+            .and_then(|w| w.failing_since);
+        let since = unlisted.copied().or(failing);
+        let long = since.is_none_or(|t| now >= t + self.rules.repair_after);
+        (gone || unlisted.is_some()) && long
+    }
+
+    /// Tells whether this zone mends a lost target: its own zone does if it still has endpoints,
+    /// else the one that a hash of the model names among the others.
+    fn is_mine_to_mend(&self, fleet: &Fleet, t: &crate::plan::Target) -> bool {
+        let has_room = |z: &ZoneName| {
+            fleet.endpoints().any(|(vm, e)| {
+                e.zone == *z
+                    && e.presence == Presence::Live
+                    && !e.accelerators.is_empty()
+                    && !self.unlisted_since.contains_key(vm)
+            })
+        };
+        if has_room(&t.zone) {
+            return t.zone == self.zone;
+        }
+        let zones = fleet.leases().map(|(z, _)| z).filter(|z| has_room(z));
+        let owner = zones.max_by_key(|z| rendezvous(t.model.name.as_str(), z.as_str()));
+        owner == Some(&self.zone)
+    }
+
+    fn free_place(
+        &self,
+        fleet: &Fleet,
+        intent: &Intent,
+        model: &ModelVersion,
+        bytes: u64,
+        round: &Round<'_>,
+    ) -> Option<Place> {
+        let mut best: Option<(u64, Place)> = None;
+        let mine = |e: &crate::fleet::Endpoint| e.zone == self.zone && e.presence == Presence::Live;
+        for (vm, e) in fleet.endpoints().filter(|(_, e)| mine(e)) {
+            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
+                let place = Place {
+                    endpoint: vm.clone(),
+                    accelerator,
+                };
+                let headroom = a.capacity - intent.budget(a.capacity);
+                let has_it = a.replicas.keys().any(|m| m.name == model.name);
+                let better = best.as_ref().is_none_or(|(free, _)| a.free() > *free);
+                let fits = a.free() >= bytes + headroom;
+                if fits
+                    && !has_it
+                    && better
+                    && round.would_admit(&place, Action::Load, model, bytes)
+                {
+                    best = Some((a.free(), place));
+                }
+            }
+        }
+        best.map(|(_, p)| p)
+    }
+}
+
+/// One round of choosing orders.
+struct Round<'a> {
+    driver: &'a Driver,
+    fleet: &'a Fleet,
+    epoch: Offset,
+    at: LogTime,
+    loads: usize,
+    busy: HashSet<VmName>,
+    /// Models and places with an earlier step that isn't done: later steps wait, so that the order
+    /// that the plan proved is kept also when zones go at different speeds.
+    blocked_models: HashSet<&'a ModelName>,
+    blocked_places: HashSet<&'a Place>,
+    unloads: HashSet<(&'a Place, &'a ModelVersion)>,
+    orders: Vec<OrderIssued>,
+}
+
+impl<'a> Round<'a> {
+    fn new(driver: &'a Driver, fleet: &'a Fleet, epoch: Offset, at: LogTime) -> Self {
+        let open = fleet
+            .orders()
+            .filter(|(_, o)| o.settled.is_none() && o.action == Action::Load);
+        let in_zone = |vm: &VmName| {
+            fleet
+                .endpoint(vm.as_str())
+                .is_some_and(|e| e.zone == driver.zone)
+        };
+        let loads = open.filter(|(_, o)| in_zone(&o.place.endpoint)).count();
+        Self {
+            driver,
+            fleet,
+            epoch,
+            at,
+            loads,
+            busy: HashSet::new(),
+            blocked_models: HashSet::new(),
+            blocked_places: HashSet::new(),
+            unloads: HashSet::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    fn consider_step(&mut self, s: &'a Step, plan: Offset) {
+        if s.action == Action::Unload {
+            self.unloads.insert((&s.place, &s.model));
+        }
+        let Some(e) = self.fleet.endpoint(s.place.endpoint.as_str()) else {
+            return;
+        };
+        if e.presence == Presence::Gone || self.is_achieved(s) {
+            return;
+        }
+        let free =
+            !self.blocked_models.contains(&s.model.name) && !self.blocked_places.contains(&s.place);
+        self.blocked_models.insert(&s.model.name);
+        self.blocked_places.insert(&s.place);
+        if free && s.zone == self.driver.zone {
+            let again = self.was_done(s, plan);
+            if again && self.has_enough(&s.model.name) {
+                return;
+            }
+            let cause = if again { Cause::Repair } else { Cause::Plan };
+            self.issue(s.place.clone(), s.action, s.model.clone(), s.bytes, cause);
+        }
+    }
+
+    /// Considers a replica that stood before the plan, was to stay, and is missing now.
+    fn consider_target(&mut self, zone: &ZoneName, place: &'a Place, model: &'a ModelVersion) {
+        let held =
+            self.fleet.replica(place, model).is_some() || self.blocked_places.contains(place);
+        if held || *zone != self.driver.zone || self.has_enough(&model.name) {
+            return;
+        }
+        let intent = self
+            .fleet
+            .confirmed_intent()
+            .and_then(|p| p.intent.model(model.name.as_str()));
+        let Some(bytes) = intent.map(|m| m.bytes) else {
+            return;
+        };
+        self.issue(
+            place.clone(),
+            Action::Load,
+            model.clone(),
+            bytes,
+            Cause::Repair,
+        );
+    }
+
+    /// Tells whether a model has all its replicas, perhaps at other places than planned. Then a lost
+    /// one isn't loaded again: that would be a move for nothing.
+    fn has_enough(&self, model: &ModelName) -> bool {
+        let intent = self
+            .fleet
+            .confirmed_intent()
+            .and_then(|p| p.intent.model(model.as_str()));
+        intent.is_some_and(|m| replicas_in_reach(self.fleet, model) >= usize::from(m.replicas))
+    }
+
+    /// Unloads models that nobody ordered and nobody needs.
+    fn clear_strays(&mut self) {
+        let mine = self
+            .fleet
+            .endpoints()
+            .filter(|(_, e)| e.zone == self.driver.zone);
+        let targets: HashSet<(&Place, &ModelVersion)> = self
+            .fleet
+            .plan_in_force()
+            .into_iter()
+            .flat_map(|p| &p.plan.targets)
+            .map(|t| (&t.place, &t.model))
+            .collect();
+        let mut strays = Vec::new();
+        for (vm, e) in mine {
+            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
+                let place = Place {
+                    endpoint: vm.clone(),
+                    accelerator,
+                };
+                let unordered = a.replicas.iter().filter(|(_, r)| r.last_order.is_none());
+                let unwanted = unordered.filter(|(m, _)| !targets.contains(&(&place, *m)));
+                strays.extend(unwanted.map(|(m, r)| (place.clone(), m.clone(), r.bytes)));
+            }
+        }
+        for (place, model, bytes) in strays {
+            if self.has_more_than_enough(&model.name) {
+                self.issue(place, Action::Unload, model, bytes, Cause::Repair);
+            }
+        }
+    }
+
+    /// Tells whether a model has more replicas than are wanted, or isn't wanted at all.
+    fn has_more_than_enough(&self, model: &ModelName) -> bool {
+        let intent = self
+            .fleet
+            .confirmed_intent()
+            .and_then(|p| p.intent.model(model.as_str()));
+        intent.is_none_or(|m| replicas_in_reach(self.fleet, model) > usize::from(m.replicas))
+    }
+
+    fn is_achieved(&self, s: &Step) -> bool {
+        let replica = self.fleet.replica(&s.place, &s.model);
+        match s.action {
+            Action::Load => replica.is_some_and(|r| r.state == ReplicaState::Ready),
+            Action::Unload => replica.is_none(),
+        }
+    }
+
+    fn was_done(&self, s: &Step, plan: Offset) -> bool {
+        self.fleet.orders().any(|(k, o)| {
+            let done = o.settled.is_some_and(|s| s.outcome == Outcome::Done);
+            k > plan && done && o.action == s.action && o.place == s.place && o.model == s.model
+        })
+    }
+
+    fn would_admit(&self, place: &Place, action: Action, model: &ModelVersion, bytes: u64) -> bool {
+        let planned_away = action == Action::Load && self.unloads.contains(&(place, model));
+        let o = self.order(place.clone(), action, model.clone(), bytes, Cause::Repair);
+        let busy = self.busy.contains(&place.endpoint);
+        !busy && !planned_away && o.is_some_and(|o| self.fleet.check_order(self.at, &o).is_ok())
+    }
+
+    fn issue(
+        &mut self,
+        place: Place,
+        action: Action,
+        model: ModelVersion,
+        bytes: u64,
+        cause: Cause,
+    ) {
+        if action == Action::Load && self.loads >= self.driver.rules.max_loads {
+            return;
+        }
+        let Some(o) = self.order(place, action, model, bytes, cause) else {
+            return;
+        };
+        let admitted = self.fleet.check_order(self.at, &o).is_ok();
+        if admitted && self.busy.insert(o.place.endpoint.clone()) {
+            self.loads += usize::from(action == Action::Load);
+            self.orders.push(o);
+        }
+    }
+
+    fn order(
+        &self,
+        place: Place,
+        action: Action,
+        model: ModelVersion,
+        bytes: u64,
+        cause: Cause,
+    ) -> Option<OrderIssued> {
+        let incarnation = self.fleet.endpoint(place.endpoint.as_str())?.incarnation;
+        let (zone, epoch) = (self.driver.zone.clone(), self.epoch);
+        Some(OrderIssued {
+            zone,
+            epoch,
+            incarnation,
+            place,
+            action,
+            model,
+            bytes,
+            cause,
+        })
+    }
+}
+
+/// Counts the replicas of a model that are ready or being loaded on endpoints that take work.
+fn replicas_in_reach(fleet: &Fleet, name: &ModelName) -> usize {
+    fleet
+        .endpoints()
+        .filter(|(_, e)| e.presence == Presence::Live)
+        .flat_map(|(_, e)| &e.accelerators)
+        .filter(|a| a.replicas.keys().any(|m| m.name == *name))
+        .count()
+}
--- /dev/null
+++ b/crates/limehollow/src/order/find.rs
@@ -0,0 +1,246 @@
+//! What the endpoints of the zone are and hold, told to the log when it differs.
+
+use super::{Command, Driver};
+use crate::fleet::{Fleet, Presence, ReplicaState};
+use crate::id::{Offset, VmName};
+use crate::listing::{Listed, ListedKind};
+use crate::plan::Place;
+use crate::record::{
+    Departure, EndpointKind, EndpointLeft, EndpointSeen, Record, ReplicaFound, ReplicaLost,
+};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use tokio::time::Instant;
+
+impl Driver {
+    /// Orders looks: each endpoint in turn, those with an open order twice as often.
+    pub(super) fn look_around(&mut self, now: Instant, fleet: &Fleet, out: &mut Vec<Command>) {
+        let rows: Vec<(VmName, SmolStr)> = self
+            .own_listed()
+            .map(|l| (l.vm.clone(), l.address.clone()))
+            .collect();
+        for (vm, address) in rows {
+            let busy = fleet
+                .endpoint(vm.as_str())
+                .is_some_and(|e| e.pending.is_some());
+            let every = if busy {
+                self.rules.look_every / 2
+            } else {
+                self.rules.look_every
+            };
+            let w = self.watches.entry(vm.clone()).or_default();
+            if w.looking || w.next_look.is_some_and(|t| now < t) {
+                continue;
+            }
+            w.looking = true;
+            w.next_look = Some(now + every);
+            out.push(Command::Look {
+                endpoint: vm,
+                address,
+            });
+        }
+    }
+
+    /// Tells the log of endpoints that are listed, answer, and aren't known as they are now.
+    pub(super) fn find_endpoints(&mut self, fleet: &Fleet, epoch: Offset, out: &mut Vec<Command>) {
+        let rows: Vec<Listed> = self.own_listed().filter(|l| !l.leaving).cloned().collect();
+        for l in rows {
+            let known = fleet.endpoint(l.vm.as_str());
+            let Some(w) = self.watches.get_mut(&l.vm) else {
+                continue;
+            };
+            let Some(look) = &w.look else { continue };
+            let same = known.is_some_and(|e| {
+                e.incarnation == look.incarnation
+                    && e.presence == Presence::Live
+                    && e.address == l.address
+            });
+            if same || w.failing_since.is_some() {
+                continue;
+            }
+            let needs_fence = matches!(
+                l.kind,
+                ListedKind::Engine {
+                    checks_fencing: true
+                }
+            );
+            let fenced = w.fenced.filter(|(i, ..)| *i == look.incarnation);
+            if needs_fence && fenced.is_none() {
+                if !w.fencing {
+                    w.fencing = true;
+                    let number = fleet.next_offset();
+                    let (endpoint, address) = (l.vm.clone(), l.address.clone());
+                    out.push(Command::Fence {
+                        endpoint,
+                        address,
+                        number,
+                    });
+                }
+                continue;
+            }
+            // What the look shows must be from after the fence, or an old order may have come between;
+            // and from after the last order that could settle here before it went.
+            let since = [self.held_since, w.departed, fenced.map(|(.., at)| at)];
+            let since = since.into_iter().flatten().max();
+            if since.is_some_and(|t| look.began < t + self.rules.report_lag) {
+                continue;
+            }
+            let seen = EndpointSeen {
+                zone: self.zone.clone(),
+                epoch,
+                endpoint: l.vm.clone(),
+                incarnation: look.incarnation,
+                address: l.address.clone(),
+                kind: kind_of(&l.kind, &look.kind),
+                residents: look.residents.clone(),
+            };
+            out.push(Command::Append(Record::EndpointSeen(seen)));
+        }
+    }
+
+    /// Tells the log of endpoints that leave or don't answer any more.
+    pub(super) fn find_departures(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        epoch: Offset,
+        out: &mut Vec<Command>,
+    ) {
+        if !self.list_known {
+            return;
+        }
+        for (vm, e) in fleet.endpoints().filter(|(_, e)| e.zone == self.zone) {
+            let failing = self.watches.get(vm).and_then(|w| w.failing_since);
+            let dead = failing.is_some_and(|t| now >= t + self.rules.dead_after);
+            let departure = match self.list.get(vm) {
+                None => Departure::Gone,
+                Some(_) if dead => Departure::Gone,
+                Some(l) if l.leaving => Departure::Leaving,
+                Some(_) => continue,
+            };
+            let so_already = match departure {
+                Departure::Gone => e.presence == Presence::Gone,
+                Departure::Leaving => e.presence != Presence::Live,
+            };
+            if so_already {
+                continue;
+            }
+            if departure == Departure::Gone {
+                self.watches.entry(vm.clone()).or_default().departed = Some(now);
+            }
+            let (zone, endpoint) = (self.zone.clone(), vm.clone());
+            let left = EndpointLeft {
+                zone,
+                epoch,
+                endpoint,
+                departure,
+            };
+            out.push(Command::Append(Record::EndpointLeft(left)));
+        }
+    }
+
+    /// Tells the log of ready replicas that looks no longer show. One look isn't enough, since it
+    /// may be older than the load.
+    pub(super) fn find_losses(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        epoch: Offset,
+        out: &mut Vec<Command>,
+    ) {
+        let lag = self.rules.report_lag;
+        for (vm, e) in fleet.endpoints().filter(|(_, e)| e.zone == self.zone) {
+            let Some(w) = self.watches.get_mut(vm) else {
+                continue;
+            };
+            let Some(look) = w.look.as_ref().filter(|l| l.incarnation == e.incarnation) else {
+                continue;
+            };
+            let mut missed = BTreeMap::new();
+            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
+                let place = Place {
+                    endpoint: vm.clone(),
+                    accelerator,
+                };
+                let ready = a
+                    .replicas
+                    .iter()
+                    .filter(|(_, r)| r.state == ReplicaState::Ready);
+                for (model, _) in ready.filter(|(m, _)| !look.has(&place, m)) {
+                    let key = (place.clone(), model.clone());
+                    let since = w.missed.get(&key).copied().unwrap_or(now);
+                    missed.insert(key, since);
+                }
+            }
+            for ((place, model), since) in &missed {
+                if look.began > *since + lag {
+                    let (zone, place, model) = (self.zone.clone(), place.clone(), model.clone());
+                    let lost = ReplicaLost {
+                        zone,
+                        epoch,
+                        place,
+                        model,
+                    };
+                    out.push(Command::Append(Record::ReplicaLost(lost)));
+                }
+            }
+            w.missed = missed;
+        }
+    }
+
+    /// Tells the log of models that looks keep showing and that it doesn't know: a second copy of an
+    /// old load, or an order of somebody else. Their memory has to count.
+    pub(super) fn find_strays(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        epoch: Offset,
+        out: &mut Vec<Command>,
+    ) {
+        let lag = self.rules.report_lag;
+        for (vm, e) in fleet.endpoints().filter(|(_, e)| e.zone == self.zone) {
+            let Some(w) = self.watches.get_mut(vm) else {
+                continue;
+            };
+            let look = w.look.as_ref().filter(|l| l.incarnation == e.incarnation);
+            let Some(look) = look.filter(|_| e.pending.is_none()) else {
+                w.strays.clear();
+                continue;
+            };
+            let mut strays = BTreeMap::new();
+            for r in look
+                .residents
+                .iter()
+                .filter(|r| fleet.replica(&r.place, &r.model).is_none())
+            {
+                let key = (r.place.clone(), r.model.clone());
+                let since = w.strays.get(&key).copied().unwrap_or(now);
+                strays.insert(key, since);
+                if look.began > since + lag {
+                    let (zone, resident) = (self.zone.clone(), r.clone());
+                    out.push(Command::Append(Record::ReplicaFound(ReplicaFound {
+                        zone,
+                        epoch,
+                        resident,
+                    })));
+                }
+            }
+            w.strays = strays;
+        }
+    }
+}
+
+/// Joins what the list says of an endpoint with what a look showed.
+fn kind_of(listed: &ListedKind, looked: &EndpointKind) -> EndpointKind {
+    match (listed, looked) {
+        (ListedKind::Engine { checks_fencing }, EndpointKind::Engine { accelerators, .. }) => {
+            let accelerators = accelerators.clone();
+            EndpointKind::Engine {
+                checks_fencing: *checks_fencing,
+                accelerators,
+            }
+        }
+        (ListedKind::Service { name }, _) => EndpointKind::Service { name: name.clone() },
+        _ => looked.clone(),
+    }
+}
--- /dev/null
+++ b/crates/limehollow/src/order/settle.rs
@@ -0,0 +1,252 @@
+//! What became of orders: which evidence settles one, and which doesn't.
+
+use super::{Command, Driver, Order, SendResult, Sent};
+use crate::fleet::{Fleet, OrderState, Presence};
+use crate::id::{Incarnation, Offset, VmName};
+use crate::listing::Look;
+use crate::membership::Membership;
+use crate::plan::Action;
+use crate::record::{Evidence, OrderSettled, Outcome, Record};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+impl Driver {
+    /// Sends orders that were just admitted, and settles those whose outcome is known.
+    pub(super) fn settle(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        epoch: Offset,
+        peers: &Membership,
+        out: &mut Vec<Command>,
+    ) {
+        let open = fleet.orders().filter(|(_, o)| o.settled.is_none());
+        for (number, o) in open {
+            let Some(e) = fleet.endpoint(o.place.endpoint.as_str()) else {
+                continue;
+            };
+            if e.zone != self.zone {
+                continue;
+            }
+            let own = o.epoch == epoch;
+            if own && !self.sent.contains_key(&number) {
+                if o.action == Action::Unload && !self.is_drained(number, o) {
+                    continue;
+                }
+                self.sent.insert(number, Sent::Sending);
+                out.push(Command::Send(order(number, o, e.address.clone(), fleet)));
+                continue;
+            }
+            let known = self.outcome(now, fleet, epoch, number, o, peers, out);
+            if let Some((outcome, evidence)) = known {
+                let zone = self.zone.clone();
+                let settled = OrderSettled {
+                    zone,
+                    epoch,
+                    order: number,
+                    outcome,
+                    evidence,
+                };
+                out.push(Command::Append(Record::OrderSettled(settled)));
+            }
+        }
+    }
+
+    /// Tells whether a replica that is to be unloaded has no request any more: gateways have had the
+    /// time to stop sending, and a look that began after that shows none.
+    fn is_drained(&self, number: Offset, o: &OrderState) -> bool {
+        let since = self.first_seen[&number] + self.rules.withdraw_within;
+        let w = self
+            .watches
+            .get(&o.place.endpoint)
+            .and_then(|w| w.look.as_ref());
+        let Some(look) = w.filter(|l| l.began >= since + self.rules.report_lag) else {
+            return false;
+        };
+        !look
+            .running
+            .iter()
+            .any(|(m, n)| *m == o.model.name && *n > 0)
+    }
+
+    /// Gives the outcome of an open order if there is evidence for it.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a different source of evidence"
+    )]
+    fn outcome(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        epoch: Offset,
+        number: Offset,
+        o: &OrderState,
+        peers: &Membership,
+        out: &mut Vec<Command>,
+    ) -> Option<(Outcome, Evidence)> {
+        let own = o.epoch == epoch;
+        let sent = self.sent.get(&number).copied().filter(|_| own);
+        let ended = match sent {
+            Some(Sent::Sending) => return None,
+            Some(Sent::Ended(SendResult::Refused, _)) => {
+                return Some((Outcome::NotDone, Evidence::Answered));
+            }
+            Some(Sent::Ended(SendResult::NeverSent, _)) => {
+                return Some((Outcome::NotDone, Evidence::NeverSent));
+            }
+            Some(Sent::Ended(res, at)) => Some((res, at)),
+            None => None,
+        };
+        let began = ended.map_or(self.first_seen[&number], |(_, at)| at);
+        let e = fleet.endpoint(o.place.endpoint.as_str())?;
+        let released = ended.is_some() || self.sender_is_gone(o, epoch, peers);
+        if e.presence == Presence::Gone {
+            // Nothing can be seen there any more. What it holds is looked at anew if it comes back.
+            let waited = self.has_waited(now, number, ended.map(|(_, at)| at), released);
+            return waited.then_some((Outcome::NotDone, Evidence::DelayPassed));
+        }
+        let look = self.fresh_look(&o.place.endpoint, e.incarnation, began);
+        let accepted = matches!(ended, Some((SendResult::Accepted, _)));
+        if accepted && let Some(l) = look {
+            let changing = l.is_changing(&o.place, &o.model);
+            if !changing && l.has(&o.place, &o.model) == (o.action == Action::Load) {
+                return Some((Outcome::Done, Evidence::EffectSeen));
+            }
+            if changing || now < began + self.rules.effect_patience {
+                return None;
+            }
+        }
+        if e.checks_fencing() {
+            return self.outcome_fenced(number, o, e.incarnation, &e.address, out);
+        }
+        self.outcome_unfenced(
+            now,
+            number,
+            o,
+            e.incarnation,
+            ended.map(|(_, at)| at),
+            released,
+        )
+    }
+
+    /// Settles an order at an endpoint that refuses old numbers: fence it, then look.
+    fn outcome_fenced(
+        &mut self,
+        number: Offset,
+        o: &OrderState,
+        incarnation: Incarnation,
+        address: &SmolStr,
+        out: &mut Vec<Command>,
+    ) -> Option<(Outcome, Evidence)> {
+        let endpoint = &o.place.endpoint;
+        let w = self.watches.entry(endpoint.clone()).or_default();
+        let fenced = w
+            .fenced
+            .filter(|(i, n, _)| *i == incarnation && *n > number);
+        let Some((_, _, at)) = fenced else {
+            // A restarted endpoint is fenced when it is found anew, not for the sake of this order.
+            let same = w
+                .look
+                .as_ref()
+                .is_some_and(|l| l.incarnation == incarnation);
+            if !w.fencing && same {
+                w.fencing = true;
+                let (endpoint, address) = (endpoint.clone(), address.clone());
+                out.push(Command::Fence {
+                    endpoint,
+                    address,
+                    number: number.next(),
+                });
+            }
+            return None;
+        };
+        let look = self.fresh_look(endpoint, incarnation, at)?;
+        if look.is_changing(&o.place, &o.model) {
+            return None;
+        }
+        Some((effect(o, look), Evidence::Fenced))
+    }
+
+    /// Settles an order at an endpoint that takes any: either its effect is seen, or the longest
+    /// delay has passed since its sender was known to be gone. The delay doesn't count from the
+    /// order's own time, since a paused sender may send it whenever it wakes.
+    fn outcome_unfenced(
+        &mut self,
+        now: Instant,
+        number: Offset,
+        o: &OrderState,
+        incarnation: Incarnation,
+        ended: Option<Instant>,
+        released: bool,
+    ) -> Option<(Outcome, Evidence)> {
+        let first_seen = self.first_seen[&number];
+        let waited = self.has_waited(now, number, ended, released);
+        let look = self.fresh_look(&o.place.endpoint, incarnation, first_seen)?;
+        if look.is_changing(&o.place, &o.model) {
+            return None;
+        }
+        if effect(o, look) == Outcome::Done {
+            return Some((Outcome::Done, Evidence::EffectSeen));
+        }
+        waited.then_some((Outcome::NotDone, Evidence::DelayPassed))
+    }
+
+    /// Tells whether the longest delay has passed since nobody could send an order any more.
+    fn has_waited(
+        &mut self,
+        now: Instant,
+        number: Offset,
+        ended: Option<Instant>,
+        released: bool,
+    ) -> bool {
+        if released {
+            self.released.entry(number).or_insert(ended.unwrap_or(now));
+        }
+        let since = self.released.get(&number);
+        since.is_some_and(|t| now >= *t + self.rules.longest_delay)
+    }
+
+    /// Tells whether the process that may send an order surely won't any more: it has another
+    /// incarnation, it is off the platform's list, or it has itself read past the takeover.
+    fn sender_is_gone(&self, o: &OrderState, epoch: Offset, peers: &Membership) -> bool {
+        let (vm, incarnation) = &o.sender;
+        // An earlier epoch of this process, or an earlier life of it: either way it is past.
+        if *vm == self.me {
+            return true;
+        }
+        let off_list = self.list_known && !self.list.contains_key(vm);
+        let Some(h) = peers.heartbeat(vm.as_str()) else {
+            return off_list;
+        };
+        let read_takeover = h.incarnation == *incarnation && h.next > epoch;
+        off_list || h.incarnation > *incarnation || read_takeover
+    }
+
+    /// Gives the last look at an endpoint if nothing in it can be older than `since`.
+    fn fresh_look(&self, vm: &VmName, incarnation: Incarnation, since: Instant) -> Option<&Look> {
+        let look = self.watches.get(vm)?.look.as_ref()?;
+        let fresh = look.began >= since + self.rules.report_lag;
+        (fresh && look.incarnation == incarnation).then_some(look)
+    }
+}
+
+fn order(number: Offset, o: &OrderState, address: SmolStr, fleet: &Fleet) -> Order {
+    let bytes = fleet.replica(&o.place, &o.model).map_or(0, |r| r.bytes);
+    let (place, model) = (o.place.clone(), o.model.clone());
+    Order {
+        number,
+        address,
+        place,
+        action: o.action,
+        model,
+        bytes,
+    }
+}
+
+/// Reads the outcome of an order off a look that surely shows it.
+fn effect(o: &OrderState, look: &Look) -> Outcome {
+    if look.has(&o.place, &o.model) == (o.action == Action::Load) {
+        return Outcome::Done;
+    }
+    Outcome::NotDone
+}
--- a/crates/limehollow/src/placement.rs
+++ b/crates/limehollow/src/placement.rs
@@ -63,16 +63,43 @@
         Err(_) => place(fleet, intent, false)?,
     };
     let steps = order_steps(&placed, intent, fleet)?;
-    let targets = placed.targets(intent);
     let made_at = fleet.in_force_offset().unwrap_or_default();
+    let base = fleet.plan_in_force();
+    let (changed, targets) = difference(
+        base.map_or(&[], |p| &p.plan.targets),
+        placed.targets(intent),
+    );
     Ok(Plan {
         intent: offset,
         made_at,
+        base: base.map(|p| p.offset),
+        changed,
         targets,
         steps,
     })
 }
 
+/// Gives the models whose targets differ, and the new targets of these.
+///
+/// At the size to come a plan that named every replica would be a megabyte and a half for a change to
+/// one model (`docs/CAPACITY.md`).
+fn difference(old: &[Target], new: Vec<Target>) -> (Vec<ModelName>, Vec<Target>) {
+    let mut by_model: BTreeMap<&ModelName, (Vec<&Target>, Vec<&Target>)> = BTreeMap::new();
+    for t in old {
+        by_model.entry(&t.model.name).or_default().0.push(t);
+    }
+    for t in &new {
+        by_model.entry(&t.model.name).or_default().1.push(t);
+    }
+    let differs = |(name, (a, b)): (&ModelName, (Vec<_>, Vec<_>))| (a != b).then(|| name.clone());
+    let changed: BTreeSet<ModelName> = by_model.into_iter().filter_map(differs).collect();
+    let targets = new
+        .into_iter()
+        .filter(|t| changed.contains(&t.model.name))
+        .collect();
+    (changed.into_iter().collect(), targets)
+}
+
 /// Gives the memory of each accelerator before, at the peak of, and after a plan.
 #[must_use]
 pub fn memory_use(fleet: &Fleet, plan: &Plan) -> Vec<MemoryUse> {
--- a/crates/limehollow/src/plan.rs
+++ b/crates/limehollow/src/plan.rs
@@ -76,7 +76,11 @@
     pub intent: Offset,
     /// The offset of the fleet's state that it was made from.
     pub made_at: Offset,
-    /// The replicas that stand in the end, in order.
+    /// The plan in force that it builds on: what it doesn't name stays as that one says.
+    pub base: Option<Offset>,
+    /// The models whose replicas differ from the base's, or that go.
+    pub changed: Vec<ModelName>,
+    /// The replicas of the changed models that stand in the end, in order.
     pub targets: Vec<Target>,
     /// The changes, in an order that fits in memory and keeps models reachable.
     pub steps: Vec<Step>,
--- a/crates/limehollow/src/record.rs
+++ b/crates/limehollow/src/record.rs
@@ -4,7 +4,7 @@
 //! takes effect, and says the same to every reader.
 
 use crate::id::{Incarnation, LogTime, Offset, OperatorName, ServiceName, VmName, ZoneName};
-use crate::intent::Intent;
+use crate::intent::{Intent, IntentChange};
 use crate::plan::{Action, ModelVersion, Place, Plan};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -14,6 +14,8 @@
 pub enum Record {
     /// An operator says what is to be served.
     Intent(Intent),
+    /// An operator changes the latest intent.
+    IntentChange(IntentChange),
     /// A controller answers an intent.
     Plan(Plan),
     /// A controller says why an intent can't be met.
--- a/crates/limehollow/tests/fleet.rs
+++ b/crates/limehollow/tests/fleet.rs
@@ -5,7 +5,9 @@
 use limehollow::Category;
 use limehollow::fleet::{Accelerator, Fleet, Presence, ReplicaState};
 use limehollow::id::{LogTime, Offset};
+use limehollow::intent::ModelIntent;
 use limehollow::plan::Action::{Load, Unload};
+use limehollow::plan::Target;
 use limehollow::record::{
     AnswerKind, Departure, EndpointLeft, Evidence, Outcome, Record, ReplicaFound, ReplicaLost,
     Resident,
@@ -337,6 +339,97 @@
     );
 }
 
+#[test]
+fn intent_change_raced() {
+    // Two operators change the same intent: the earlier stands, the later is told whose it was.
+    let mut s = Story::begin();
+    let latest = s.fleet.latest_intent().expect("there is one").clone();
+    let change = |operator: &str, set: Vec<ModelIntent>| {
+        let mut new = latest.intent.clone();
+        new.operator = operator.into();
+        new.models.extend(set);
+        Record::IntentChange(new.change_from(latest.offset, &latest.intent))
+    };
+    let first = s.ok(change("ana", vec![model("p", "1", 1)]));
+    let why = s.void(change("bor", vec![model("q", "1", 1)]));
+    let at = (first.0) * 1_000;
+    assert_eq!(
+        why,
+        format!(
+            "intent {} was overtaken by intent {first}, published by ana at {at} ms",
+            latest.offset
+        )
+    );
+    let now = s.fleet.latest_intent().expect("there is one");
+    assert!(now.intent.model("p").is_some() && now.intent.model("q").is_none());
+    assert!(
+        now.intent.model("m").is_some(),
+        "what the change doesn't name stays"
+    );
+}
+
+#[test]
+fn intent_change_is_small_and_whole() {
+    let old = intent(vec![
+        model("m", "1", 40),
+        model("n", "1", 50),
+        model("o", "1", 5),
+    ]);
+    let new = intent(vec![
+        model("m", "2", 40),
+        model("n", "1", 50),
+        model("p", "1", 6),
+    ]);
+    let c = new.change_from(Offset(3), &old);
+    let names: Vec<&str> = c.set.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!((names, c.removed.len()), (vec!["m", "p"], 1));
+    let mut models = old.with(&c).models;
+    models.sort_by(|a, b| a.name.cmp(&b.name));
+    assert_eq!(models, new.models);
+}
+
+#[test]
+fn plan_changes_only_what_it_names() {
+    let target = |name: &str, endpoint: &str| Target {
+        zone: "a".into(),
+        place: place(endpoint),
+        model: version(name, "1"),
+    };
+    let mut s = Story::begin();
+    let mut confirm = |changed: &[&str], targets: Vec<Target>| {
+        let i = s.ok(Record::Intent(intent(vec![
+            model("m", "1", 40),
+            model("n", "1", 50),
+        ])));
+        let Record::Plan(mut p) = plan(i) else {
+            unreachable!("it makes a plan")
+        };
+        p.base = s.fleet.plan_in_force().map(|p| p.offset);
+        p.changed = changed.iter().map(|n| (*n).into()).collect();
+        p.targets = targets;
+        let p = s.ok(Record::Plan(p));
+        s.ok(answer(p, "ana", AnswerKind::Confirm));
+        s.fleet
+            .plan_in_force()
+            .map(|p| p.plan.targets.clone())
+            .unwrap_or_default()
+    };
+    confirm(&["m", "n"], vec![target("m", "open"), target("n", "open")]);
+    let all = confirm(&["m"], vec![target("m", "fenced")]);
+    assert_eq!(all, [target("m", "fenced"), target("n", "open")]);
+}
+
+#[test]
+fn plan_on_another_base() {
+    let mut s = Story::begin();
+    let i = s.ok(Record::Intent(intent(vec![model("m", "1", 40)])));
+    let why = s.void(plan(i));
+    assert!(
+        why.starts_with("there is no plan in force that this one builds on"),
+        "{why}"
+    );
+}
+
 #[test]
 fn plan_second_for_one_intent() {
     let mut s = Story::default();
