Placement: a new version goes where the old one is, so its adapters stay

Ruled out: keeping adapters where they are and giving up on the headroom (breaks the KV share).

The loads from empty and the policy table are unchanged.

--- a/crates/limehollow/src/placement.rs
+++ b/crates/limehollow/src/placement.rs
@@ -21,6 +21,8 @@
     capacity: u64,
     /// What the plan has put here so far, in bytes.
     planned: u64,
+    /// New versions that the plan loads beside the old ones, in bytes.
+    incoming: u64,
     /// What is there or may be there now.
     present: Vec<Present>,
     /// What stands here in the end: indices into the intent's models.
@@ -43,6 +45,12 @@
         self.budget.saturating_sub(self.planned)
     }
 
+    /// Gives what is free as things stand, less what the plan loads beside an old version.
+    fn free_now(&self) -> u64 {
+        let used: u64 = self.present.iter().map(|p| p.bytes).sum();
+        self.capacity.saturating_sub(used + self.incoming)
+    }
+
     fn has(&self, m: &ModelVersion) -> bool {
         self.present.iter().any(|p| p.model == *m)
     }
@@ -264,6 +272,7 @@
                 budget: intent.budget(a.capacity),
                 capacity: a.capacity,
                 planned: 0,
+                incoming: 0,
                 present: present.collect(),
                 targets: Vec::new(),
             });
@@ -272,37 +281,51 @@
     Placed { slots, zones }
 }
 
-/// Lets replicas that are there already stand, as many as are wanted, evenly over the zones.
+/// Lets replicas that are there already stand, as many as are wanted, evenly over the zones. A new
+/// version goes where the old one is if both fit for a while, so that the adapters there can stay.
 fn keep_present(placed: &mut Placed, intent: &Intent, order: &[usize], counts: &mut [ZoneCounts]) {
-    let mut holders: HashMap<ModelVersion, Vec<usize>> = HashMap::new();
+    let by_name: HashMap<&ModelName, usize> = intent
+        .models
+        .iter()
+        .enumerate()
+        .map(|(i, m)| (&m.name, i))
+        .collect();
+    let mut holders: HashMap<ModelName, Vec<(bool, usize)>> = HashMap::new();
     for (i, s) in placed.slots.iter().enumerate() {
         for p in &s.present {
-            if !matches!(p.state, ReplicaState::Unloading(_)) {
-                holders.entry(p.model.clone()).or_default().push(i);
-            }
+            let wanted = by_name.get(&p.model.name).map(|m| &intent.models[*m]);
+            let Some(wanted) = wanted.filter(|_| !matches!(p.state, ReplicaState::Unloading(_)))
+            else {
+                continue;
+            };
+            let old = wanted.version != p.model.version;
+            holders
+                .entry(p.model.name.clone())
+                .or_default()
+                .push((old, i));
         }
     }
     for &m in order {
         let model = &intent.models[m];
-        let Some(mut at) = holders.remove(&version_of(model)) else {
+        let Some(mut at) = holders.remove(&model.name) else {
             continue;
         };
-        let base = model
-            .base
-            .as_ref()
-            .and_then(|b| intent.models.iter().position(|x| x.name == *b));
-        at.retain(|&s| base.is_none_or(|b| placed.slots[s].targets.contains(&b)));
+        let base = model.base.as_ref().map(|b| by_name[b]);
+        at.retain(|(_, s)| base.is_none_or(|b| placed.slots[*s].targets.contains(&b)));
         while counts[m].total() < usize::from(model.replicas) {
+            let in_zone = |s: usize| counts[m].0[placed.slots[s].zone];
             let best = at
                 .iter()
                 .enumerate()
-                .min_by_key(|(_, s)| counts[m].0[placed.slots[**s].zone]);
-            let Some((i, &slot)) = best else { break };
+                .min_by_key(|(_, (old, s))| (*old, in_zone(*s)));
+            let Some((i, &(old, slot))) = best else { break };
             at.swap_remove(i);
             let s = &mut placed.slots[slot];
-            if s.room() < model.bytes {
+            let swap_fits = !old || s.free_now() >= model.bytes;
+            if s.room() < model.bytes || s.targets.contains(&m) || !swap_fits {
                 continue;
             }
+            s.incoming += if old { model.bytes } else { 0 };
             s.planned += model.bytes;
             s.targets.push(m);
             counts[m].add(s.zone);
--- a/crates/limehollow/tests/placement.rs
+++ b/crates/limehollow/tests/placement.rs
@@ -221,6 +221,36 @@
     assert_eq!((rows[0].before, rows[0].peak, rows[0].after), (40, 80, 40));
 }
 
+#[test]
+fn plan_new_base_version_keeps_adapters() {
+    // The new version goes where the old one is, though the other engine has more room: the adapters
+    // there needn't move.
+    let old = intent(vec![
+        model("m", "1", 30),
+        adapter("x", "m", 5),
+        adapter("y", "m", 5),
+    ]);
+    let f = fleet(
+        &[
+            (
+                "a",
+                "e1",
+                &[100],
+                &[("m", "1", 30), ("x", "1", 5), ("y", "1", 5)],
+            ),
+            ("b", "e2", &[100], &[]),
+        ],
+        Some(old),
+    );
+    let i = intent(vec![
+        model("m", "2", 30),
+        adapter("x", "m", 5),
+        adapter("y", "m", 5),
+    ]);
+    let p = plan(&f, Offset(9), &i).expect("both versions fit for a while");
+    assert_eq!(steps(&p), ["load m@2 e1", "unload m@1 e1"]);
+}
+
 #[test]
 fn plan_swap_through_the_other_replica() {
     // Two full accelerators: each swap uses that the other replica is still there.
