Replicas follow lasting demand, at the price of moves

Cause: a model whose demand rises tenfold kept its replicas; the weights of the intent decided nothing.

Found by its case: after a gap in which nobody looked, two bursts counted as one lasting demand; a gap starts anew now. Ruled out: load reports as the signal (late, and busy isn't unmet).

--- a/crates/limehollow-bench/src/bin/slopes.rs
+++ b/crates/limehollow-bench/src/bin/slopes.rs
@@ -315,6 +315,7 @@
         heartbeats,
         loads,
         leaving: Vec::new(),
+        unmet: Vec::new(),
     };
     let size = |d: &Digest| limehollow_wire::peer::encode(&Request::Gossip(d.clone())).len();
     let count = digest.heartbeats.len();
--- a/crates/limehollow-controller/src/control.rs
+++ b/crates/limehollow-controller/src/control.rs
@@ -231,6 +231,10 @@
                 let digest = self.gossip.digest(now, &[]);
                 self.io.gossip(peer, digest);
             }
+            for (vm, model, rate, said) in self.gossip.unmet() {
+                self.driver
+                    .on_unmet(said, vm.clone(), model.as_str().into(), rate);
+            }
             self.ask_for_state();
         }
         if now >= self.next_watch {
@@ -337,7 +341,10 @@
                 let known = self.caught_up && !self.replay.has_gap() && next > Offset(0);
                 Reply::State(known.then(|| encode_snapshot(self.replay.fleet())))
             }
-            Request::News => Reply::News(self.gossip.news(now, next)),
+            Request::News(unmet) => {
+                self.gossip.on_unmet(now, unmet);
+                Reply::News(self.gossip.news(now, next))
+            }
             Request::Claim { .. } => Reply::Claim(ClaimFate::Unknown),
         }
     }
--- a/crates/limehollow-controller/src/gossip.rs
+++ b/crates/limehollow-controller/src/gossip.rs
@@ -1,17 +1,21 @@
 //! What a controller has heard of its zone's peers and endpoints, and passes on.
 
+use limehollow::demand::WORD_LIFE;
 use limehollow::id::{Incarnation, Offset, VmName, ZoneName};
 use limehollow::listing::{Listed, ListedKind, Look};
 use limehollow::load::{LoadReport, REPORT_LIFE};
 use limehollow::membership::{FANOUT, Heartbeat, Membership, watches};
-use limehollow_wire::peer::{Digest, News, WireHeartbeat, WireLoad};
+use limehollow_wire::peer::{Digest, News, WireHeartbeat, WireLoad, WireUnmet};
 use rand::RngExt;
 use rand::rngs::StdRng;
+use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::time::Instant;
 
 /// How many controllers look at each endpoint for its load.
 pub const WATCHERS: usize = 2;
+/// The most rows of unmet demand in one message.
+pub const MAX_UNMET: usize = 8;
 /// The most load reports in one message.
 pub const MAX_LOADS: usize = 8;
 
@@ -35,6 +39,8 @@
     peers: BTreeMap<VmName, String>,
     seeds: Vec<String>,
     leaving: BTreeSet<VmName>,
+    /// What gateways had to refuse, by VM and model: the rate and when it was said.
+    unmet: BTreeMap<(VmName, SmolStr), (u32, Instant)>,
     rng: StdRng,
 }
 
@@ -57,6 +63,7 @@
             peers: BTreeMap::new(),
             seeds,
             leaving: BTreeSet::new(),
+            unmet: BTreeMap::new(),
             rng,
         }
     }
@@ -96,11 +103,38 @@
             };
             self.merge_load(l.vm.as_str().into(), l.incarnation, taken, l.report());
         }
+        self.on_unmet(now, d.unmet);
         // News of leaving endpoints only lasts until the list is next read; then the list counts.
         self.leaving
             .extend(d.leaving.iter().map(|s| VmName::from(s.as_str())));
     }
 
+    /// Takes in what a gateway had to refuse; the own gateway's word has no VM.
+    pub fn on_unmet(&mut self, now: Instant, words: Vec<WireUnmet>) {
+        for w in words {
+            let vm = if w.vm.is_empty() {
+                self.me.clone()
+            } else {
+                w.vm.as_str().into()
+            };
+            let age = std::time::Duration::from_millis(u64::from(w.age_ms));
+            let Some(said) = now.checked_sub(age) else {
+                continue;
+            };
+            let row = self.unmet.entry((vm, w.model)).or_insert((w.rate, said));
+            if row.1 < said {
+                *row = (w.rate, said);
+            }
+        }
+    }
+
+    /// Gives what gateways had to refuse lately: VM, model, requests a second, when it was said.
+    pub fn unmet(&self) -> impl Iterator<Item = (&VmName, &SmolStr, f64, Instant)> {
+        self.unmet
+            .iter()
+            .map(|((vm, model), (rate, said))| (vm, model, f64::from(*rate) / 1e3, *said))
+    }
+
     fn merge_load(&mut self, vm: VmName, incarnation: Incarnation, taken: Instant, r: LoadReport) {
         let newer = self.loads.get(&vm).is_none_or(|h| h.taken < taken);
         if newer {
@@ -119,6 +153,8 @@
     /// Counts up the heartbeat and forgets old reports.
     pub fn tick(&mut self, now: Instant, next: Offset) {
         self.members.tick(now, next);
+        self.unmet
+            .retain(|_, (_, said)| now.duration_since(*said) < WORD_LIFE);
         self.loads
             .retain(|_, h| now.duration_since(h.taken) < REPORT_LIFE);
     }
@@ -143,10 +179,23 @@
             })
             .collect();
         let leaving = self.leaving.iter().map(|v| v.as_str().into()).collect();
+        let mut rows: Vec<_> = self.unmet.iter().collect();
+        rows.sort_by_key(|(_, (rate, _))| std::cmp::Reverse(*rate));
+        let unmet = rows
+            .into_iter()
+            .take(MAX_UNMET)
+            .map(|((vm, model), (rate, said))| WireUnmet {
+                vm: vm.as_str().into(),
+                model: model.clone(),
+                rate: *rate,
+                age_ms: u32::try_from(now.duration_since(*said).as_millis()).unwrap_or(u32::MAX),
+            });
+        let unmet = unmet.collect();
         Digest {
             heartbeats,
             loads,
             leaving,
+            unmet,
         }
     }
 
--- a/crates/limehollow-gateway/src/dispatch.rs
+++ b/crates/limehollow-gateway/src/dispatch.rs
@@ -64,7 +64,12 @@
     pub async fn admit(&self, shared: &Shared) -> Result<(Slot, Target), Instead> {
         let verdict = self.attempts.verdict;
         let slot = shared.desk.admit(self.offer.clone()).await;
-        let slot = slot.map_err(|r| Instead::refused(&r, verdict))?;
+        let slot = slot.map_err(|r| {
+            if let Subject::Model(m) = &self.ask.subject {
+                shared.unmet.note(m);
+            }
+            Instead::refused(&r, verdict)
+        })?;
         let table = shared.table.load();
         let target = route(&table, &self.ask.subject)
             .and_then(|r| r.targets.iter().find(|t| t.key == slot.key).cloned());
--- a/crates/limehollow-gateway/src/main.rs
+++ b/crates/limehollow-gateway/src/main.rs
@@ -28,7 +28,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const PROGRAM: Program = Program {
     name: "limehollow-gateway",
@@ -99,10 +99,7 @@
     traffic.spawn(follow_log(log, events_tx.clone()));
     let members = HttpMembers::new(&shared.settings.platform_address)?;
     traffic.spawn(follow_list(members, events_tx.clone()));
-    traffic.spawn(follow_controller(
-        shared.settings.controller_address.clone(),
-        events_tx.clone(),
-    ));
+    traffic.spawn(follow_controller(Arc::clone(&shared), events_tx.clone()));
     traffic.spawn(answer_peers(shared.settings.peer_address.clone(), claiming));
     traffic.spawn(count_connections(Arc::clone(&shared)));
     let served = traffic.spawn(serve(Arc::clone(&shared), ready_rx, events_tx));
@@ -199,9 +196,10 @@
 
 /// Asks the controller of this VM for its state once, since the log may be out of reach, and for
 /// news all the time.
-async fn follow_controller(address: String, events: mpsc::Sender<Event>) {
-    let mut client = PeerClient::new(&address);
+async fn follow_controller(shared: Arc<Shared>, events: mpsc::Sender<Event>) {
+    let mut client = PeerClient::new(&shared.settings.controller_address);
     let mut has_state = false;
+    let mut said = Instant::now();
     loop {
         if !has_state
             && let Ok(Reply::State(Some(text))) = client.ask(&Request::State, STATE_TIMEOUT).await
@@ -216,7 +214,9 @@
                 return;
             }
         }
-        if let Ok(Reply::News(news)) = client.ask(&Request::News, NEWS_TIMEOUT).await
+        let words = shared.unmet.take(said.elapsed());
+        said = Instant::now();
+        if let Ok(Reply::News(news)) = client.ask(&Request::News(words), NEWS_TIMEOUT).await
             && events.send(Event::News(news)).await.is_err()
         {
             return;
--- a/crates/limehollow-gateway/src/shared.rs
+++ b/crates/limehollow-gateway/src/shared.rs
@@ -9,6 +9,9 @@
 use limehollow::retry::RetryBudget;
 use limehollow::routing::Table;
 use limehollow_edge::http::{CONNECT_TIMEOUT, classify};
+use limehollow_wire::peer::WireUnmet;
+use smol_str::SmolStr;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -30,6 +33,8 @@
     pub metrics: Metrics,
     /// Open connections of callers.
     pub connections: Arc<Connections>,
+    /// What was refused since the controller was last told.
+    pub unmet: Unmet,
     /// For requests that may be sent again.
     pub client: reqwest::Client,
     /// For requests that may not: each has a connection of its own, since on a used one a request
@@ -58,6 +63,7 @@
             claiming,
             metrics,
             connections: Arc::default(),
+            unmet: Unmet::default(),
             client: client(usize::MAX)?,
             once_client: client(0)?,
             budget: Mutex::default(),
@@ -80,3 +86,41 @@
         .tcp_nodelay(true);
     builder.build().map_err(|e| classify("client", e))
 }
+
+/// The most models of which unmet demand is told at once.
+const MAX_TOLD: usize = 8;
+
+/// Counts refused requests by model.
+#[derive(Debug, Default)]
+pub struct Unmet(Mutex<HashMap<SmolStr, u32>>);
+
+impl Unmet {
+    /// Notes a request that could not be taken for want of a replica with room.
+    pub fn note(&self, model: &SmolStr) {
+        *self.lock().entry(model.clone()).or_default() += 1;
+    }
+
+    /// Gives what was refused over a time, the most first, and starts anew.
+    pub fn take(&self, over: Duration) -> Vec<WireUnmet> {
+        let counts = std::mem::take(&mut *self.lock());
+        let mut rows: Vec<(SmolStr, u32)> = counts.into_iter().collect();
+        rows.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        rows.truncate(MAX_TOLD);
+        let millis = u32::try_from(over.as_millis()).unwrap_or(u32::MAX).max(1);
+        rows.into_iter()
+            .map(|(model, n)| {
+                let rate = n.saturating_mul(1_000_000) / millis;
+                WireUnmet {
+                    vm: SmolStr::default(),
+                    model,
+                    rate,
+                    age_ms: 0,
+                }
+            })
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SmolStr, u32>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/limehollow-wire/src/peer.rs
+++ b/crates/limehollow-wire/src/peer.rs
@@ -22,8 +22,8 @@
     Gossip(Digest),
     /// A process that starts asks for the state, since the log may be out of reach.
     State,
-    /// A gateway asks the controller of its VM for news.
-    News,
+    /// A gateway asks the controller of its VM for news, and says what it had to refuse lately.
+    News(Vec<WireUnmet>),
     /// A gateway asks another what became of a claim of its own.
     Claim {
         /// The incarnation that claimed.
@@ -53,8 +53,23 @@
     pub heartbeats: Vec<WireHeartbeat>,
     /// Reports of endpoints' load.
     pub loads: Vec<WireLoad>,
-    /// Endpoints that are on their way out, with their incarnation.
+    /// Endpoints that are on their way out.
     pub leaving: Vec<SmolStr>,
+    /// What gateways of the zone had to refuse.
+    pub unmet: Vec<WireUnmet>,
+}
+
+/// What a gateway had to refuse of one model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireUnmet {
+    /// The gateway's VM; empty in the gateway's own word.
+    pub vm: SmolStr,
+    /// The model.
+    pub model: SmolStr,
+    /// Requests in a thousand seconds.
+    pub rate: u32,
+    /// How old the word was when the message was written, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// What a controller tells a gateway.
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub mod admission;
 pub mod claim;
+pub mod demand;
 pub mod error;
 pub mod explain;
 pub mod fleet;
--- a/crates/limehollow/src/order.rs
+++ b/crates/limehollow/src/order.rs
@@ -9,8 +9,9 @@
 mod find;
 mod settle;
 
+use crate::demand::Demand;
 use crate::fleet::Fleet;
-use crate::id::{Incarnation, LogTime, Offset, VmName, ZoneName};
+use crate::id::{Incarnation, LogTime, ModelName, Offset, VmName, ZoneName};
 use crate::listing::{Listed, ListedKind, Look};
 use crate::membership::Membership;
 use crate::plan::{Action, ModelVersion, Place};
@@ -163,6 +164,7 @@
     intent_seen: Option<(Offset, Instant)>,
     /// The next offset and when it was first seen, for estimating the log's time.
     last_record: Option<(Offset, Instant)>,
+    demand: Demand,
     /// Whether something came in that a whole round has to consider.
     news: bool,
     /// The next offset and the time of the last whole round.
@@ -189,6 +191,7 @@
             released: BTreeMap::new(),
             intent_seen: None,
             last_record: None,
+            demand: Demand::default(),
             news: true,
             last_round: None,
         }
@@ -251,6 +254,11 @@
         w.next_look = Some(now);
     }
 
+    /// Takes in how many requests for a model a second a gateway of the zone had to refuse.
+    pub fn on_unmet(&mut self, now: Instant, from: VmName, model: ModelName, per_second: f64) {
+        self.demand.hear(now, from, model, per_second);
+    }
+
     /// Takes in how sending an order ended.
     pub fn on_sent(&mut self, now: Instant, order: Offset, res: SendResult) {
         self.news = true;
@@ -284,7 +292,14 @@
         self.find_strays(now, fleet, epoch, &mut out);
         self.answer_intent(now, fleet, &mut out);
         let at = self.log_time(now, fleet);
-        self.next_orders(now, at, fleet, epoch, &mut out);
+        let intent = fleet.confirmed_intent().map(|p| &p.intent);
+        let wanting = intent
+            .map(|i| self.demand.wanting(now, i))
+            .unwrap_or_default();
+        let added = self.next_orders(now, at, fleet, epoch, &wanting, &mut out);
+        for model in added {
+            self.demand.acted(now, &model);
+        }
         out
     }
 
--- a/crates/limehollow/src/order/choose.rs
+++ b/crates/limehollow/src/order/choose.rs
@@ -64,10 +64,11 @@
         at: LogTime,
         fleet: &Fleet,
         epoch: Offset,
+        wanting: &[ModelName],
         out: &mut Vec<Command>,
-    ) {
+    ) -> Vec<ModelName> {
         let Some(p) = fleet.plan_in_force() else {
-            return;
+            return Vec::new();
         };
         let mut round = Round::new(self, fleet, epoch, at);
         for s in &p.plan.steps {
@@ -80,12 +81,81 @@
         if round.loads < self.rules.max_loads {
             self.substitute(now, fleet, &mut round);
         }
+        let added = self.meet_demand(fleet, wanting, &mut round);
         out.extend(
             round
                 .orders
                 .into_iter()
                 .map(|o| Command::Append(Record::OrderIssued(o))),
         );
+        added
+    }
+
+    /// Adds a replica in this zone for models whose demand lasts, and gives those models. Where there
+    /// is no room, a replica beyond what was asked for, of a model that doesn't want it, makes some.
+    fn meet_demand(
+        &self,
+        fleet: &Fleet,
+        wanting: &[ModelName],
+        round: &mut Round<'_>,
+    ) -> Vec<ModelName> {
+        let Some(intent) = fleet.confirmed_intent().map(|p| &p.intent) else {
+            return Vec::new();
+        };
+        let mut added = Vec::new();
+        for m in wanting.iter().filter_map(|n| intent.model(n.as_str())) {
+            // What was asked for comes first; until it is there, more would only be in its way.
+            if replicas_in_reach(fleet, &m.name) < usize::from(m.replicas) {
+                continue;
+            }
+            let model = ModelVersion {
+                name: m.name.clone(),
+                version: m.version.clone(),
+            };
+            let before = round.orders.len();
+            match self.free_place(fleet, intent, &model, m.bytes, round) {
+                Some(place) => round.issue(place, Action::Load, model, m.bytes, Cause::Demand),
+                None => self.make_room(fleet, intent, m.bytes, wanting, round),
+            }
+            let loads = round.orders[before..]
+                .iter()
+                .any(|o| o.action == Action::Load);
+            added.extend(loads.then(|| m.name.clone()));
+        }
+        added
+    }
+
+    /// Unloads one replica beyond what was asked for, if that makes enough room.
+    fn make_room(
+        &self,
+        fleet: &Fleet,
+        intent: &Intent,
+        bytes: u64,
+        wanting: &[ModelName],
+        round: &mut Round<'_>,
+    ) {
+        let targets = fleet.plan_in_force().map_or(&[][..], |p| &p.plan.targets);
+        let mine = |e: &crate::fleet::Endpoint| e.zone == self.zone && e.presence == Presence::Live;
+        for (vm, e) in fleet.endpoints().filter(|(_, e)| mine(e)) {
+            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
+                let place = Place {
+                    endpoint: vm.clone(),
+                    accelerator,
+                };
+                let headroom = a.capacity - intent.budget(a.capacity);
+                let spare = a.replicas.iter().find(|(m, r)| {
+                    r.state == ReplicaState::Ready
+                        && a.free() + r.bytes >= bytes + headroom
+                        && !wanting.contains(&m.name)
+                        && round.has_more_than_enough(&m.name)
+                        && !targets.iter().any(|t| t.place == place && t.model == **m)
+                });
+                if let Some((m, r)) = spare {
+                    round.issue(place, Action::Unload, m.clone(), r.bytes, Cause::Demand);
+                    return;
+                }
+            }
+        }
     }
 
     /// Gives models whose place is gone for good another one in this zone.
--- a/crates/limehollow/src/record.rs
+++ b/crates/limehollow/src/record.rs
@@ -160,6 +160,8 @@
     Plan,
     /// It mends what the fleet lost.
     Repair,
+    /// It meets lasting demand, within what operators confirmed.
+    Demand,
 }
 
 /// An order, written down before it is sent; its own offset is its number and fencing number.
--- /dev/null
+++ b/crates/limehollow/tests/demand.rs
@@ -0,0 +1,159 @@
+//! Replicas that follow lasting demand, at the price of moves.
+
+mod world;
+
+use limehollow::demand::Demand;
+use limehollow::intent::{Intent, Priority, Weights};
+use std::time::Duration;
+use tokio::time::Instant;
+use world::{World, intent, model, what_is_open};
+
+const LANTERWIJK: Weights = Weights {
+    attainment: 2000,
+    moves: 500,
+};
+const VREDNOST: Weights = Weights {
+    attainment: 500,
+    moves: 2000,
+};
+
+fn weighed(weights: Weights) -> Intent {
+    Intent {
+        weights,
+        ..intent(vec![model("m", "1", 20, 1), model("n", "1", 20, 1)])
+    }
+}
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// Hears the same unmet demand for some time and gives whether a replica is wanted then.
+fn wants(weights: Weights, per_second: f64, for_secs: u64) -> bool {
+    let (i, start) = (weighed(weights), Instant::now());
+    let mut d = Demand::default();
+    let mut wanted = false;
+    for s in 0..=for_secs {
+        d.hear(start + secs(s), "vm".into(), "m".into(), per_second);
+        wanted = !d.wanting(start + secs(s), &i).is_empty();
+    }
+    wanted
+}
+
+#[test]
+fn wanting_by_weights() {
+    let cases = [
+        (LANTERWIJK, 0.05, false),
+        (LANTERWIJK, 0.1, true),
+        (VREDNOST, 0.1, false),
+        (VREDNOST, 1.0, false),
+        (VREDNOST, 1.5, true),
+        (LANTERWIJK, 0.0, false),
+    ];
+    for (weights, per_second, wanted) in cases {
+        assert_eq!(
+            wants(weights, per_second, 20),
+            wanted,
+            "{weights:?} at {per_second} a second"
+        );
+    }
+}
+
+#[test]
+fn wanting_not_for_a_burst() {
+    assert!(!wants(LANTERWIJK, 50.0, 19));
+    // Two bursts with quiet between them are no lasting demand.
+    let (i, start) = (weighed(LANTERWIJK), Instant::now());
+    let mut d = Demand::default();
+    for s in (0..15).chain(30..45) {
+        d.hear(start + secs(s), "vm".into(), "m".into(), 50.0);
+        assert!(d.wanting(start + secs(s), &i).is_empty(), "after {s} s");
+    }
+}
+
+#[test]
+fn wanting_once_at_a_time() {
+    let (i, start) = (weighed(LANTERWIJK), Instant::now());
+    let mut d = Demand::default();
+    let mut added = 0;
+    for s in 0..=60 {
+        let now = start + secs(s);
+        d.hear(now, "vm".into(), "m".into(), 5.0);
+        for m in d.wanting(now, &i) {
+            d.acted(now, &m);
+            added += 1;
+        }
+    }
+    assert_eq!(added, 3, "one in 20 s");
+}
+
+#[test]
+fn wanting_important_first() {
+    let mut i = weighed(LANTERWIJK);
+    i.models[1].priority = Priority::High;
+    let (start, mut d) = (Instant::now(), Demand::default());
+    for s in 0..=20 {
+        d.hear(start + secs(s), "vm".into(), "m".into(), 50.0);
+        d.hear(start + secs(s), "vm".into(), "n".into(), 1.0);
+        d.wanting(start + secs(s), &i);
+    }
+    let order: Vec<String> = d
+        .wanting(start + secs(20), &i)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(order, ["n", "m"]);
+}
+
+fn up(weights: Weights) -> World {
+    let mut w = World::new(&["a", "b"], 60);
+    w.confirm(weighed(weights));
+    let settled = w.run_until(secs(60), World::is_settled);
+    assert!(settled, "{:#?}", what_is_open(&w));
+    w.hold_reachable();
+    w
+}
+
+#[test]
+fn demand_adds_a_replica_where_it_is() {
+    let mut w = up(LANTERWIJK);
+    let before = w.fleet().moves_done();
+    w.unmet = vec![("b".into(), "m".into(), 3.0)];
+    w.run(secs(30));
+    let in_b = |w: &World| {
+        w.fleet()
+            .ready("m")
+            .filter(|p| p.endpoint.as_str().contains("-b"))
+            .count()
+    };
+    assert!(in_b(&w) >= 1, "{:#?}", what_is_open(&w));
+    assert_eq!(w.fleet().moves_done(), before + 1);
+    // Met now: nothing moves any more, not even back.
+    w.unmet.clear();
+    w.run(secs(600));
+    assert_eq!(w.fleet().moves_done(), before + 1);
+}
+
+#[test]
+fn demand_not_worth_a_move() {
+    let mut w = up(VREDNOST);
+    let before = w.fleet().moves_done();
+    w.unmet = vec![("b".into(), "m".into(), 0.5)];
+    w.run(secs(300));
+    assert_eq!(w.fleet().moves_done(), before);
+}
+
+#[test]
+fn demand_takes_the_room_of_an_idle_extra() {
+    // First m grows until all is full, then n wants room: a replica of m beyond what was asked for
+    // goes, and both stay reachable at every tick.
+    let mut w = up(LANTERWIJK);
+    w.unmet = vec![("a".into(), "m".into(), 3.0), ("b".into(), "m".into(), 3.0)];
+    w.run(secs(400));
+    assert_eq!(w.fleet().ready("m").count(), 4, "one an accelerator");
+    w.unmet = vec![("a".into(), "n".into(), 3.0), ("b".into(), "n".into(), 3.0)];
+    w.run(secs(1500));
+    let n = w.fleet().ready("n").count();
+    assert!(n >= 3, "n has {n}: {:#?}", what_is_open(&w));
+    assert!(w.fleet().ready("m").count() >= 1);
+}
--- a/crates/limehollow/tests/world/mod.rs
+++ b/crates/limehollow/tests/world/mod.rs
@@ -245,6 +245,8 @@
     pub must_reach: BTreeSet<ModelName>,
     /// Sent orders, for counting.
     pub orders_sent: u32,
+    /// What a gateway of each zone has to refuse: zone, model, requests a second.
+    pub unmet: Vec<(ZoneName, ModelName, f64)>,
     /// Whether second copies of orders are about, which may bring back what nobody counts.
     copies: bool,
     flights: Vec<Flight>,
@@ -288,6 +290,7 @@
             truth: Replay::default(),
             must_reach: BTreeSet::new(),
             orders_sent: 0,
+            unmet: Vec::new(),
             copies: false,
             flights: Vec::new(),
             ticks: 0,
@@ -509,6 +512,10 @@
             let list = self.list();
             self.controllers[i].driver.on_list(now, list);
         }
+        for (_, model, rate) in self.unmet.iter().filter(|(z, ..)| *z == zone) {
+            let driver = &mut self.controllers[i].driver;
+            driver.on_unmet(now, "gateway".into(), model.clone(), *rate);
+        }
         let c = &mut self.controllers[i];
         if c.must_read || c.replay.has_gap() {
             return;
