--- a/crates/limehollow-controller/src/main.rs
+++ b/crates/limehollow-controller/src/main.rs
@@ -5,11 +5,11 @@
 use limehollow_controller::io::Io;
 use limehollow_controller::metrics::Metrics;
 use limehollow_controller::settings::ControllerSettings;
+use limehollow_edge::Result;
 use limehollow_edge::admin::{self, Admin, Readiness};
 use limehollow_edge::args::Program;
 use limehollow_edge::error::ListenSnafu;
-use limehollow_edge::process::{incarnation, start, stop_signal};
-use limehollow_edge::{Exit, Result};
+use limehollow_edge::process::{daemon, incarnation, stop_signal};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
@@ -22,17 +22,7 @@
 const EVENTS: usize = 1024;
 
 fn main() -> ExitCode {
-    let settings: ControllerSettings = match start(&PROGRAM) {
-        Ok((_, s)) => s,
-        Err(exit) => return exit.into(),
-    };
-    match run(settings) {
-        Ok(()) => Exit::Ok.into(),
-        Err(e) => {
-            eprintln!("{}: {e}", PROGRAM.name);
-            Exit::from(&e).into()
-        }
-    }
+    daemon(&PROGRAM, run)
 }
 
 fn run(settings: ControllerSettings) -> Result<()> {
--- a/crates/limehollow-edge/src/process.rs
+++ b/crates/limehollow-edge/src/process.rs
@@ -1,9 +1,10 @@
 //! What all daemons do when they start and stop.
 
 use crate::args::{Args, Program};
-use crate::error::Exit;
+use crate::error::{Exit, Result};
 use crate::logs;
 use crate::settings::{Settings, load};
+use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -12,7 +13,7 @@
 /// # Errors
 ///
 /// The exit code to end with; the reason has been printed.
-pub fn start<S>(program: &Program) -> Result<(Args, S), Exit>
+fn start<S>(program: &Program) -> Result<(Args, S), Exit>
 where
     S: Settings,
 {
@@ -29,6 +30,25 @@
     Ok((args, settings))
 }
 
+/// Starts a daemon, runs it, and gives the exit code.
+pub fn daemon<S, F>(program: &Program, run: F) -> ExitCode
+where
+    S: Settings,
+    F: FnOnce(S) -> Result<()>,
+{
+    let settings = match start(program) {
+        Ok((_, s)) => s,
+        Err(exit) => return exit.into(),
+    };
+    match run(settings) {
+        Ok(()) => Exit::Ok.into(),
+        Err(e) => {
+            eprintln!("{}: {e}", program.name);
+            Exit::from(&e).into()
+        }
+    }
+}
+
 /// Gives the incarnation of a process that starts now.
 ///
 /// It only has to differ from, and be above, that of an earlier life on the same VM, so the wall
--- a/crates/limehollow-gateway/src/main.rs
+++ b/crates/limehollow-gateway/src/main.rs
@@ -3,6 +3,7 @@
 use arc_swap::ArcSwap;
 use limehollow::id::{Offset, VmName, ZoneName};
 use limehollow::routing::Table;
+use limehollow_edge::Result;
 use limehollow_edge::admin::{self, Admin, Readiness};
 use limehollow_edge::args::Program;
 use limehollow_edge::error::ListenSnafu;
@@ -10,8 +11,7 @@
 use limehollow_edge::log::HttpLog;
 use limehollow_edge::members::HttpMembers;
 use limehollow_edge::peer::{self, PeerClient};
-use limehollow_edge::process::{incarnation, start, stop_signal};
-use limehollow_edge::{Exit, Result};
+use limehollow_edge::process::{daemon, incarnation, stop_signal};
 use limehollow_gateway::caller;
 use limehollow_gateway::claims::{ClaimTask, Claiming, Me};
 use limehollow_gateway::control::{Control, Event};
@@ -43,17 +43,7 @@
 const COUNT_EVERY: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
-    let settings: GatewaySettings = match start(&PROGRAM) {
-        Ok((_, s)) => s,
-        Err(exit) => return exit.into(),
-    };
-    match run(settings) {
-        Ok(()) => Exit::Ok.into(),
-        Err(e) => {
-            eprintln!("{}: {e}", PROGRAM.name);
-            Exit::from(&e).into()
-        }
-    }
+    daemon(&PROGRAM, run)
 }
 
 fn run(settings: GatewaySettings) -> Result<()> {
--- a/crates/limehollow-gateway/tests/faults.rs
+++ b/crates/limehollow-gateway/tests/faults.rs
@@ -329,3 +329,83 @@
         200
     );
 }
+
+#[tokio::test]
+async fn leaving_endpoint_gets_no_new_work() {
+    let rig = Rig::new(2).await;
+    let g = rig.gateway("vm-1", "").await;
+    let row = json!({ "vm": "engine-0", "zone": "a", "address": rig.engines[0], "kind": "engine",
+                      "leaving": true, "checks_fencing": true });
+    let url = format!("http://{}/members/engine-0", rig.platform);
+    let put = client()
+        .put(url)
+        .json(&row)
+        .send()
+        .await
+        .expect("the stand-in answers");
+    assert!(put.status().is_success());
+    rig.wait_until("the gateway knows", async || {
+        let res = client()
+            .get(format!("{}/dump", g.admin))
+            .send()
+            .await
+            .ok()?;
+        let v: Value = res.json().await.ok()?;
+        v["leaving_by_list"]
+            .to_string()
+            .contains("engine-0")
+            .then_some(())
+    })
+    .await;
+    for n in 0..30 {
+        let body = json!({ "model": "m", "prompt": format!("p{n}"), "max_tokens": 2 });
+        assert_eq!(
+            g.complete(&body).send().await.expect("an answer").status(),
+            200
+        );
+    }
+    let runs = |h: Vec<stand_ins::engine::Event>| h.iter().filter(|e| e.kind == "run").count();
+    assert_eq!(runs(rig.engine_history(0).await), 0);
+    assert_eq!(runs(rig.engine_history(1).await), 30);
+}
+
+#[tokio::test]
+async fn zone_cut_from_the_platform() {
+    // One gateway can't reach the platform any more: it serves on, refuses keyed calls as not-run, and
+    // the other one may run them.
+    let mut rig = Rig::new(1).await;
+    rig.add_service().await;
+    let cut = rig.gateway_at(&rig.far, "vm-1", "").await;
+    let other = rig.gateway("vm-2", "").await;
+    rig.platform_faults(&json!({ "cut_zones": ["far"] })).await;
+    for n in 0..5 {
+        let body = json!({ "model": "m", "prompt": format!("p{n}"), "max_tokens": 2 });
+        assert_eq!(
+            cut.complete(&body)
+                .send()
+                .await
+                .expect("an answer")
+                .status(),
+            200
+        );
+        let key = format!("key-{n}");
+        let refused = cut.file(&key, "return").send().await.expect("an answer");
+        assert_eq!(
+            (
+                refused.status().as_u16(),
+                header(&refused, "x-limehollow-verdict")
+            ),
+            (503, "not-run".into())
+        );
+        let done = other.file(&key, "return").send().await.expect("an answer");
+        assert_eq!(done.status(), 200);
+        assert_eq!(rig.service_runs(&key).await, 1);
+    }
+    rig.platform_faults(&json!({})).await;
+    rig.wait_until("the cut gateway knows the result", async || {
+        let res = cut.file("key-0", "return").send().await.ok()?;
+        (res.status() == 200).then_some(())
+    })
+    .await;
+    assert_eq!(rig.service_runs("key-0").await, 1);
+}
--- a/crates/limehollow-gateway/tests/rig/mod.rs
+++ b/crates/limehollow-gateway/tests/rig/mod.rs
@@ -113,6 +113,8 @@
 
 pub struct Rig {
     pub platform: String,
+    /// Another address of the platform, which a fault can cut.
+    pub far: String,
     pub engines: Vec<String>,
     pub service: Option<String>,
     log: HttpLog,
@@ -121,10 +123,10 @@
 impl Rig {
     /// Starts a platform, engines in zone `a` that hold model `m`, and confirms an intent for it.
     pub async fn new(engines: usize) -> Self {
-        let platform = free_address();
+        let (platform, far) = (free_address(), free_address());
         let settings = PlatformSettings {
             address: platform.clone(),
-            zone_addresses: std::iter::empty().collect(),
+            zone_addresses: std::iter::once(("far".to_owned(), far.clone())).collect(),
             retention_ms: 600_000,
             members_lag_ms: 0,
             loads_per_second: 100.0,
@@ -136,6 +138,7 @@
         let log = HttpLog::new(&platform).expect("an HTTP client");
         let mut rig = Self {
             platform,
+            far,
             engines: Vec::new(),
             service: None,
             log,
@@ -271,15 +274,19 @@
 
     /// Starts a gateway and waits until it is ready.
     pub async fn gateway(&self, name: &str, more: &str) -> Gateway {
+        self.gateway_at(&self.platform, name, more).await
+    }
+
+    /// Starts a gateway that reaches the platform at one of its addresses.
+    pub async fn gateway_at(&self, platform: &str, name: &str, more: &str) -> Gateway {
         let (address, admin, peer) = (free_address(), free_address(), free_address());
         let path =
             std::env::temp_dir().join(format!("limehollow-{}-{address}.toml", std::process::id()));
         let text = format!(
             "name = \"{name}\"\navailability_zone = \"a\"\naddress = \"{address}\"\n\
              admin_address = \"{admin}\"\npeer_address = \"{peer}\"\n\
-             controller_address = \"{}\"\nplatform_address = \"{}\"\nstop_grace_ms = 300\n{more}",
-            free_address(),
-            self.platform
+             controller_address = \"{}\"\nplatform_address = \"{platform}\"\nstop_grace_ms = 300\n{more}",
+            free_address()
         );
         std::fs::write(&path, text).expect("the temporary folder can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_limehollow-gateway"))
--- a/crates/limehollow/src/order/choose.rs
+++ b/crates/limehollow/src/order/choose.rs
@@ -1,7 +1,7 @@
 //! Which plans are proposed and which orders come next: steps of the plan in force, then repairs.
 
 use super::{Command, Driver};
-use crate::fleet::{Fleet, Presence, ReplicaState};
+use crate::fleet::{Endpoint, Fleet, Presence, ReplicaState};
 use crate::id::{LogTime, ModelName, Offset, VmName, ZoneName};
 use crate::intent::Intent;
 use crate::listing::ListedKind;
@@ -135,8 +135,7 @@
         round: &mut Round<'_>,
     ) {
         let targets = fleet.plan_in_force().map_or(&[][..], |p| &p.plan.targets);
-        let mine = |e: &crate::fleet::Endpoint| e.zone == self.zone && e.presence == Presence::Live;
-        for (vm, e) in fleet.endpoints().filter(|(_, e)| mine(e)) {
+        for (vm, e) in self.own_live(fleet) {
             for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
                 let place = Place {
                     endpoint: vm.clone(),
@@ -223,6 +222,17 @@
         owner == Some(&self.zone)
     }
 
+    /// Gives the endpoints of the own zone that take work.
+    fn own_live<'f>(
+        &'f self,
+        fleet: &'f Fleet,
+    ) -> impl Iterator<Item = (&'f VmName, &'f Endpoint)> {
+        let zone = &self.zone;
+        fleet
+            .endpoints()
+            .filter(move |(_, e)| e.zone == *zone && e.presence == Presence::Live)
+    }
+
     fn free_place(
         &self,
         fleet: &Fleet,
@@ -232,8 +242,7 @@
         round: &Round<'_>,
     ) -> Option<Place> {
         let mut best: Option<(u64, Place)> = None;
-        let mine = |e: &crate::fleet::Endpoint| e.zone == self.zone && e.presence == Presence::Live;
-        for (vm, e) in fleet.endpoints().filter(|(_, e)| mine(e)) {
+        for (vm, e) in self.own_live(fleet) {
             for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
                 let place = Place {
                     endpoint: vm.clone(),
