A lost zone is mended by the others, and never counts as the replica that lets the last one go

Cause, found by zone_lost: when all of a zone goes, nobody is left to tell the log that its endpoints are gone; the fold counts their replicas as ready. So nothing was brought up elsewhere, and the last real replica could have been unloaded on the strength of a lost one.

Ruled out: another zone's holder taking the lost zone's lease (it would have to fence engines that it may not reach); the fold reading the platform's list (readers see it at different times).

What: the holder counts only endpoints that are on the platform's list, for repairs and before it orders an unload.

Before: zone_lost fails with one replica of each model.

--- a/crates/limehollow/src/order/choose.rs
+++ b/crates/limehollow/src/order/choose.rs
@@ -105,7 +105,7 @@
         let mut added = Vec::new();
         for m in wanting.iter().filter_map(|n| intent.model(n.as_str())) {
             // What was asked for comes first; until it is there, more would only be in its way.
-            if replicas_in_reach(fleet, &m.name) < usize::from(m.replicas) {
+            if self.replicas_in_reach(fleet, &m.name) < usize::from(m.replicas) {
                 continue;
             }
             let model = ModelVersion {
@@ -162,8 +162,9 @@
         let Some(intent) = fleet.confirmed_intent().map(|p| &p.intent) else {
             return;
         };
-        let short: Vec<&ModelName> = fleet
-            .missing_targets()
+        let targets = fleet.plan_in_force().map_or(&[][..], |p| &p.plan.targets);
+        let short: Vec<&ModelName> = targets
+            .iter()
             .filter(|t| self.is_lost(now, fleet, &t.place) && self.is_mine_to_mend(fleet, t))
             .map(|t| &t.model.name)
             .collect();
@@ -172,7 +173,7 @@
             let Some(m) = intent.model(name.as_str()).filter(|_| done.insert(name)) else {
                 continue;
             };
-            let there = replicas_in_reach(fleet, name);
+            let there = self.replicas_in_reach(fleet, name);
             if there >= usize::from(m.replicas) {
                 continue;
             }
@@ -222,6 +223,33 @@
         owner == Some(&self.zone)
     }
 
+    /// Counts the replicas of a model that are ready or being loaded on endpoints that take work, as far
+    /// as the platform's list knows them. Where a whole zone is lost nobody is left to tell the log.
+    fn replicas_in_reach(&self, fleet: &Fleet, name: &ModelName) -> usize {
+        fleet
+            .endpoints()
+            .filter(|(vm, e)| {
+                e.presence == Presence::Live && !self.unlisted_since.contains_key(*vm)
+            })
+            .flat_map(|(_, e)| &e.accelerators)
+            .filter(|a| a.replicas.keys().any(|m| m.name == *name))
+            .count()
+    }
+
+    /// Tells whether a model would still be ready somewhere without one of its replicas. The log's rule
+    /// counts endpoints that are off the platform's list too, so the holder is stricter than it.
+    fn stays_reachable(&self, fleet: &Fleet, without: &Place, model: &ModelVersion) -> bool {
+        let intent = fleet.confirmed_intent().map(|p| &p.intent);
+        if intent.is_none_or(|i| i.model(model.name.as_str()).is_none()) {
+            return true;
+        }
+        fleet.routable().any(|(vm, accelerator, m)| {
+            let itself =
+                *vm == without.endpoint && accelerator == without.accelerator && m == model;
+            m.name == model.name && !itself && !self.unlisted_since.contains_key(vm)
+        })
+    }
+
     /// Gives the endpoints of the own zone that take work.
     fn own_live<'f>(
         &'f self,
@@ -360,7 +388,9 @@
             .fleet
             .confirmed_intent()
             .and_then(|p| p.intent.model(model.as_str()));
-        intent.is_some_and(|m| replicas_in_reach(self.fleet, model) >= usize::from(m.replicas))
+        intent.is_some_and(|m| {
+            self.driver.replicas_in_reach(self.fleet, model) >= usize::from(m.replicas)
+        })
     }
 
     /// Unloads models that nobody ordered and nobody needs.
@@ -401,7 +431,9 @@
             .fleet
             .confirmed_intent()
             .and_then(|p| p.intent.model(model.as_str()));
-        intent.is_none_or(|m| replicas_in_reach(self.fleet, model) > usize::from(m.replicas))
+        intent.is_none_or(|m| {
+            self.driver.replicas_in_reach(self.fleet, model) > usize::from(m.replicas)
+        })
     }
 
     fn is_achieved(&self, s: &Step) -> bool {
@@ -440,7 +472,9 @@
         let Some(o) = self.order(place, action, model, bytes, cause) else {
             return;
         };
-        let admitted = self.fleet.check_order(self.at, &o).is_ok();
+        let cuts = action == Action::Unload
+            && !self.driver.stays_reachable(self.fleet, &o.place, &o.model);
+        let admitted = !cuts && self.fleet.check_order(self.at, &o).is_ok();
         if admitted && self.busy.insert(o.place.endpoint.clone()) {
             self.loads += usize::from(action == Action::Load);
             self.orders.push(o);
@@ -469,13 +503,3 @@
         })
     }
 }
-
-/// Counts the replicas of a model that are ready or being loaded on endpoints that take work.
-fn replicas_in_reach(fleet: &Fleet, name: &ModelName) -> usize {
-    fleet
-        .endpoints()
-        .filter(|(_, e)| e.presence == Presence::Live)
-        .flat_map(|(_, e)| &e.accelerators)
-        .filter(|a| a.replicas.keys().any(|m| m.name == *name))
-        .count()
-}
--- /dev/null
+++ b/crates/limehollow/tests/repairs.rs
@@ -0,0 +1,240 @@
+//! Repairs within the confirmed intent, and what they cost in moves.
+
+mod world;
+
+use limehollow::id::VmName;
+use limehollow::plan::ModelVersion;
+use std::time::Duration;
+use world::{Power, World, intent, model, what_is_open};
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// Three zones with room to spare; models `m` and `n` with two replicas each.
+fn up() -> World {
+    let mut w = World::new(&["a", "b", "c"], 60);
+    w.confirm(intent(vec![model("m", "1", 20, 2), model("n", "1", 20, 2)]));
+    let settled = w.run_until(secs(60), World::is_settled);
+    assert!(settled, "{:#?}", what_is_open(&w));
+    w.run(secs(301));
+    w.hold_reachable();
+    w
+}
+
+/// Gives an engine that holds a model, and its zone.
+fn holder_of(w: &World, name: &str) -> (VmName, String) {
+    let place = w.fleet().ready(name).next().expect("it is ready somewhere");
+    let zone = w
+        .fleet()
+        .endpoint(place.endpoint.as_str())
+        .expect("it is known")
+        .zone
+        .to_string();
+    (place.endpoint, zone)
+}
+
+fn ready(w: &World, name: &str) -> usize {
+    w.fleet().ready(name).count()
+}
+
+#[test]
+fn replica_that_vanished() {
+    let mut w = up();
+    let before = w.fleet().moves_done();
+    let (e, _) = holder_of(&w, "m");
+    let version = ModelVersion {
+        name: "m".into(),
+        version: "1".into(),
+    };
+    w.engines
+        .get_mut(&e)
+        .expect("it is there")
+        .models
+        .remove(&version);
+    // One of two is gone; the other one keeps it reachable while it comes back.
+    w.must_reach.clear();
+    w.run(secs(10));
+    w.hold_reachable();
+    assert_eq!(
+        (ready(&w, "m"), w.fleet().moves_done()),
+        (2, before + 1),
+        "{:#?}",
+        what_is_open(&w)
+    );
+}
+
+#[test]
+fn engine_restarted_empty() {
+    let mut w = up();
+    let before = w.fleet().moves_done();
+    let (e, _) = holder_of(&w, "m");
+    let held = w.engines[&e].models.len() as u64;
+    w.engines.get_mut(&e).expect("it is there").restart();
+    w.run(secs(30));
+    assert_eq!(
+        (ready(&w, "m"), ready(&w, "n")),
+        (2, 2),
+        "{:#?}",
+        what_is_open(&w)
+    );
+    assert_eq!(w.fleet().moves_done(), before + held);
+}
+
+#[test]
+fn engine_gone_and_back() {
+    let mut w = up();
+    let (e, zone) = holder_of(&w, "m");
+    let held = w.engines[&e].models.len() as u64;
+    let before = w.fleet().moves_done();
+    w.engines.get_mut(&e).expect("it is there").up = false;
+    w.run(secs(60));
+    assert_eq!(
+        (ready(&w, "m"), ready(&w, "n")),
+        (2, 2),
+        "{:#?}",
+        what_is_open(&w)
+    );
+    let in_zone = |p: &limehollow::plan::Place| {
+        w.fleet()
+            .endpoint(p.endpoint.as_str())
+            .is_some_and(|x| x.zone.as_str() == zone)
+    };
+    assert!(
+        w.fleet().ready("m").any(|p| in_zone(&p)),
+        "its own zone mends it"
+    );
+    assert_eq!(w.fleet().moves_done(), before + held);
+    // It comes back empty: what was mended isn't moved again.
+    w.engines.get_mut(&e).expect("it is there").restart();
+    w.run(secs(120));
+    assert_eq!(
+        w.fleet().moves_done(),
+        before + held,
+        "{:#?}",
+        what_is_open(&w)
+    );
+}
+
+#[test]
+fn engine_leaves() {
+    let mut w = up();
+    let (e, _) = holder_of(&w, "m");
+    w.leaving.insert(e.clone());
+    w.run(secs(4));
+    assert!(
+        w.fleet().ready("m").all(|p| p.endpoint != e),
+        "no new work after a few seconds"
+    );
+    w.run(secs(30));
+    assert_eq!(
+        (ready(&w, "m"), ready(&w, "n")),
+        (2, 2),
+        "{:#?}",
+        what_is_open(&w)
+    );
+}
+
+#[test]
+fn zone_lost() {
+    // All of a zone goes and comes off the list: the others bring up what is short, once.
+    let mut w = up();
+    let (_, zone) = holder_of(&w, "m");
+    let before = w.fleet().moves_done();
+    let lost: Vec<VmName> = w
+        .engines
+        .iter()
+        .filter(|(_, e)| e.zone.as_str() == zone)
+        .map(|(n, _)| n.clone())
+        .collect();
+    let held: usize = lost.iter().map(|n| w.engines[n].models.len()).sum();
+    for n in &lost {
+        w.engines.get_mut(n).expect("it is there").up = false;
+        w.unlisted.insert(n.clone());
+    }
+    for c in w.controllers.iter_mut().filter(|c| c.zone.as_str() == zone) {
+        c.power = Power::Dead;
+        w.unlisted.insert(c.name.clone());
+    }
+    w.run(secs(120));
+    let elsewhere = |name: &str| {
+        w.fleet()
+            .ready(name)
+            .filter(|p| !lost.contains(&p.endpoint))
+            .count()
+    };
+    assert_eq!(
+        (elsewhere("m"), elsewhere("n")),
+        (2, 2),
+        "{:#?}",
+        what_is_open(&w)
+    );
+    assert_eq!(
+        w.fleet().moves_done(),
+        before + held as u64,
+        "no more moves than were lost"
+    );
+}
+
+#[test]
+fn only_replica_gets_a_new_version_in_place() {
+    // One replica on the only engine: the new version beside the old one, and then the old one goes.
+    let mut w = World::new(&["a"], 60);
+    w.engines.get_mut("engine-a2").expect("it is there").up = false;
+    w.confirm(intent(vec![model("m", "1", 20, 1)]));
+    assert!(
+        w.run_until(secs(60), World::is_settled),
+        "{:#?}",
+        what_is_open(&w)
+    );
+    w.hold_reachable();
+    w.confirm(intent(vec![model("m", "2", 20, 1)]));
+    assert!(
+        w.run_until(secs(60), World::is_settled),
+        "{:#?}",
+        what_is_open(&w)
+    );
+}
+
+#[test]
+fn zone_lost_while_a_replica_is_to_go() {
+    // The log still counts the lost zone's replica as ready; the holder must not let the last one that
+    // is really there go.
+    let mut w = up();
+    let (kept, zone) = holder_of(&w, "m");
+    let lost: Vec<VmName> = w
+        .engines
+        .iter()
+        .filter(|(_, e)| e.zone.as_str() == zone)
+        .map(|(n, _)| n.clone())
+        .collect();
+    w.must_reach.remove("n");
+    for n in &lost {
+        w.engines.get_mut(n).expect("it is there").up = false;
+        w.unlisted.insert(n.clone());
+    }
+    for c in w.controllers.iter_mut().filter(|c| c.zone.as_str() == zone) {
+        c.power = Power::Dead;
+    }
+    assert!(lost.contains(&kept));
+    w.run(secs(1));
+    w.confirm(intent(vec![model("m", "1", 20, 1), model("n", "1", 20, 2)]));
+    w.run(secs(200));
+    assert!(
+        w.fleet().ready("m").any(|p| !lost.contains(&p.endpoint)),
+        "{:#?}",
+        what_is_open(&w)
+    );
+}
+
+#[test]
+fn nothing_moves_at_rest() {
+    let mut w = up();
+    let (moves, records) = (w.fleet().moves_done(), w.log.len());
+    w.run(secs(3600));
+    assert_eq!(
+        (w.fleet().moves_done(), w.log.len()),
+        (moves, records),
+        "an hour without a record"
+    );
+}
