--- a/crates/limehollow-gateway/src/claims.rs
+++ b/crates/limehollow-gateway/src/claims.rs
@@ -1,34 +1,29 @@
 //! Claims on keys: appended to the log in batches before a request is dispatched.
 //!
-//! One task owns the fold of the claims stream and the results that this gateway remembers; the
-//! traffic threads talk to it through [`Claiming`] (`docs/design/at-most-once.md`).
+//! One task owns the fold of the claims stream and the results that this gateway remembers
+//! ([`task`]); the traffic threads talk to it through [`Claiming`]
+//! (`docs/design/at-most-once.md`).
+
+pub mod task;
 
 use crate::dispatch::Whole;
-use crate::metrics::Metrics;
 use crate::request::pass_on;
-use crate::settings::ClaimSettings;
 use bytes::Bytes;
-use limehollow::claim::{ClaimRecord, Claimant, Claims, KeyHash, Standing};
-use limehollow::id::{Incarnation, LogTime, Offset, VmName};
-use limehollow_edge::log::LogService;
+use limehollow::claim::{Claimant, KeyHash};
+use limehollow::id::Incarnation;
 use limehollow_edge::peer::PeerClient;
-use limehollow_wire::claim::{STREAM, decode, encode};
 use limehollow_wire::peer::{ClaimFate, Reply, Request};
-use limehollow_wire::platform::Records;
 use poem::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::Instant;
+
+pub use task::{ClaimTask, Me};
 
-const READ_LIMIT: u32 = 1024;
-const LONG_POLL: Duration = Duration::from_secs(2);
-const LOG_PAUSE: Duration = Duration::from_millis(200);
 /// How long a claim may stay undecided, however far its deadline is.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-const QUEUE: usize = 4_096;
 
 /// What became of a request that was claimed before.
 #[derive(Clone, Debug)]
@@ -61,10 +56,19 @@
     number: u64,
     tx: mpsc::UnboundedSender<Told>,
     dispatched: std::sync::atomic::AtomicBool,
+    /// Until when the claim surely stands.
+    good_until: Instant,
     told: bool,
 }
 
 impl Claim {
+    /// Tells whether the claim surely still stands. Others forget it when its time is over, and this
+    /// process may have been paused since it was decided.
+    #[must_use]
+    pub fn stands(&self) -> bool {
+        Instant::now() < self.good_until
+    }
+
     /// Notes that the request is about to leave.
     pub fn dispatched(&self) {
         self.dispatched
@@ -128,11 +132,14 @@
 pub struct Claiming {
     wishes: mpsc::Sender<Wish>,
     told: mpsc::UnboundedSender<Told>,
+    /// For how long after the wish a claim may be relied on: half of the time that it is remembered.
+    good_for: Duration,
 }
 
 impl Claiming {
     /// Claims a key for a request.
     pub async fn claim(&self, key: KeyHash, deadline: Instant) -> Claimed {
+        let asked = Instant::now();
         let (tx, rx) = oneshot::channel();
         if self.wishes.try_send(Wish::Claim(key, tx)).is_err() {
             return Claimed::Undecided(RETRY_AFTER);
@@ -147,6 +154,7 @@
                     number,
                     tx: self.told.clone(),
                     dispatched,
+                    good_until: asked + self.good_for,
                     told: false,
                 })
             }
@@ -231,373 +239,3 @@
         }
     }
 }
-
-/// Who this gateway is in claims.
-#[derive(Clone, Debug)]
-pub struct Me {
-    /// The entry VM.
-    pub vm: VmName,
-    /// The incarnation.
-    pub incarnation: Incarnation,
-    /// Where other gateways reach it.
-    pub address: String,
-}
-
-/// A claim that was appended or is about to be.
-#[derive(Debug)]
-struct Pending {
-    key: KeyHash,
-    number: u64,
-    reply: oneshot::Sender<Decision>,
-}
-
-/// The task that owns the claims.
-#[derive(Debug)]
-pub struct ClaimTask<L> {
-    log: L,
-    me: Me,
-    settings: ClaimSettings,
-    metrics: Metrics,
-    claims: Claims,
-    /// Whether the stream was read to its end once.
-    caught_up: bool,
-    /// Claims that the next append carries.
-    fresh: Vec<Pending>,
-    /// Claims that an append carried and that weren't read back yet.
-    flying: Vec<Pending>,
-    releases: Vec<ClaimRecord>,
-    keys: HashMap<u64, KeyHash>,
-    fates: BTreeMap<u64, Fate>,
-    last_number: u64,
-    told_tx: mpsc::UnboundedSender<Told>,
-    told: mpsc::UnboundedReceiver<Told>,
-    wishes_tx: mpsc::Sender<Wish>,
-    wishes: mpsc::Receiver<Wish>,
-}
-
-/// How an append ended.
-enum Appended {
-    /// It stands at this offset.
-    At(Offset),
-    /// Nothing is known, as of this time.
-    Lost(Instant),
-}
-
-impl<L> ClaimTask<L>
-where
-    L: LogService + Clone + 'static,
-{
-    /// Makes the task; it does nothing until it runs.
-    #[must_use]
-    pub fn new(log: L, me: Me, settings: ClaimSettings, metrics: Metrics) -> Self {
-        let (told_tx, told) = mpsc::unbounded_channel();
-        let (wishes_tx, wishes) = mpsc::channel(QUEUE);
-        Self {
-            log,
-            me,
-            claims: Claims::default().with_memory(settings.memory_ms),
-            settings,
-            metrics,
-            caught_up: false,
-            fresh: Vec::new(),
-            flying: Vec::new(),
-            releases: Vec::new(),
-            keys: HashMap::new(),
-            fates: BTreeMap::new(),
-            last_number: 0,
-            told_tx,
-            told,
-            wishes_tx,
-            wishes,
-        }
-    }
-
-    /// Gives the traffic threads' side.
-    #[must_use]
-    pub fn claiming(&self) -> Claiming {
-        Claiming {
-            wishes: self.wishes_tx.clone(),
-            told: self.told_tx.clone(),
-        }
-    }
-
-    /// Runs for ever.
-    pub async fn run(mut self) {
-        let (records_tx, mut records) = mpsc::channel(2);
-        tokio::spawn(tail(self.log.clone(), records_tx.clone()));
-        let (appended_tx, mut appended) = mpsc::channel(1);
-        let mut appending = false;
-        // What the claims in flight wait for: an offset, or a read to the end after a lost append.
-        let mut waits: Option<Appended> = None;
-        let mut next_append = Instant::now();
-        loop {
-            let due = !appending && waits.is_none() && self.has_fresh();
-            tokio::select! {
-                Some(wish) = self.wishes.recv() => self.on_wish(wish),
-                Some(told) = self.told.recv() => self.on_told(told),
-                Some(batch) = records.recv() => {
-                    self.on_records(batch, &mut waits);
-                }
-                Some(done) = appended.recv() => {
-                    appending = false;
-                    next_append = Instant::now() + Duration::from_millis(self.settings.batch_ms);
-                    waits = Some(done);
-                    self.check_waits(&mut waits, None);
-                }
-                () = sleep_until(next_append), if due => {
-                    if let Some(text) = self.batch() {
-                        appending = true;
-                        self.metrics.claim_appends.inc();
-                        let (done, records) = (appended_tx.clone(), records_tx.clone());
-                        let from = self.claims.next_offset().0;
-                        tokio::spawn(append(self.log.clone(), text, from, done, records));
-                    }
-                }
-            }
-            self.metrics
-                .claims
-                .set(i64::try_from(self.claims.len()).unwrap_or(i64::MAX));
-        }
-    }
-
-    fn has_fresh(&self) -> bool {
-        !self.fresh.is_empty() || !self.releases.is_empty()
-    }
-
-    fn on_wish(&mut self, wish: Wish) {
-        match wish {
-            Wish::Fate(incarnation, number, reply) => {
-                let own = incarnation == self.me.incarnation;
-                let fate = if own {
-                    self.fate(number)
-                } else {
-                    Fate::Unknown
-                };
-                let _gone = reply.send(fate);
-            }
-            Wish::Claim(key, reply) => {
-                if !self.caught_up {
-                    let _gone = reply.send(Decision::Undecided);
-                    return;
-                }
-                if let Standing::Held(who) = self.claims.standing(key) {
-                    let _gone = reply.send(self.held_by(who));
-                    return;
-                }
-                self.last_number += 1;
-                self.fresh.push(Pending {
-                    key,
-                    number: self.last_number,
-                    reply,
-                });
-            }
-        }
-    }
-
-    fn held_by(&self, who: Claimant) -> Decision {
-        if who.vm == self.me.vm && who.incarnation == self.me.incarnation {
-            return Decision::Own(self.fate(who.number));
-        }
-        Decision::Peer(who)
-    }
-
-    /// Gives what became of a claim of this gateway. One that nobody was given is released.
-    fn fate(&self, number: u64) -> Fate {
-        match self.fates.get(&number) {
-            Some(f) => f.clone(),
-            None if self.keys.contains_key(&number) => Fate::Running,
-            None if self.flying.iter().any(|p| p.number == number) => Fate::Running,
-            None => Fate::Unknown,
-        }
-    }
-
-    fn on_told(&mut self, told: Told) {
-        match told {
-            Told::Done(number, result) => {
-                self.keys.remove(&number);
-                let fits = |w: &Whole| w.body.len() <= self.settings.result_bytes;
-                let fate = result.filter(fits).map_or(Fate::Unknown, Fate::Done);
-                self.remember(number, fate);
-            }
-            Told::Release(number) => {
-                if let Some(key) = self.keys.remove(&number) {
-                    self.release(key, number);
-                }
-            }
-        }
-    }
-
-    /// Gives back claims of this gateway that took effect after they had been given up: a slow append
-    /// can land behind its own release.
-    fn release_again(&mut self, batch: &[ClaimRecord]) {
-        for r in batch {
-            let ClaimRecord::Claim(key, who) = r else {
-                continue;
-            };
-            let given_up = matches!(self.fates.get(&who.number), Some(Fate::Released));
-            let stands = self.claims.standing(*key) == Standing::Held(who.clone());
-            if given_up && stands && *who == self.claimant(who.number) {
-                self.releases.push(ClaimRecord::Release(*key, who.clone()));
-            }
-        }
-    }
-
-    fn release(&mut self, key: KeyHash, number: u64) {
-        self.remember(number, Fate::Released);
-        self.releases
-            .push(ClaimRecord::Release(key, self.claimant(number)));
-    }
-
-    fn remember(&mut self, number: u64, fate: Fate) {
-        self.fates.insert(number, fate);
-        while self.fates.len() > self.settings.results.max(1) {
-            self.fates.pop_first();
-        }
-    }
-
-    fn claimant(&self, number: u64) -> Claimant {
-        Claimant {
-            vm: self.me.vm.clone(),
-            incarnation: self.me.incarnation,
-            number,
-            address: self.me.address.as_str().into(),
-        }
-    }
-
-    /// Takes the fresh claims and releases into one batch.
-    fn batch(&mut self) -> Option<String> {
-        // A claim whose caller has given up needn't be made.
-        self.fresh.retain(|p| !p.reply.is_closed());
-        let mut records = self.releases.split_off(0);
-        records.extend(
-            self.fresh
-                .iter()
-                .map(|p| ClaimRecord::Claim(p.key, self.claimant(p.number))),
-        );
-        self.flying.append(&mut self.fresh);
-        (!records.is_empty()).then(|| encode(&records))
-    }
-
-    fn on_records(&mut self, batch: Option<(Instant, Records)>, waits: &mut Option<Appended>) {
-        let Some((began, records)) = batch else {
-            // The log is out of reach: whoever waits is refused at once, and what was appended for
-            // them is given back when it can be.
-            self.give_up();
-            return;
-        };
-        self.claims.skip_to(Offset(records.first));
-        for r in &records.records {
-            if let Ok(Some(batch)) = decode(&r.data) {
-                self.claims
-                    .apply(Offset(r.offset), LogTime(r.at_ms), &batch);
-                self.release_again(&batch);
-            } else {
-                self.claims.skip_to(Offset(r.offset + 1));
-            }
-        }
-        let at_end = self.claims.next_offset().0 >= records.next;
-        self.caught_up |= at_end;
-        self.check_waits(waits, at_end.then_some(began));
-    }
-
-    /// Decides the claims in flight once their append was read back, or surely never will be.
-    fn check_waits(&mut self, waits: &mut Option<Appended>, at_end: Option<Instant>) {
-        let decided = match waits {
-            None => false,
-            Some(Appended::At(offset)) => self.claims.next_offset() > *offset,
-            Some(Appended::Lost(since)) => at_end.is_some_and(|began| began >= *since),
-        };
-        if !decided {
-            return;
-        }
-        *waits = None;
-        for p in std::mem::take(&mut self.flying) {
-            self.decide(p);
-        }
-    }
-
-    fn decide(&mut self, p: Pending) {
-        let mine = self.claimant(p.number);
-        match self.claims.standing(p.key) {
-            Standing::Held(who) if who == mine => {
-                self.keys.insert(p.number, p.key);
-                if p.reply.send(Decision::Mine(p.number)).is_err() {
-                    // The caller has been told that nothing ran, so nothing may run any more.
-                    self.keys.remove(&p.number);
-                    self.release(p.key, p.number);
-                }
-            }
-            Standing::Held(who) => {
-                let _gone = p.reply.send(self.held_by(who));
-            }
-            Standing::Free => {
-                let _gone = p.reply.send(Decision::Undecided);
-            }
-        }
-    }
-
-    fn give_up(&mut self) {
-        for p in std::mem::take(&mut self.fresh) {
-            let _gone = p.reply.send(Decision::Undecided);
-        }
-        for p in std::mem::take(&mut self.flying) {
-            let _gone = p.reply.send(Decision::Undecided);
-            // The append may have taken effect, or still may: the key has to be given back.
-            self.release(p.key, p.number);
-        }
-    }
-}
-
-/// Appends a batch. If its fate isn't known, reads on at once: the long read that is under way began
-/// before and tells nothing.
-async fn append<L>(
-    log: L,
-    text: String,
-    from: u64,
-    tx: mpsc::Sender<Appended>,
-    records: mpsc::Sender<Option<(Instant, Records)>>,
-) where
-    L: LogService,
-{
-    let res = timeout(LONGEST_WAIT, log.append(STREAM, vec![text])).await;
-    let since = Instant::now();
-    let done = match res {
-        Ok(Ok(first)) => Appended::At(Offset(first)),
-        _ => Appended::Lost(since),
-    };
-    let lost = matches!(done, Appended::Lost(_));
-    let _ended = tx.send(done).await;
-    if lost {
-        let batch = log
-            .read(STREAM, from, READ_LIMIT, Duration::ZERO)
-            .await
-            .ok();
-        let _ended = records.send(batch.map(|b| (since, b))).await;
-    }
-}
-
-/// Reads the claims stream for ever; a failed read is passed on as nothing.
-async fn tail<L>(log: L, tx: mpsc::Sender<Option<(Instant, Records)>>)
-where
-    L: LogService,
-{
-    let mut from = 0;
-    // Until the end was reached once there is nothing to wait for, and callers wait for this.
-    let mut wait = Duration::ZERO;
-    loop {
-        let began = Instant::now();
-        let batch = log.read(STREAM, from, READ_LIMIT, wait).await.ok();
-        let failed = batch.is_none();
-        if let Some(last) = batch.as_ref().and_then(|b| b.records.last()) {
-            from = last.offset + 1;
-        }
-        let at_end = batch.as_ref().is_some_and(|b| from >= b.next);
-        wait = if at_end { LONG_POLL } else { Duration::ZERO };
-        if tx.send(batch.map(|b| (began, b))).await.is_err() {
-            return;
-        }
-        if failed {
-            sleep(LOG_PAUSE).await;
-        }
-    }
-}
--- a/crates/limehollow-gateway/src/dispatch.rs
+++ b/crates/limehollow-gateway/src/dispatch.rs
@@ -225,6 +225,11 @@
             Ok(admitted) => admitted,
             Err(instead) => return give_instead(shared, &course, claim, &instead),
         };
+        if claim.as_ref().is_some_and(|c| !c.stands()) {
+            let failure = Failure::Deadline;
+            let instead = gave_up(failure, course.attempts.verdict);
+            return give_instead(shared, &course, claim, &instead);
+        }
         let sent_at = Instant::now();
         shared.metrics.attempts.inc();
         if course.attempts.made > 0 {
--- /dev/null
+++ b/crates/limehollow-gateway/tests/claim_task.rs
@@ -0,0 +1,287 @@
+//! The task that owns the claims, before a log in memory, on paused time.
+
+use limehollow_edge::error::StatusSnafu;
+use limehollow_edge::log::LogService;
+use limehollow_gateway::claims::{Claim, ClaimTask, Claimed, Claiming, Fate, Me};
+use limehollow_gateway::metrics::Metrics;
+use limehollow_gateway::settings::ClaimSettings;
+use limehollow_wire::platform::{LogRecord, Records};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// What is wrong with the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Fault {
+    #[default]
+    Nothing,
+    Down,
+    /// Appends take effect and answer with an error.
+    AnswersLost,
+    /// Appends are lost.
+    AppendsLost,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    records: Vec<LogRecord>,
+    fault: Fault,
+}
+
+#[derive(Clone, Debug)]
+struct MemoryLog(Arc<Mutex<Inner>>, Instant);
+
+impl MemoryLog {
+    fn new() -> Self {
+        Self(Arc::default(), Instant::now())
+    }
+
+    fn set(&self, fault: Fault) {
+        self.0.lock().expect("nobody panicked").fault = fault;
+    }
+
+    fn text(&self) -> String {
+        let inner = self.0.lock().expect("nobody panicked");
+        inner.records.iter().map(|r| r.data.as_str()).collect()
+    }
+}
+
+impl LogService for MemoryLog {
+    async fn append(&self, _stream: &str, records: Vec<String>) -> limehollow_edge::Result<u64> {
+        sleep(Duration::from_millis(2)).await;
+        let at_ms = u64::try_from(self.1.elapsed().as_millis()).expect("a test is short");
+        let mut inner = self.0.lock().expect("nobody panicked");
+        let fails = || StatusSnafu {
+            what: "log append",
+            status: 504_u16,
+            body: "",
+        };
+        if matches!(inner.fault, Fault::Down | Fault::AppendsLost) {
+            return fails().fail();
+        }
+        let first = inner.records.len() as u64;
+        for (offset, data) in (first..).zip(records) {
+            inner.records.push(LogRecord {
+                offset,
+                at_ms,
+                data,
+            });
+        }
+        if inner.fault == Fault::AnswersLost {
+            fails().fail()
+        } else {
+            Ok(first)
+        }
+    }
+
+    async fn read(
+        &self,
+        _stream: &str,
+        from: u64,
+        limit: u32,
+        wait: Duration,
+    ) -> limehollow_edge::Result<Records> {
+        let end = Instant::now() + wait;
+        loop {
+            {
+                let inner = self.0.lock().expect("nobody panicked");
+                if inner.fault == Fault::Down {
+                    return StatusSnafu {
+                        what: "log read",
+                        status: 503_u16,
+                        body: "",
+                    }
+                    .fail();
+                }
+                let next = inner.records.len() as u64;
+                if from < next || Instant::now() >= end {
+                    let all = inner.records.iter().filter(|r| r.offset >= from);
+                    let records = all.take(limit as usize).cloned().collect();
+                    return Ok(Records {
+                        first: 0,
+                        next,
+                        records,
+                    });
+                }
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+fn gateway(log: &MemoryLog, vm: &str) -> Claiming {
+    let me = Me {
+        vm: vm.into(),
+        incarnation: 1,
+        address: "127.0.0.1:1".to_owned(),
+    };
+    let task = ClaimTask::new(
+        log.clone(),
+        me,
+        ClaimSettings::default(),
+        Metrics::default(),
+    );
+    let claiming = task.claiming();
+    tokio::spawn(task.run());
+    claiming
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(30)
+}
+
+async fn mine(c: &Claiming, key: u128) -> Claim {
+    match c.claim(key, soon()).await {
+        Claimed::Mine(claim) => claim,
+        other => panic!("{other:?} is not mine"),
+    }
+}
+
+async fn settle() {
+    sleep(Duration::from_millis(100)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_first_of_two() {
+    let log = MemoryLog::new();
+    let (one, two) = (gateway(&log, "vm-1"), gateway(&log, "vm-2"));
+    settle().await;
+    let (a, b) = tokio::join!(one.claim(7, soon()), two.claim(7, soon()));
+    let mines = [&a, &b]
+        .iter()
+        .filter(|c| matches!(c, Claimed::Mine(_)))
+        .count();
+    assert_eq!(mines, 1, "{a:?} {b:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_while_under_way_and_after() {
+    let log = MemoryLog::new();
+    let g = gateway(&log, "vm-1");
+    settle().await;
+    let claim = mine(&g, 7).await;
+    assert!(matches!(
+        g.claim(7, soon()).await,
+        Claimed::Other(Fate::Running)
+    ));
+    claim.done(None);
+    settle().await;
+    assert!(matches!(
+        g.claim(7, soon()).await,
+        Claimed::Other(Fate::Unknown)
+    ));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_released_is_free_for_all() {
+    let log = MemoryLog::new();
+    let (one, two) = (gateway(&log, "vm-1"), gateway(&log, "vm-2"));
+    settle().await;
+    mine(&one, 7).await.release();
+    settle().await;
+    mine(&two, 7).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_dropped_before_and_after_dispatch() {
+    let log = MemoryLog::new();
+    let (one, two) = (gateway(&log, "vm-1"), gateway(&log, "vm-2"));
+    settle().await;
+    drop(mine(&one, 7).await);
+    settle().await;
+    let again = mine(&two, 7).await;
+    again.dispatched();
+    drop(again);
+    settle().await;
+    assert!(
+        !matches!(one.claim(7, soon()).await, Claimed::Mine(_)),
+        "it may have run"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_whose_append_answer_is_lost() {
+    let log = MemoryLog::new();
+    let (one, two) = (gateway(&log, "vm-1"), gateway(&log, "vm-2"));
+    settle().await;
+    log.set(Fault::AnswersLost);
+    let claim = mine(&one, 7).await;
+    assert!(claim.stands());
+    log.set(Fault::Nothing);
+    assert!(!matches!(two.claim(7, soon()).await, Claimed::Mine(_)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_whose_append_is_lost() {
+    let log = MemoryLog::new();
+    let (one, two) = (gateway(&log, "vm-1"), gateway(&log, "vm-2"));
+    settle().await;
+    log.set(Fault::AppendsLost);
+    let started = Instant::now();
+    assert!(matches!(one.claim(7, soon()).await, Claimed::Undecided(_)));
+    assert!(
+        started.elapsed() < Duration::from_secs(3),
+        "it is said soon"
+    );
+    log.set(Fault::Nothing);
+    mine(&two, 7).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_while_down_is_given_back() {
+    let log = MemoryLog::new();
+    let one = gateway(&log, "vm-1");
+    settle().await;
+    log.set(Fault::Down);
+    assert!(matches!(one.claim(7, soon()).await, Claimed::Undecided(_)));
+    log.set(Fault::Nothing);
+    sleep(Duration::from_secs(3)).await;
+    mine(&one, 7).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_of_a_caller_that_left() {
+    // The caller leaves while its claim is on its way: the key must not stay taken.
+    let log = MemoryLog::new();
+    let one = gateway(&log, "vm-1");
+    settle().await;
+    let wish = one.claim(7, Instant::now() + Duration::from_millis(1));
+    assert!(matches!(wish.await, Claimed::Undecided(_)));
+    settle().await;
+    mine(&one, 7).await;
+    assert!(log.text().contains("\"release\":true") || !log.text().contains("\"num\":1,"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_paused_for_long() {
+    // A gateway that was paused between its claim and its dispatch must not rely on it for longer than
+    // others surely remember it.
+    let log = MemoryLog::new();
+    let one = gateway(&log, "vm-1");
+    settle().await;
+    let claim = mine(&one, 7).await;
+    assert!(claim.stands());
+    sleep(Duration::from_millis(
+        ClaimSettings::default().memory_ms / 2,
+    ))
+    .await;
+    assert!(!claim.stands());
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_share_appends() {
+    let log = MemoryLog::new();
+    let one = gateway(&log, "vm-1");
+    settle().await;
+    let wishes: Vec<_> = (0..200_u128)
+        .map(|key| {
+            let one = one.clone();
+            tokio::spawn(async move { matches!(one.claim(key, soon()).await, Claimed::Mine(_)) })
+        })
+        .collect();
+    for w in wishes {
+        assert!(w.await.expect("the task ends"));
+    }
+    let appends = log.0.lock().expect("nobody panicked").records.len();
+    assert!(appends <= 5, "{appends} appends for 200 claims");
+}
