Proofs: a case that notices when a restarted engine isn't fenced again

Cause: the mutation no-fence-before-look survived the whole list (36 others were caught). In the case that was to catch it, later orders fenced the engine by the way.

What: nothing is wanted any more when the engine restarts, so only the fence at finding it stands between it and the late order.

Ruled out: a fault in the code. One run of the new case failed on the unchanged rule; it had been built into a folder shared with the mutated copy. Built alone it passes, and fails with the mutation.

--- a/crates/limehollow/tests/orders_in_doubt.rs
+++ b/crates/limehollow/tests/orders_in_doubt.rs
@@ -225,13 +225,18 @@
         last_settled(&w, "engine-a1"),
         Some((Outcome::NotDone, Evidence::Fenced))
     );
-    w.confirm(intent(vec![model("m", "1", 30, 1)]));
-    w.run(Duration::from_secs(10));
+    // Nothing is wanted any more, so no later order fences the engine by the way.
+    w.faults.drop_orders = 0;
+    w.confirm(intent(Vec::new()));
+    w.run(Duration::from_secs(15));
+    assert_eq!((open_orders(&w), w.flying()), (0, 1));
     w.engines
         .get_mut("engine-a1")
         .expect("it is there")
         .restart();
     w.run(Duration::from_secs(120));
+    assert_eq!(w.flying(), 0);
+    assert_eq!(w.engines["engine-a1"].used(), 0, "the late order was taken");
 }
 
 #[test]
