--- a/crates/limehollow/src/replay.rs
+++ b/crates/limehollow/src/replay.rs
@@ -10,9 +10,14 @@
 use crate::id::{LogTime, Offset};
 use crate::record::{Content, Entry};
 
-/// After how many records a new snapshot is due.
+/// After how many records a new snapshot is due, at least.
 pub const SNAPSHOT_EVERY: u64 = 500;
 
+/// After how many records for each endpoint a new snapshot is due. A snapshot takes about as many
+/// bytes as this many records, so snapshots never make up more than half of the log
+/// (`docs/CAPACITY.md`).
+pub const RECORDS_AN_ENDPOINT: u64 = 5;
+
 /// The most records that a reader holds back while it waits for a snapshot.
 const MAX_HELD: usize = 65_536;
 
@@ -56,7 +61,9 @@
     pub fn snapshot_is_due(&self, retention_ms: u64) -> bool {
         let next = self.fleet.next_offset();
         let (covered, at) = self.last_snapshot.unwrap_or_default();
-        let many = next.0.saturating_sub(covered.0) >= SNAPSHOT_EVERY;
+        let endpoints = self.fleet.endpoints().count() as u64;
+        let every = SNAPSHOT_EVERY.max(RECORDS_AN_ENDPOINT * endpoints);
+        let many = next.0.saturating_sub(covered.0) >= every;
         let some = next.0 > covered.0 + 1;
         let old = self.fleet.at().millis_since(at) > retention_ms / 3;
         !self.has_gap() && (many || some && old)
--- a/crates/limehollow/tests/repairs.rs
+++ b/crates/limehollow/tests/repairs.rs
@@ -227,6 +227,97 @@
     );
 }
 
+/// Breaks something, and gives how long a model had less than its two replicas and how many records
+/// the log got, on paused time.
+fn time_to_repair<F>(what: &str, limit: u64, f: F) -> (Duration, usize)
+where
+    F: FnOnce(&mut World, &VmName),
+{
+    let mut w = up();
+    w.must_reach.clear();
+    let (e, _) = holder_of(&w, "m");
+    let (start, records) = (w.now, w.log.len());
+    f(&mut w, &e);
+    // The log has to notice first.
+    w.run_until(secs(limit), |w| ready(w, "m") < 2 || ready(w, "n") < 2);
+    let whole = w.run_until(secs(limit), |w| ready(w, "m") == 2 && ready(w, "n") == 2);
+    assert!(
+        whole,
+        "{what} was not repaired in {limit} s: {:#?}",
+        what_is_open(&w)
+    );
+    let took = w.now.duration_since(start);
+    let appended = w.log.len() - records;
+    println!(
+        "{what:<34} {:>6.1} s {appended:>4} records",
+        took.as_secs_f64()
+    );
+    (took, appended)
+}
+
+#[test]
+fn times_to_repair_are_bounded() {
+    // The world's rules: reports lag 0.6 s, dead after 5 s, repair after 10 s, a load takes 0.8 s.
+    let engine = |w: &mut World, e: &VmName| w.engines.get_mut(e).expect("it is there").restart();
+    let (took, records) = time_to_repair("engine restarted empty", 30, engine);
+    assert!(took <= secs(6) && records <= 10, "{took:?} {records}");
+    let down = |w: &mut World, e: &VmName| w.engines.get_mut(e).expect("it is there").up = false;
+    let (took, records) = time_to_repair("engine gone", 60, down);
+    assert!(took <= secs(16) && records <= 12, "{took:?} {records}");
+    let leaves = |w: &mut World, e: &VmName| {
+        w.leaving.insert(e.clone());
+    };
+    let (took, _) = time_to_repair("engine leaves", 60, leaves);
+    assert!(took <= secs(6), "{took:?}");
+    let lost = |w: &mut World, e: &VmName| {
+        w.engines.get_mut(e).expect("it is there").models.clear();
+    };
+    let (took, _) = time_to_repair("engine lost its models", 30, lost);
+    assert!(took <= secs(6), "{took:?}");
+    let with_holder = |w: &mut World, e: &VmName| {
+        let zone = w.engines[e].zone.to_string();
+        let i = w.holder(&zone).expect("somebody holds it");
+        w.controllers[i].power = Power::Dead;
+        w.engines.get_mut(e).expect("it is there").restart();
+    };
+    let (took, _) = time_to_repair("engine restarted, holder killed", 60, with_holder);
+    assert!(took <= secs(16), "{took:?}");
+    let log_down = |w: &mut World, e: &VmName| {
+        w.faults.log_down = true;
+        w.engines.get_mut(e).expect("it is there").restart();
+        w.run(secs(20));
+        w.faults.log_down = false;
+    };
+    let (took, _) = time_to_repair("engine restarted, log down 20 s", 60, log_down);
+    assert!(took <= secs(28), "{took:?}");
+}
+
+#[test]
+fn storm_appends_are_bounded() {
+    // Every engine restarts at once: the records are those of the repairs and no more.
+    let mut w = up();
+    w.must_reach.clear();
+    let (start, records) = (w.now, w.log.len());
+    let held: usize = w.engines.values().map(|e| e.models.len()).sum();
+    for e in w.engines.values_mut() {
+        e.restart();
+    }
+    w.run(secs(60));
+    assert_eq!(
+        (ready(&w, "m"), ready(&w, "n")),
+        (2, 2),
+        "{:#?}",
+        what_is_open(&w)
+    );
+    let appended = w.log.len() - records;
+    let took = w.now.duration_since(start);
+    println!(
+        "storm: {appended} records in {took:?} for {held} replicas on {} engines",
+        w.engines.len()
+    );
+    assert!(appended <= w.engines.len() + 2 * held, "{appended} records");
+}
+
 #[test]
 fn nothing_moves_at_rest() {
     let mut w = up();
--- a/crates/limehollow/tests/replay.rs
+++ b/crates/limehollow/tests/replay.rs
@@ -142,6 +142,27 @@
     );
 }
 
+#[test]
+fn snapshot_due_by_records() {
+    // 500 records, or five for each endpoint of a large fleet.
+    for (endpoints, every) in [(0, 500), (300, 1_500)] {
+        let mut r = Replay::default();
+        r.feed(entry(0, Content::Record(lease("vm-1", None))));
+        for n in 1..=endpoints {
+            r.feed(entry(
+                n,
+                Content::Record(seen(&format!("e{n}"), true, 1, Vec::new())),
+            ));
+        }
+        for n in endpoints + 1..every - 1 {
+            r.feed(entry(n, Content::Unknown));
+        }
+        assert!(!r.snapshot_is_due(u64::MAX), "{endpoints} endpoints");
+        r.feed(entry(every - 1, Content::Unknown));
+        assert!(r.snapshot_is_due(u64::MAX), "{endpoints} endpoints");
+    }
+}
+
 #[test]
 fn snapshot_due_by_age() {
     let mut r = Replay::default();
