--- a/crates/limehollow-controller/tests/processes.rs
+++ b/crates/limehollow-controller/tests/processes.rs
@@ -15,29 +15,15 @@
 use serde_json::{Value, json};
 use stand_ins::engine::{Engine, EngineSettings, Event};
 use stand_ins::platform::{Platform, PlatformSettings};
-use std::net::TcpListener;
+use stand_ins::run::free_address;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 const LONG: Duration = Duration::from_secs(60);
 const CAPACITY: u64 = 100;
 
-/// Gives an address that nobody listens on, below the ports of outgoing connections.
-fn free_address() -> String {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = 12_000 + u16::try_from(std::process::id() % 60).expect("small") * 330;
-    loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % 330;
-        let address = format!("127.0.0.1:{port}");
-        if TcpListener::bind(&address).is_ok() {
-            return address;
-        }
-    }
-}
-
 struct Controller {
     child: Child,
     name: String,
--- a/crates/limehollow-gateway/src/caller.rs
+++ b/crates/limehollow-gateway/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::Instead;
 use crate::dispatch::run;
-use crate::request::{self, Ask, Bad, REQUEST_ID, Terms, value};
+use crate::request::{self, Ask, Bad, REQUEST_ID, Terms, Waits, value};
 use crate::shared::Shared;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -78,8 +78,12 @@
 
 fn terms(shared: &Shared, req: &Request, id: SmolStr) -> Result<Terms, Instead> {
     let remote = req.remote_addr().as_socket_addr().copied();
-    let default = Duration::from_millis(shared.settings.limits.default_deadline_ms);
-    request::terms(req.headers(), remote, id, default).map_err(|bad| bad_request(&bad))
+    let limits = &shared.settings.limits;
+    let waits = Waits {
+        default: Duration::from_millis(limits.default_deadline_ms),
+        longest: Duration::from_millis(limits.idle_ms.saturating_sub(limits.idle_ms / 10)),
+    };
+    request::terms(req.headers(), remote, id, &waits).map_err(|bad| bad_request(&bad))
 }
 
 /// Reads a body within the limits on size and time, and within the request's own deadline.
--- a/crates/limehollow-gateway/src/request.rs
+++ b/crates/limehollow-gateway/src/request.rs
@@ -150,6 +150,15 @@
     Ok(given.unwrap_or_else(|| format_smolstr!("{:032x}", rand::random::<u128>())))
 }
 
+/// How long callers wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// What a request that names no deadline gets.
+    pub default: Duration,
+    /// The longest: after it the silent connection would be closed, and with it the answer lost.
+    pub longest: Duration,
+}
+
 /// Reads what the headers say.
 ///
 /// # Errors
@@ -159,13 +168,14 @@
     headers: &HeaderMap,
     remote: Option<SocketAddr>,
     id: SmolStr,
-    default_deadline: Duration,
+    waits: &Waits,
 ) -> Result<Terms, Bad> {
     let arrived = Instant::now();
     let wait = match text(headers, DEADLINE)? {
-        None => default_deadline,
+        None => waits.default,
         Some(s) => Duration::from_millis(number(DEADLINE, &s, MAX_DEADLINE_MS)?),
     };
+    let wait = wait.min(waits.longest);
     let priority = match text(headers, PRIORITY)? {
         None => None,
         Some(s) => match Priority::parse(&s) {
--- a/crates/limehollow-gateway/tests/faults.rs
+++ b/crates/limehollow-gateway/tests/faults.rs
@@ -409,3 +409,23 @@
     .await;
     assert_eq!(rig.service_runs("key-0").await, 1);
 }
+
+#[tokio::test]
+async fn deadline_beyond_the_idle_time() {
+    // A silent connection is closed after the idle time; the caller gets its answer before that.
+    let rig = Rig::new(1).await;
+    let g = rig.gateway("vm-1", "[limits]\nidle_ms = 1500\n").await;
+    rig.engine_faults(0, &json!({ "frozen": true })).await;
+    let body = json!({ "model": "m", "prompt": "p", "max_tokens": 2 });
+    let req = g
+        .complete(&body)
+        .header("x-limehollow-deadline-ms", "60000");
+    let res = req
+        .send()
+        .await
+        .expect("an answer, not a closed connection");
+    assert_eq!(
+        (res.status().as_u16(), header(&res, "x-limehollow-verdict")),
+        (504, "unknown".into())
+    );
+}
--- a/crates/limehollow-gateway/tests/rig/mod.rs
+++ b/crates/limehollow-gateway/tests/rig/mod.rs
@@ -16,31 +16,16 @@
 use serde_json::{Value, json};
 use stand_ins::engine::{Engine, EngineSettings, Event};
 use stand_ins::platform::{Platform, PlatformSettings};
+pub use stand_ins::run::free_address;
 use stand_ins::service::{Ran, Service, ServiceSettings};
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 pub const LONG: Duration = Duration::from_secs(30);
 const MODEL_BYTES: u64 = 10;
 
-/// Gives an address that nobody listens on. The ports lie below those that the system gives to
-/// outgoing connections, and no two calls give the same.
-pub fn free_address() -> String {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = 12_000 + u16::try_from(std::process::id() % 60).expect("small") * 330;
-    loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % 330;
-        let address = format!("127.0.0.1:{port}");
-        if TcpListener::bind(&address).is_ok() {
-            return address;
-        }
-    }
-}
-
 pub fn client() -> reqwest::Client {
     let b = reqwest::Client::builder()
         .no_proxy()
--- a/crates/stand-ins/tests/contracts.rs
+++ b/crates/stand-ins/tests/contracts.rs
@@ -5,25 +5,12 @@
 use serde_json::{Value, json};
 use stand_ins::engine::{Engine, EngineSettings, word};
 use stand_ins::platform::{Platform, PlatformSettings};
-use std::net::TcpListener;
-use std::sync::atomic::{AtomicU16, Ordering};
+use stand_ins::run::free_address;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 const LONG: Duration = Duration::from_secs(30);
 
-fn free_address() -> String {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = 12_000 + u16::try_from(std::process::id() % 60).expect("small") * 330;
-    loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % 330;
-        let address = format!("127.0.0.1:{port}");
-        if TcpListener::bind(&address).is_ok() {
-            return address;
-        }
-    }
-}
-
 struct Peer {
     base: String,
     client: reqwest::Client,
