--- a/crates/limehollow-edge/tests/settings.rs
+++ b/crates/limehollow-edge/tests/settings.rs
@@ -8,7 +8,6 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-#[expect(dead_code, reason = "only the checks are of interest")]
 struct Sample {
     address: String,
     #[serde(default)]
