--- a/crates/limehollow/src/order/choose.rs
+++ b/crates/limehollow/src/order/choose.rs
@@ -1,7 +1,7 @@
 //! Which plans are proposed and which orders come next: steps of the plan in force, then repairs.
 
 use super::{Command, Driver};
-use crate::fleet::{Endpoint, Fleet, Presence, ReplicaState};
+use crate::fleet::{Accelerator, Fleet, Presence, ReplicaState};
 use crate::id::{LogTime, ModelName, Offset, VmName, ZoneName};
 use crate::intent::Intent;
 use crate::listing::ListedKind;
@@ -135,24 +135,18 @@
         round: &mut Round<'_>,
     ) {
         let targets = fleet.plan_in_force().map_or(&[][..], |p| &p.plan.targets);
-        for (vm, e) in self.own_live(fleet) {
-            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
-                let place = Place {
-                    endpoint: vm.clone(),
-                    accelerator,
-                };
-                let headroom = a.capacity - intent.budget(a.capacity);
-                let spare = a.replicas.iter().find(|(m, r)| {
-                    r.state == ReplicaState::Ready
-                        && a.free() + r.bytes >= bytes + headroom
-                        && !wanting.contains(&m.name)
-                        && round.has_more_than_enough(&m.name)
-                        && !targets.iter().any(|t| t.place == place && t.model == **m)
-                });
-                if let Some((m, r)) = spare {
-                    round.issue(place, Action::Unload, m.clone(), r.bytes, Cause::Demand);
-                    return;
-                }
+        for (place, a) in self.own_accelerators(fleet) {
+            let headroom = a.capacity - intent.budget(a.capacity);
+            let spare = a.replicas.iter().find(|(m, r)| {
+                r.state == ReplicaState::Ready
+                    && a.free() + r.bytes >= bytes + headroom
+                    && !wanting.contains(&m.name)
+                    && round.has_more_than_enough(&m.name)
+                    && !targets.iter().any(|t| t.place == place && t.model == **m)
+            });
+            if let Some((m, r)) = spare {
+                round.issue(place, Action::Unload, m.clone(), r.bytes, Cause::Demand);
+                return;
             }
         }
     }
@@ -250,15 +244,25 @@
         })
     }
 
-    /// Gives the endpoints of the own zone that take work.
-    fn own_live<'f>(
+    /// Gives the accelerators of the own zone's endpoints that take work.
+    fn own_accelerators<'f>(
         &'f self,
         fleet: &'f Fleet,
-    ) -> impl Iterator<Item = (&'f VmName, &'f Endpoint)> {
+    ) -> impl Iterator<Item = (Place, &'f Accelerator)> {
         let zone = &self.zone;
         fleet
             .endpoints()
             .filter(move |(_, e)| e.zone == *zone && e.presence == Presence::Live)
+            .flat_map(|(vm, e)| (0_u16..).zip(&e.accelerators).map(move |a| (vm, a)))
+            .map(|(vm, (accelerator, a))| {
+                (
+                    Place {
+                        endpoint: vm.clone(),
+                        accelerator,
+                    },
+                    a,
+                )
+            })
     }
 
     fn free_place(
@@ -270,23 +274,13 @@
         round: &Round<'_>,
     ) -> Option<Place> {
         let mut best: Option<(u64, Place)> = None;
-        for (vm, e) in self.own_live(fleet) {
-            for (accelerator, a) in (0_u16..).zip(&e.accelerators) {
-                let place = Place {
-                    endpoint: vm.clone(),
-                    accelerator,
-                };
-                let headroom = a.capacity - intent.budget(a.capacity);
-                let has_it = a.replicas.keys().any(|m| m.name == model.name);
-                let better = best.as_ref().is_none_or(|(free, _)| a.free() > *free);
-                let fits = a.free() >= bytes + headroom;
-                if fits
-                    && !has_it
-                    && better
-                    && round.would_admit(&place, Action::Load, model, bytes)
-                {
-                    best = Some((a.free(), place));
-                }
+        for (place, a) in self.own_accelerators(fleet) {
+            let headroom = a.capacity - intent.budget(a.capacity);
+            let has_it = a.replicas.keys().any(|m| m.name == model.name);
+            let better = best.as_ref().is_none_or(|(free, _)| a.free() > *free);
+            let fits = a.free() >= bytes + headroom;
+            if fits && !has_it && better && round.would_admit(&place, Action::Load, model, bytes) {
+                best = Some((a.free(), place));
             }
         }
         best.map(|(_, p)| p)
--- a/crates/limehollow/tests/orders_in_doubt.rs
+++ b/crates/limehollow/tests/orders_in_doubt.rs
@@ -53,13 +53,10 @@
     Some((settled.outcome, settled.evidence))
 }
 
-#[test]
-fn paused_sender_unfenced() {
-    // The holder is paused just before it sends, for longer than any order may be on its way. Its
-    // successor must not settle the order before the sender has read the takeover: it can still come.
+/// Leaves one engine, with `m` on it, and pauses the holder just before it sends the load of `n`.
+fn world_paused_at_send(gone: &str) -> World {
     let mut w = world_with_two_engines();
-    // Only the engine that takes any order is left.
-    w.engines.get_mut("engine-a1").expect("it is there").up = false;
+    w.engines.get_mut(gone).expect("it is there").up = false;
     w.must_reach.clear();
     w.run(Duration::from_secs(20));
     w.confirm(intent(vec![model("m", "1", 30, 1), model("n", "1", 20, 1)]));
@@ -68,6 +65,15 @@
         w.controllers.iter().any(|c| c.power == Power::Paused)
     });
     assert!(paused, "the load of n was about to be sent");
+    w
+}
+
+#[test]
+fn paused_sender_unfenced() {
+    // The holder is paused just before it sends, for longer than any order may be on its way. Its
+    // successor must not settle the order before the sender has read the takeover: it can still come.
+    // Only the engine that takes any order is left.
+    let mut w = world_paused_at_send("engine-a1");
     w.run(Duration::from_secs(900));
     assert_eq!(
         open_orders(&w),
@@ -92,16 +98,7 @@
 #[test]
 fn paused_sender_fenced() {
     // With fencing the successor settles at once, and the late order is refused.
-    let mut w = world_with_two_engines();
-    w.engines.get_mut("engine-a2").expect("it is there").up = false;
-    w.must_reach.clear();
-    w.run(Duration::from_secs(20));
-    w.confirm(intent(vec![model("m", "1", 30, 1), model("n", "1", 20, 1)]));
-    w.faults.pause_at_send = true;
-    let paused = w.run_until(Duration::from_secs(30), |w| {
-        w.controllers.iter().any(|c| c.power == Power::Paused)
-    });
-    assert!(paused, "the load of n was about to be sent");
+    let mut w = world_paused_at_send("engine-a2");
     let done = w.run_until(Duration::from_secs(30), World::is_settled);
     assert!(done, "the successor did not go on");
     let first = w
--- a/crates/limehollow/tests/repairs.rs
+++ b/crates/limehollow/tests/repairs.rs
@@ -34,6 +34,11 @@
     (place.endpoint, zone)
 }
 
+fn engines_of(w: &World, zone: &str) -> Vec<VmName> {
+    let in_zone = w.engines.iter().filter(|(_, e)| e.zone.as_str() == zone);
+    in_zone.map(|(n, _)| n.clone()).collect()
+}
+
 fn ready(w: &World, name: &str) -> usize {
     w.fleet().ready(name).count()
 }
@@ -141,12 +146,7 @@
     let mut w = up();
     let (_, zone) = holder_of(&w, "m");
     let before = w.fleet().moves_done();
-    let lost: Vec<VmName> = w
-        .engines
-        .iter()
-        .filter(|(_, e)| e.zone.as_str() == zone)
-        .map(|(n, _)| n.clone())
-        .collect();
+    let lost = engines_of(&w, &zone);
     let held: usize = lost.iter().map(|n| w.engines[n].models.len()).sum();
     for n in &lost {
         w.engines.get_mut(n).expect("it is there").up = false;
@@ -202,12 +202,7 @@
     // is really there go.
     let mut w = up();
     let (kept, zone) = holder_of(&w, "m");
-    let lost: Vec<VmName> = w
-        .engines
-        .iter()
-        .filter(|(_, e)| e.zone.as_str() == zone)
-        .map(|(n, _)| n.clone())
-        .collect();
+    let lost = engines_of(&w, &zone);
     w.must_reach.remove("n");
     for n in &lost {
         w.engines.get_mut(n).expect("it is there").up = false;
