--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -12,6 +12,7 @@
 use limehollow::catalog::EngineSpec;
 use limehollow::group_lease::{GroupLease, JOIN_EVERY, LeaseChange};
 use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::order_book::{AdapterStep, OrderBook};
 use limehollow::rebalance::{AdapterMove, EndpointReport, ModelMove, Rebalancer, Step};
 use limehollow::roster::{Holdings, HoldingsReport, ModelRef};
 use smol_str::SmolStr;
@@ -33,6 +34,8 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(25);
 /// The time that other VMs get to hear that a model is about to go.
 const WITHDRAW: Duration = Duration::from_millis(30);
+/// Steps of an adapter's move at most: dropping, loading, and conflicts in between.
+const MAX_ADAPTER_STEPS: u32 = 5;
 /// Orders that are given without an answer before a move is given up.
 const MAX_UNANSWERED: u32 = 3;
 
@@ -63,7 +66,7 @@
         site: Arc::clone(&site),
         lease: Arc::clone(&lease),
         rebalancers: BTreeMap::new(),
-        taken: BTreeMap::new(),
+        books: BTreeMap::new(),
         at_work: BTreeSet::new(),
         ended: ended_tx,
     };
@@ -132,8 +135,8 @@
 struct Ended {
     service: ServiceName,
     key: EndpointKey,
-    /// How many orders the endpoint has taken, if that is known.
-    taken: Option<u64>,
+    /// What is known of the endpoint now.
+    book: Option<OrderBook>,
 }
 
 struct Giver<P>
@@ -143,8 +146,8 @@
     site: Arc<Site<P>>,
     lease: SharedLease,
     rebalancers: BTreeMap<ServiceName, Rebalancer>,
-    /// How many orders an endpoint has taken, where the last one was ours and was answered.
-    taken: BTreeMap<EndpointKey, u64>,
+    /// What is known of endpoints whose last order was ours and was answered.
+    books: BTreeMap<EndpointKey, OrderBook>,
     /// Endpoints that a task is at work with.
     at_work: BTreeSet<EndpointKey>,
     ended: mpsc::UnboundedSender<Ended>,
@@ -156,9 +159,9 @@
 {
     fn note_end(&mut self, e: &Ended) {
         self.at_work.remove(&e.key);
-        match e.taken {
-            Some(n) => self.taken.insert(e.key, n),
-            None => self.taken.remove(&e.key),
+        match &e.book {
+            Some(b) => self.books.insert(e.key, b.clone()),
+            None => self.books.remove(&e.key),
         };
         if let Some(r) = self.rebalancers.get_mut(&e.service) {
             r.ended(e.key);
@@ -171,7 +174,7 @@
         let Some(fence) = with_lease(&self.lease, |l| l.fence(Instant::now())) else {
             if self.at_work.is_empty() {
                 self.rebalancers.clear();
-                self.taken.clear();
+                self.books.clear();
             }
             return;
         };
@@ -189,13 +192,13 @@
             for (key, m) in moves {
                 tracing::info!(fence, load = %m.load, evict = ?m.evict, "move begins");
                 self.at_work.insert(key);
-                self.taken.remove(&key);
+                self.books.remove(&key);
                 let hand = self.hand(service, key, engine);
                 if let Some(hand) = hand {
                     let ended = self.ended.clone();
                     tokio::spawn(async move {
-                        let taken = hand.move_model(&m).await;
-                        hand.end(&ended, taken);
+                        let book = hand.move_model(&m).await;
+                        hand.end(&ended, book);
                     });
                 }
             }
@@ -224,12 +227,12 @@
             drop(known);
             for (key, m) in moves {
                 self.at_work.insert(key);
-                let taken = self.taken.get(&key).copied();
+                let book = self.books.get(&key).cloned();
                 if let Some(hand) = self.hand(service, key, engine) {
                     let ended = self.ended.clone();
                     tokio::spawn(async move {
-                        let taken = hand.move_adapter(&m, taken).await;
-                        hand.end(&ended, taken);
+                        let book = hand.move_adapter(&m, book).await;
+                        hand.end(&ended, book);
                     });
                 }
             }
@@ -279,18 +282,18 @@
 where
     P: Protocol,
 {
-    fn end(&self, ended: &mpsc::UnboundedSender<Ended>, taken: Option<u64>) {
+    fn end(&self, ended: &mpsc::UnboundedSender<Ended>, book: Option<OrderBook>) {
         let e = Ended {
             service: self.service.clone(),
             key: self.to.key,
-            taken,
+            book,
         };
         // Only a process that ends has nobody who hears it.
         let _ending = ended.send(e);
     }
 
-    /// Carries out a move of a model. Gives how many orders the endpoint has taken, if that is known.
-    async fn move_model(&self, m: &ModelMove) -> Option<u64> {
+    /// Carries out a move of a model. Gives what is known of the endpoint then.
+    async fn move_model(&self, m: &ModelMove) -> Option<OrderBook> {
         let began = Instant::now();
         let mut unanswered = 0;
         let mut least = 0;
@@ -316,9 +319,9 @@
                     continue;
                 }
                 Step::Done => {
-                    self.tell(r.holdings, r.orders_taken);
+                    self.tell(r.holdings.clone(), r.orders_taken);
                     self.log_move(m, began, "done");
-                    return Some(r.orders_taken);
+                    return Some(OrderBook::from(r));
                 }
                 Step::NoRoom => {
                     self.tell(r.holdings, r.orders_taken);
@@ -329,10 +332,10 @@
                 Step::Load => (Action::Load, m.load.clone()),
             };
             let (action, model) = order;
+            let mut left = r.holdings.clone();
+            left.retain(|name, _| !m.evict.contains(name));
             if action == Action::Unload {
-                let mut left = r.holdings.clone();
-                left.retain(|name, _| !m.evict.contains(name));
-                self.tell(left, r.orders_taken);
+                self.tell(left.clone(), r.orders_taken);
                 sleep(WITHDRAW).await;
             }
             let subject = ModelRef {
@@ -340,7 +343,11 @@
                 adapter: None,
             };
             match self.order(action, &subject, r.orders_taken).await {
-                Some(OrderReply::Taken | OrderReply::Holds) => least = r.orders_taken + 1,
+                Some(OrderReply::Taken) => {
+                    least = r.orders_taken + 1;
+                    self.tell(left, least);
+                }
+                Some(OrderReply::Holds) => {}
                 Some(OrderReply::Conflict) => {}
                 Some(OrderReply::Refused(_)) | None => unanswered += 1,
             }
@@ -354,53 +361,48 @@
         None
     }
 
-    /// Loads an adapter. `taken` is how many orders the endpoint has taken, if that is known.
-    async fn move_adapter(&self, m: &AdapterMove, taken: Option<u64>) -> Option<u64> {
-        let mut taken = match taken {
-            Some(n) => n,
-            None => self.adapter_base(m).await?,
+    /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then.
+    async fn move_adapter(&self, m: &AdapterMove, book: Option<OrderBook>) -> Option<OrderBook> {
+        let mut book = match book {
+            Some(b) => b,
+            None => self.read_book().await?,
         };
-        if let Some(evict) = &m.evict {
-            let mut left = self.holdings()?;
-            remove(&mut left, evict);
-            self.tell(left, taken);
-            sleep(WITHDRAW).await;
-            match self.order(Action::Unload, evict, taken).await? {
-                OrderReply::Taken | OrderReply::Holds => taken += 1,
-                OrderReply::Conflict | OrderReply::Refused(_) => return None,
+        for _ in 0..MAX_ADAPTER_STEPS {
+            let (action, subject) = match book.adapter_step(m, &self.spec) {
+                AdapterStep::Unload(r) => (Action::Unload, r),
+                AdapterStep::Load => (Action::Load, m.load.clone()),
+                AdapterStep::Done | AdapterStep::Impossible => {
+                    self.tell(book.holdings.clone(), book.orders_taken);
+                    return Some(book);
+                }
+            };
+            if action == Action::Unload {
+                book.withdraw(&subject);
+                self.tell(book.holdings.clone(), book.orders_taken);
+                sleep(WITHDRAW).await;
+            }
+            let counted = match self.order(action, &subject, book.orders_taken).await? {
+                OrderReply::Taken => true,
+                OrderReply::Holds => false,
+                OrderReply::Conflict => {
+                    book = self.read_book().await?;
+                    continue;
+                }
+                OrderReply::Refused(_) => return None,
+            };
+            match action {
+                Action::Unload => book.note_dropped(&subject, counted),
+                Action::Load => book.note_loaded(&subject, counted),
+            }
+            if action == Action::Load && counted {
+                sleep(ADAPTER_LOAD).await;
             }
         }
-        match self.order(Action::Load, &m.load, taken).await? {
-            OrderReply::Taken => taken += 1,
-            OrderReply::Holds | OrderReply::Conflict | OrderReply::Refused(_) => return None,
-        }
-        sleep(ADAPTER_LOAD).await;
-        let mut now = self.holdings()?;
-        insert(&mut now, &m.load);
-        self.tell(now, taken);
-        Some(taken)
-    }
-
-    /// Reads the endpoint's report before an order on an adapter, and sees that it has the place.
-    async fn adapter_base(&self, m: &AdapterMove) -> Option<u64> {
-        let r = self.report().await?;
-        self.tell(r.holdings.clone(), r.orders_taken);
-        let there = r.holdings.contains_key(&m.load.model);
-        let adapters: usize = r.holdings.values().map(|h| h.adapters.len()).sum();
-        let leaves = m
-            .evict
-            .as_ref()
-            .is_some_and(|e| limehollow::roster::holds(&r.holdings, e));
-        let places = adapters + r.coming - usize::from(leaves);
-        let size = self.spec.models.get(&m.load.model)?.adapter_megabytes;
-        let fits = places < self.spec.adapter_places
-            && limehollow::rebalance::used(&r.holdings, &self.spec) + size <= self.spec.megabytes;
-        (there && !r.busy && fits).then_some(r.orders_taken)
+        None
     }
 
-    fn holdings(&self) -> Option<Holdings> {
-        let known = self.site.known();
-        Some(known.roster.get(self.to.key)?.holdings.clone())
+    async fn read_book(&self) -> Option<OrderBook> {
+        self.report().await.map(OrderBook::from)
     }
 
     /// Tells this VM and the others what the endpoint holds.
@@ -506,15 +508,3 @@
         );
     }
 }
-
-fn remove(holdings: &mut Holdings, m: &ModelRef) {
-    if let (Some(h), Some(a)) = (holdings.get_mut(&m.model), &m.adapter) {
-        h.adapters.remove(a);
-    }
-}
-
-fn insert(holdings: &mut Holdings, m: &ModelRef) {
-    if let (Some(h), Some(a)) = (holdings.get_mut(&m.model), &m.adapter) {
-        h.adapters.insert(a.clone());
-    }
-}
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::{Instant, interval, sleep, timeout};
 
 /// How often a VM speaks: a tenth of the tightest objective of the kinds that run models.
@@ -35,7 +36,7 @@
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
 /// Says this VM's words for as long as the process lives.
-pub async fn speak<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>)
+pub async fn speak<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
@@ -45,6 +46,8 @@
     loop {
         let urgent = timeout(EVERY, site.urgent.notified()).await.is_ok();
         if urgent {
+            // The order giver may be on this VM.
+            wanted.notify_one();
             sleep((last + URGENT_EVERY).saturating_duration_since(Instant::now())).await;
         }
         last = Instant::now();
@@ -127,7 +130,7 @@
 }
 
 /// Takes in other VMs' words for as long as the process lives.
-pub async fn hear<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<tokio::sync::Notify>)
+pub async fn hear<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -51,7 +51,11 @@
         tokio::spawn(follow::follow(Arc::clone(&site), store.clone(), feed));
     }
     tokio::spawn(announce(Arc::clone(&site), store.clone()));
-    tokio::spawn(gossip::speak(Arc::clone(&site), Arc::clone(&socket)));
+    tokio::spawn(gossip::speak(
+        Arc::clone(&site),
+        Arc::clone(&socket),
+        Arc::clone(&wanted),
+    ));
     tokio::spawn(gossip::hear(Arc::clone(&site), socket, Arc::clone(&wanted)));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
     tokio::spawn(giver::run(Arc::clone(&site), store, wanted, stop.clone()));
--- a/crates/limehollow/src/group_lease.rs
+++ b/crates/limehollow/src/group_lease.rs
@@ -9,14 +9,14 @@
 use tokio::time::Instant;
 
 /// How long a member may be silent before its lease passes on.
-pub const TTL: Duration = Duration::from_millis(2000);
+pub const TTL: Duration = Duration::from_millis(1500);
 /// How often a member joins anew: a lost call doesn't yet cost the lease.
-pub const JOIN_EVERY: Duration = Duration::from_millis(600);
+pub const JOIN_EVERY: Duration = Duration::from_millis(450);
 /// How old the start of the last good join may be when an order is given. Well under [`TTL`], since the
 /// order itself takes time to arrive.
-pub const ORDER_WITHIN: Duration = Duration::from_millis(1400);
+pub const ORDER_WITHIN: Duration = Duration::from_millis(1000);
 /// What a new holder waits beyond the time that the site's rules ask for.
-const HANDOVER_MARGIN: Duration = Duration::from_millis(500);
+const HANDOVER_MARGIN: Duration = Duration::from_millis(100);
 
 /// The platform's answer to a join.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod load;
 pub mod membership;
 pub mod order;
+pub mod order_book;
 pub mod placement;
 pub mod plan;
 pub mod rebalance;
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -149,6 +149,8 @@
     slow: BTreeMap<ModelRef, f64>,
     heard: Option<Instant>,
     moves: BTreeMap<EndpointKey, ModelMove>,
+    /// Adapters on their way.
+    coming: BTreeMap<EndpointKey, ModelRef>,
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
     loads: VecDeque<Instant>,
 }
@@ -258,11 +260,7 @@
     /// Notes that a move has ended, well or not.
     pub fn ended(&mut self, key: EndpointKey) {
         self.moves.remove(&key);
-    }
-
-    /// Forgets all moves: another process gave orders since.
-    pub fn reset(&mut self) {
-        self.moves.clear();
+        self.coming.remove(&key);
     }
 
     fn places(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> Vec<Place> {
@@ -390,12 +388,12 @@
         (free >= size).then_some(evict)
     }
 
-    /// Chooses where adapters are loaded that are asked for and not there, or not often enough.
+    /// Chooses where adapters are loaded that are asked for and not there, or not often enough, and
+    /// counts them as on their way.
     ///
     /// `resting` tells whether an endpoint can take an order on an adapter now.
-    #[must_use]
     pub fn plan_adapters<F>(
-        &self,
+        &mut self,
         roster: &Roster,
         service: &ServiceName,
         spec: &EngineSpec,
@@ -416,8 +414,9 @@
             let there = roster
                 .open(service)
                 .filter(|(_, e)| crate::roster::holds(&e.holdings, m));
+            let coming = self.coming.values().filter(|c| *c == m);
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
-            let n = there.count() as f64;
+            let n = (there.count() + coming.count()) as f64;
             if n > 0.0 && demand / n < ADAPTER_HIGH {
                 continue;
             }
@@ -426,6 +425,9 @@
                 out.push(found);
             }
         }
+        for (key, m) in &out {
+            self.coming.insert(*key, m.load.clone());
+        }
         out
     }
 
