--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -20,10 +20,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 /// How often demand is weighed.
 const WEIGH_EVERY: Duration = Duration::from_millis(200);
+/// How often demand and load are put into a log line.
+const LOG_DEMAND_EVERY: Duration = Duration::from_secs(1);
 /// How often a busy endpoint is asked how far it is.
 const ASK_EVERY: Duration = Duration::from_millis(150);
 /// How long a call to an endpoint may take.
@@ -68,13 +70,16 @@
         rebalancers: BTreeMap::new(),
         books: BTreeMap::new(),
         at_work: BTreeSet::new(),
+        logged: Instant::now(),
         ended: ended_tx,
     };
     tokio::spawn(keep_lease(site, store, lease, stop));
+    // One clock for all rounds: a sleep in the loop would begin anew with each other event.
+    let mut ticks = interval(WEIGH_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let tick = sleep(WEIGH_EVERY);
         tokio::select! {
-            () = tick => g.weigh(),
+            _ = ticks.tick() => g.weigh(),
             () = wanted.notified() => g.load_adapters(),
             Some(e) = ended.recv() => g.note_end(&e),
         }
@@ -150,6 +155,8 @@
     books: BTreeMap<EndpointKey, OrderBook>,
     /// Endpoints that a task is at work with.
     at_work: BTreeSet<EndpointKey>,
+    /// When demand was last put into a log line.
+    logged: Instant,
     ended: mpsc::UnboundedSender<Ended>,
 }
 
@@ -188,6 +195,11 @@
             let Some(engine) = &spec.engine else { continue };
             let r = self.rebalancers.entry(service.clone()).or_default();
             r.hear(now, &demand);
+            if now.duration_since(self.logged) >= LOG_DEMAND_EVERY {
+                self.logged = now;
+                let seen = r.loads(&self.site.known().roster, service, engine);
+                tracing::info!(%service, models = ?seen.models, endpoints = ?seen.endpoints, "demand");
+            }
             let moves = r.plan(now, &self.site.known().roster, service, engine, ceiling);
             for (key, m) in moves {
                 tracing::info!(fence, load = %m.load, evict = ?m.evict, "move begins");
@@ -347,8 +359,7 @@
                     least = r.orders_taken + 1;
                     self.tell(left, least);
                 }
-                Some(OrderReply::Holds) => {}
-                Some(OrderReply::Conflict) => {}
+                Some(OrderReply::Holds | OrderReply::Conflict) => {}
                 Some(OrderReply::Refused(_)) | None => unanswered += 1,
             }
             if unanswered > MAX_UNANSWERED {
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -141,6 +141,15 @@
     load: f64,
 }
 
+/// What a plan starts from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadsSeen {
+    /// Each model that is asked for: its demand in ms of work a second, and its replicas.
+    pub models: Vec<(SmolStr, f64, f64)>,
+    /// The endpoints' loads in ms of work a second, the lowest first.
+    pub endpoints: Vec<f64>,
+}
+
 /// Chooses the moves of one service's endpoints.
 #[derive(Debug, Default)]
 pub struct Rebalancer {
@@ -163,6 +172,36 @@
         &self.moves
     }
 
+    /// Gives what a plan would start from, for a log line.
+    #[must_use]
+    pub fn loads(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> LoadsSeen {
+        let mut places = self.places(roster, service, spec);
+        let replicas = self.spread(&mut places);
+        let models = spec.models.keys().map(|m| {
+            let n = replicas.get(m).copied().unwrap_or(0.0);
+            (m.clone(), self.demand(m).round(), n)
+        });
+        let mut endpoints: Vec<f64> = places.iter().map(|p| p.load.round()).collect();
+        endpoints.sort_by(f64::total_cmp);
+        LoadsSeen {
+            models: models.filter(|(_, d, _)| *d >= 1.0).collect(),
+            endpoints,
+        }
+    }
+
+    /// Spreads each model's demand over its replicas. Gives how many it has.
+    fn spread(&self, places: &mut [Place]) -> BTreeMap<SmolStr, f64> {
+        let mut replicas: BTreeMap<SmolStr, f64> = BTreeMap::new();
+        for m in places.iter().flat_map(|p| &p.models) {
+            *replicas.entry(m.clone()).or_default() += 1.0;
+        }
+        let share = |m: &SmolStr| self.demand(m) / replicas.get(m).copied().unwrap_or(1.0);
+        for p in places.iter_mut() {
+            p.load = p.models.iter().map(share).sum();
+        }
+        replicas
+    }
+
     /// Gives a model's demand as it is foreseen, in ms of work a second.
     fn demand(&self, model: &str) -> f64 {
         let now = self.fast.get(model).copied().unwrap_or(0.0);
@@ -289,14 +328,7 @@
         places: &mut [Place],
         spec: &EngineSpec,
     ) -> Option<(EndpointKey, ModelMove)> {
-        let mut replicas: BTreeMap<SmolStr, f64> = BTreeMap::new();
-        for m in places.iter().flat_map(|p| &p.models) {
-            *replicas.entry(m.clone()).or_default() += 1.0;
-        }
-        let share = |m: &SmolStr| self.demand(m) / replicas.get(m).copied().unwrap_or(1.0);
-        for p in places.iter_mut() {
-            p.load = p.models.iter().map(share).sum();
-        }
+        let replicas = self.spread(places);
         let mut short: Vec<(f64, &SmolStr)> = Vec::new();
         for m in spec.models.keys() {
             let held = places.iter().filter(|p| p.models.contains(m));
