Rebalancing: a move is worth how much the cube of the endpoints' loads falls

A sixth replica leaves its endpoint with 500 of 600, which the rule of 'less than 0.8 of the load relieved' refused; and a cold model beside a hot one tied with it. Several moves also ran at one endpoint, since an adapter's end counted as a model's.

--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -136,8 +136,16 @@
     }
 }
 
+/// What was moved.
+#[derive(Clone, Copy)]
+enum Moved {
+    Model,
+    Adapter,
+}
+
 /// What a task of a move says at its end.
 struct Ended {
+    what: Moved,
     service: ServiceName,
     key: EndpointKey,
     /// What is known of the endpoint now.
@@ -171,7 +179,10 @@
             None => self.books.remove(&e.key),
         };
         if let Some(r) = self.rebalancers.get_mut(&e.service) {
-            r.ended(e.key);
+            match e.what {
+                Moved::Model => r.model_ended(e.key),
+                Moved::Adapter => r.adapter_ended(e.key),
+            }
         }
         self.load_adapters();
     }
@@ -203,14 +214,13 @@
             let moves = r.plan(now, &self.site.known().roster, service, engine, ceiling);
             for (key, m) in moves {
                 tracing::info!(fence, load = %m.load, evict = ?m.evict, "move begins");
-                self.at_work.insert(key);
                 self.books.remove(&key);
-                let hand = self.hand(service, key, engine);
-                if let Some(hand) = hand {
+                if let Some(hand) = self.hand(service, key, engine) {
+                    self.at_work.insert(key);
                     let ended = self.ended.clone();
                     tokio::spawn(async move {
                         let book = hand.move_model(&m).await;
-                        hand.end(&ended, book);
+                        hand.end(Moved::Model, &ended, book);
                     });
                 }
             }
@@ -238,13 +248,13 @@
             let moves = r.plan_adapters(&known.roster, service, engine, resting);
             drop(known);
             for (key, m) in moves {
-                self.at_work.insert(key);
                 let book = self.books.get(&key).cloned();
                 if let Some(hand) = self.hand(service, key, engine) {
+                    self.at_work.insert(key);
                     let ended = self.ended.clone();
                     tokio::spawn(async move {
                         let book = hand.move_adapter(&m, book).await;
-                        hand.end(&ended, book);
+                        hand.end(Moved::Adapter, &ended, book);
                     });
                 }
             }
@@ -294,8 +304,9 @@
 where
     P: Protocol,
 {
-    fn end(&self, ended: &mpsc::UnboundedSender<Ended>, book: Option<OrderBook>) {
+    fn end(&self, what: Moved, ended: &mpsc::UnboundedSender<Ended>, book: Option<OrderBook>) {
         let e = Ended {
+            what,
             service: self.service.clone(),
             key: self.to.key,
             book,
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -15,11 +15,13 @@
 
 /// The load above which a model's replicas are too few, in ms of work a second.
 pub const HIGH_LOAD: f64 = 350.0;
-/// A new replica has to leave its endpoint with less than this part of the load that it relieves.
-const RELIEF: f64 = 0.8;
-/// What a load from the weight store counts against an endpoint, beside one from a copy at hand, in ms of
-/// work a second: it takes seconds longer.
-const COLD_MS: f64 = 100.0;
+/// What a move has to be worth, in units of an endpoint at [`HIGH_LOAD`]: it costs an order or two, and
+/// the endpoint's prompts that were kept.
+const MOVE_PAIN: f64 = 0.3;
+/// What a load from the weight store costs more than one from a copy at hand: seconds of its use.
+const COLD_PAIN: f64 = 0.3;
+/// What a model costs that is nowhere: more than any load.
+const MISSING_PAIN: f64 = 1e6;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
 const MIN_STAY: Duration = Duration::from_secs(5);
 /// How far demand is foreseen from its present trend, in units of the smoothing's time constant.
@@ -150,6 +152,11 @@
     pub endpoints: Vec<f64>,
 }
 
+/// What a load costs callers: little while it is low, steeply more above [`HIGH_LOAD`].
+fn pain(load: f64) -> f64 {
+    (load.max(0.0) / HIGH_LOAD).powi(3)
+}
+
 /// Chooses the moves of one service's endpoints.
 #[derive(Debug, Default)]
 pub struct Rebalancer {
@@ -296,9 +303,13 @@
         out
     }
 
-    /// Notes that a move has ended, well or not.
-    pub fn ended(&mut self, key: EndpointKey) {
+    /// Notes that a model's move has ended, well or not.
+    pub fn model_ended(&mut self, key: EndpointKey) {
         self.moves.remove(&key);
+    }
+
+    /// Notes that an adapter's move has ended, well or not.
+    pub fn adapter_ended(&mut self, key: EndpointKey) {
         self.coming.remove(&key);
     }
 
@@ -315,7 +326,7 @@
                 models,
                 copies: e.copies.clone(),
                 free: spec.megabytes - used(&e.holdings, spec),
-                moving: m.is_some(),
+                moving: m.is_some() || self.coming.contains_key(&key),
                 load: 0.0,
             }
         };
@@ -329,95 +340,28 @@
         spec: &EngineSpec,
     ) -> Option<(EndpointKey, ModelMove)> {
         let replicas = self.spread(places);
-        let mut short: Vec<(f64, &SmolStr)> = Vec::new();
-        for m in spec.models.keys() {
-            let held = places.iter().filter(|p| p.models.contains(m));
-            let soonest = held.map(|p| p.load).min_by(f64::total_cmp);
-            match soonest {
-                // Nothing holds it: first, and among those by demand.
-                None => short.push((1e9 + self.demand(m), m)),
-                Some(load) if load > HIGH_LOAD && self.demand(m) > 0.0 => short.push((load, m)),
-                Some(_) => {}
-            }
-        }
-        short.sort_by(|a, b| b.0.total_cmp(&a.0));
-        short.into_iter().find_map(|(load, m)| {
-            let alone = self.demand(m) / (replicas.get(m).copied().unwrap_or(0.0) + 1.0);
-            self.best_place(places, spec, &replicas, m, alone, load)
-        })
-    }
-
-    fn best_place(
-        &self,
-        places: &[Place],
-        spec: &EngineSpec,
-        replicas: &BTreeMap<SmolStr, f64>,
-        model: &SmolStr,
-        alone: f64,
-        relieved: f64,
-    ) -> Option<(EndpointKey, ModelMove)> {
-        let size = spec.models.get(model)?.megabytes;
-        let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        for p in places
-            .iter()
-            .filter(|p| !p.moving && !p.models.contains(model))
-        {
-            let Some(evict) = self.make_room(p, spec, replicas, size, relieved) else {
-                continue;
-            };
-            let gone: f64 = evict
-                .iter()
-                .map(|m| self.demand(m) / replicas.get(m).copied().unwrap_or(1.0))
-                .sum();
-            let after = p.load - gone + alone;
-            if after > relieved * RELIEF {
+        let mut best: Option<(f64, EndpointKey, ModelMove)> = None;
+        for model in spec.models.keys() {
+            let held = places.iter().filter(|p| p.models.contains(model));
+            let hottest = held.map(|p| p.load).max_by(f64::total_cmp);
+            let is_short = hottest.is_none_or(|l| l > HIGH_LOAD && self.demand(model) > 0.0);
+            if !is_short {
                 continue;
             }
-            let cold = if p.copies.contains(model) {
-                0.0
-            } else {
-                COLD_MS
+            let w = Weighing {
+                rebalancer: self,
+                places,
+                replicas: &replicas,
+                spec,
             };
-            let cost = after + gone + cold;
-            if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
-                best = Some((cost, p.key, evict));
+            let found = w.best_place(model);
+            if let Some((gain, key, m)) = found
+                && best.as_ref().is_none_or(|(g, ..)| gain > *g)
+            {
+                best = Some((gain, key, m));
             }
         }
-        let (_, key, evict) = best?;
-        let load = model.clone();
-        Some((key, ModelMove { load, evict }))
-    }
-
-    /// Names what has to make way on an endpoint for a model of this size, the least wanted first.
-    fn make_room(
-        &self,
-        p: &Place,
-        spec: &EngineSpec,
-        replicas: &BTreeMap<SmolStr, f64>,
-        size: f64,
-        relieved: f64,
-    ) -> Option<Vec<SmolStr>> {
-        let mut free = p.free;
-        let mut may_go: Vec<(f64, &SmolStr)> = Vec::new();
-        for m in &p.models {
-            let n = replicas.get(m).copied().unwrap_or(1.0);
-            let stays = self.loaded.contains_key(&(p.key, m.clone()));
-            // What is left has to carry the demand without being the next one that is short.
-            let after = self.demand(m) / (n - 1.0).max(0.1);
-            if n > 1.0 && !stays && after < relieved * RELIEF {
-                may_go.push((after, m));
-            }
-        }
-        may_go.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut evict = Vec::new();
-        for (_, m) in may_go {
-            if free >= size {
-                break;
-            }
-            free += spec.models.get(m).map_or(0.0, |s| s.megabytes);
-            evict.push(m.clone());
-        }
-        (free >= size).then_some(evict)
+        best.map(|(_, key, m)| (key, m))
     }
 
     /// Chooses where adapters are loaded that are asked for and not there, or not often enough, and
@@ -512,3 +456,96 @@
         Some((key, AdapterMove { load, evict }))
     }
 }
+
+/// One weighing of all places for a model.
+struct Weighing<'a> {
+    rebalancer: &'a Rebalancer,
+    places: &'a [Place],
+    replicas: &'a BTreeMap<SmolStr, f64>,
+    spec: &'a EngineSpec,
+}
+
+impl Weighing<'_> {
+    fn replicas(&self, model: &SmolStr) -> f64 {
+        self.replicas.get(model).copied().unwrap_or(0.0)
+    }
+
+    /// Gives what a replica of a model carries when there are so many more of them.
+    fn share(&self, model: &SmolStr, more: f64) -> f64 {
+        self.rebalancer.demand(model) / (self.replicas(model) + more).max(1.0)
+    }
+
+    /// Finds where another replica of a model is worth most. Gives what it is worth, too.
+    fn best_place(&self, model: &SmolStr) -> Option<(f64, EndpointKey, ModelMove)> {
+        let size = self.spec.models.get(model)?.megabytes;
+        let is_missing = self.replicas(model) < 1.0;
+        let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
+        for p in self
+            .places
+            .iter()
+            .filter(|p| !p.moving && !p.models.contains(model))
+        {
+            let Some(evict) = self.make_room(p, size) else {
+                continue;
+            };
+            let mut gain = self.gain(p, model, &evict);
+            if !p.copies.contains(model) {
+                gain -= COLD_PAIN;
+            }
+            if is_missing {
+                gain += MISSING_PAIN;
+            }
+            if gain > MOVE_PAIN && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
+                best = Some((gain, p.key, evict));
+            }
+        }
+        let (gain, key, evict) = best?;
+        let load = model.clone();
+        Some((gain, key, ModelMove { load, evict }))
+    }
+
+    /// Gives how much the endpoints' pain falls when a model takes the place of others.
+    fn gain(&self, target: &Place, model: &SmolStr, evict: &[SmolStr]) -> f64 {
+        let (alone, before) = (self.share(model, 1.0), self.share(model, 0.0));
+        let mut gain = 0.0;
+        for p in self.places {
+            let mut after = p.load;
+            if p.key == target.key {
+                after += alone;
+                after -= evict.iter().map(|m| self.share(m, 0.0)).sum::<f64>();
+            } else {
+                if p.models.contains(model) {
+                    after += alone - before;
+                }
+                let gone = evict.iter().filter(|m| p.models.contains(*m));
+                after += gone
+                    .map(|m| self.share(m, -1.0) - self.share(m, 0.0))
+                    .sum::<f64>();
+            }
+            gain += pain(p.load) - pain(after);
+        }
+        gain
+    }
+
+    /// Names what has to make way on an endpoint for a model of this size, the least wanted first.
+    fn make_room(&self, p: &Place, size: f64) -> Option<Vec<SmolStr>> {
+        let mut free = p.free;
+        let mut may_go: Vec<(f64, &SmolStr)> = Vec::new();
+        for m in &p.models {
+            let stays = self.rebalancer.loaded.contains_key(&(p.key, m.clone()));
+            if self.replicas(m) > 1.0 && !stays {
+                may_go.push((self.share(m, -1.0), m));
+            }
+        }
+        may_go.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut evict = Vec::new();
+        for (_, m) in may_go {
+            if free >= size {
+                break;
+            }
+            free += self.spec.models.get(m).map_or(0.0, |s| s.megabytes);
+            evict.push(m.clone());
+        }
+        (free >= size).then_some(evict)
+    }
+}
