VMs that are behind read from others; adapters that are nowhere take turns; no request long after SIGTERM

What: words carry how far each VM has read; one that is behind reads again, or fetches from the VM that is ahead when the store turns it away. Connections are taken for 2.8 s after SIGTERM, not 3.2.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -24,8 +24,8 @@
 /// The bound of a head as long as no configuration says it.
 const DEFAULT_HEAD: usize = 16 << 10;
 /// How long a process that was told to end goes on taking connections: the balancer asks every second
-/// and turns away after two misses.
-pub const TURN_AWAY: Duration = Duration::from_millis(3200);
+/// and turns away after two misses. Requests that come later can't be sure to end in the grace.
+pub const TURN_AWAY: Duration = Duration::from_millis(2800);
 /// How much before the end of the grace what is left is cut, so that the process ends by itself.
 const CUT_BEFORE: Duration = Duration::from_millis(300);
 /// The pause after a connection could not be accepted, for want of descriptors.
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -4,10 +4,12 @@
 //! last state stays in force. Entries that vanish during an outage or within [`SETTLE`] after it are
 //! taken as gone only if they are still missing then, since living endpoints list themselves again.
 
-use crate::edge::{Change, Changes, Feed, Protocol, Store, StoreError};
+use crate::edge::{Change, Feed, Protocol, Store, StoreError};
 use crate::metrics::Metrics;
+use crate::peer_state;
 use crate::site::Site;
 use limehollow::roster::Roster;
+use limehollow_wire::word::Positions;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -16,6 +18,9 @@
 
 /// How long a call waits for a change: as long as the store holds one, less some time on the way.
 const WAIT: Duration = Duration::from_secs(25);
+/// How long this VM takes to hear of a change by itself, at most, where the store is sound: a pause
+/// between reads and a call.
+const OWN_TIME: Duration = Duration::from_millis(500);
 /// The least time between two reads of a feed: what changes in between comes in one answer, and calls
 /// are priced.
 const PAUSE: Duration = Duration::from_millis(350);
@@ -43,16 +48,24 @@
     let mut pause = FIRST_PAUSE;
     loop {
         let whole = next.is_none();
-        let read = match next {
-            None => store.newest(feed).await,
-            Some(from) => store.changes(feed, from, f.wait()).await,
+        let read = async {
+            match next {
+                None => store.newest(feed).await,
+                Some(from) => store.changes(feed, from, f.wait()).await,
+            }
+        };
+        // A call that waits may miss a change; another VM that has read further shows it.
+        let read = tokio::select! {
+            read = read => read,
+            () = f.behind(), if !whole => continue,
         };
         match read {
             Ok(changes) => {
                 f.regained();
                 pause = FIRST_PAUSE;
                 next = Some(changes.next);
-                f.apply(changes, whole);
+                f.note_position(changes.next);
+                f.apply(changes.changes, whole);
                 sleep(PAUSE).await;
             }
             Err(StoreError::Forgotten { .. }) => {
@@ -61,6 +74,9 @@
             }
             Err(e) => {
                 f.lose(&e);
+                if let Some(position) = f.ask_peer().await {
+                    next = Some(position);
+                }
                 sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
@@ -90,6 +106,70 @@
         })
     }
 
+    /// Waits until another VM has read further, and for as long as this one would take to hear of it by
+    /// itself.
+    async fn behind(&self) {
+        let behind = match self.feed {
+            Feed::Configuration => &self.site.configuration_behind,
+            Feed::Endpoints => &self.site.endpoints_behind,
+            Feed::Vms => return std::future::pending().await,
+        };
+        loop {
+            behind.notified().await;
+            sleep(OWN_TIME).await;
+            let known = self.site.known();
+            let theirs = known.ahead.get(&self.feed).map_or(0, |(_, at)| *at);
+            if theirs > position(known.positions, self.feed) {
+                return;
+            }
+        }
+    }
+
+    fn note_position(&self, next: u64) {
+        let mut known = self.site.known();
+        match self.feed {
+            Feed::Configuration => known.positions.configuration = next,
+            Feed::Endpoints => known.positions.endpoints = next,
+            Feed::Vms => {}
+        }
+    }
+
+    /// Asks the VM that has read furthest for what it has read, if it is further than this one. Gives the
+    /// new position.
+    async fn ask_peer(&mut self) -> Option<u64> {
+        let (vm, address) = {
+            let known = self.site.known();
+            let (vm, at) = known.ahead.get(&self.feed)?;
+            if *at <= position(known.positions, self.feed) {
+                return None;
+            }
+            (vm.clone(), known.vms.get(vm)?.address)
+        };
+        let state = match peer_state::fetch(address).await {
+            Ok(s) => s,
+            Err(why) => {
+                tracing::info!(%vm, why, "no state from another VM");
+                self.site.known().ahead.remove(&self.feed);
+                return None;
+            }
+        };
+        let at = position(state.positions, self.feed);
+        if at <= position(self.site.positions(), self.feed) {
+            return None;
+        }
+        tracing::info!(feed = ?self.feed, %vm, position = at, "read from another VM");
+        self.note_position(at);
+        let changes: Vec<Change> = match self.feed {
+            Feed::Configuration => {
+                let catalog = state.catalog.into_iter();
+                catalog.map(|c| Change::Catalog(Box::new(c))).collect()
+            }
+            _ => state.endpoints.into_iter().map(Change::Endpoint).collect(),
+        };
+        self.apply(changes, true);
+        Some(at)
+    }
+
     fn lose(&mut self, e: &StoreError) {
         Metrics::count(&self.site.metrics.store_calls, "failed");
         if self.lost.is_none() {
@@ -108,11 +188,11 @@
         self.settled = Some(now + SETTLE);
     }
 
-    fn apply(&mut self, changes: Changes, whole: bool) {
+    fn apply(&mut self, changes: Vec<Change>, whole: bool) {
         let now = Instant::now();
         let mut seen = Vec::new();
         let mut news = false;
-        for c in changes.changes {
+        for c in changes {
             match c {
                 Change::Catalog(c) => {
                     let version = c.version;
@@ -193,6 +273,14 @@
     }
 }
 
+fn position(p: Positions, feed: Feed) -> u64 {
+    match feed {
+        Feed::Configuration => p.configuration,
+        Feed::Endpoints => p.endpoints,
+        Feed::Vms => 0,
+    }
+}
+
 fn instances(roster: &Roster) -> Vec<SmolStr> {
     roster.iter().map(|(_, e)| e.instance.clone()).collect()
 }
--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -245,7 +245,7 @@
             let at_work = &self.at_work;
             let resting = |k: EndpointKey| !at_work.contains(&k);
             let known = self.site.known();
-            let moves = r.plan_adapters(&known.roster, service, engine, resting);
+            let moves = r.plan_adapters(now, &known.roster, service, engine, resting);
             drop(known);
             for (key, m) in moves {
                 let book = self.books.get(&key).cloned();
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -124,7 +124,7 @@
             .take(MAX_REPORTS)
             .map(|(_, r)| r.clone())
             .collect(),
-        catalog: site.catalog.load().as_ref().map_or(0, |c| c.version),
+        positions: known.positions,
     };
     (word, known.vms.values().cloned().collect())
 }
@@ -183,6 +183,7 @@
     for r in &w.reports {
         site.report(now, r);
     }
+    site.note_peer_positions(&w.from, w.positions);
 }
 
 /// Sweeps once a second what is kept at rest, and says how many log lines were left out.
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! * [`caller`] accepts connections, [`request`] is the life of one request, [`attempt`] one try at an
 //!   endpoint over a connection of [`pool`], [`relay`] a streamed answer.
-//! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say.
+//! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say, [`peer_state`]
+//!   what one has read that another can't.
 //! * [`giver`] holds the lease and moves models and adapters.
 //! * [`site`] is the state that they share, [`run`] puts all together.
 //!
@@ -22,6 +23,7 @@
 pub mod gossip;
 pub mod logbook;
 pub mod metrics;
+pub mod peer_state;
 pub mod pool;
 pub mod relay;
 pub mod request;
--- /dev/null
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -0,0 +1,101 @@
+//! What a VM has read of the platform's store, handed to one that can't read it.
+//!
+//! The store may turn some VMs away and serve the others. Who hears that another VM has read further,
+//! and can't read the store itself, asks that VM.
+
+use crate::edge::Protocol;
+use crate::site::Site;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use limehollow_wire::word::{State, decode_state, encode_state};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// How long a VM may take to hand over its state.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The largest state that is read: several times that of the largest deployment.
+const MAX_STATE: usize = 8 << 20;
+/// How long a connection of another VM may be at rest.
+const IDLE: Duration = Duration::from_secs(5);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Hands this VM's state to others until the process ends.
+pub async fn serve<P>(site: Arc<Site<P>>, listener: TcpListener)
+where
+    P: Protocol,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(error = %e, "another VM's connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let site = Arc::clone(&site);
+        tokio::spawn(async move {
+            let service = service_fn(|_req| std::future::ready(Ok::<_, Infallible>(answer(&site))));
+            let served = server::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                tracing::debug!(error = %e, "another VM's connection ended");
+            }
+        });
+    }
+}
+
+fn answer<P>(site: &Site<P>) -> Response<Full<Bytes>>
+where
+    P: Protocol,
+{
+    match encode_state(&site.state()) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body))),
+        Err(e) => {
+            tracing::error!(error = %e, "the state can't be written");
+            let mut res = Response::new(Full::default());
+            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            res
+        }
+    }
+}
+
+/// Asks another VM for its state.
+///
+/// # Errors
+///
+/// What went wrong, for a log line.
+pub async fn fetch(from: SocketAddr) -> Result<State, String> {
+    let fetched = timeout(FETCH_TIMEOUT, ask(from)).await;
+    fetched.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+}
+
+async fn ask(from: SocketAddr) -> Result<State, String> {
+    let stream = TcpStream::connect(from).await.map_err(|e| e.to_string())?;
+    let handshake = client::handshake(TokioIo::new(stream)).await;
+    let (mut sender, driver) = handshake.map_err(|e| e.to_string())?;
+    let driver = tokio::spawn(driver);
+    let mut req = Request::new(Full::<Bytes>::default());
+    let host = HeaderValue::from_static("vm");
+    req.headers_mut().insert(header::HOST, host);
+    let res = sender.send_request(req).await.map_err(|e| e.to_string())?;
+    if res.status() != StatusCode::OK {
+        return Err(format!("status {}", res.status().as_u16()));
+    }
+    let body = Limited::new(res.into_body(), MAX_STATE).collect().await;
+    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    driver.abort();
+    decode_state(&body).map_err(|e| e.to_string())
+}
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::edge::{Feed, Protocol, Store, Vm};
 use crate::settings::NodeSettings;
 use crate::site::Site;
-use crate::{caller, follow, giver, gossip};
+use crate::{caller, follow, giver, gossip, peer_state};
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
 use limehollow_edge::settings;
@@ -44,6 +44,7 @@
         .await
         .map_err(|e| failed(&peers.to_string(), &e))?;
     let socket = Arc::new(socket);
+    let states = listen(&peers.to_string()).await?;
     let site = Site::new(settings, protocol);
     let (stop_tx, stop) = watch::channel(false);
     let wanted = Arc::new(Notify::new());
@@ -59,6 +60,7 @@
     tokio::spawn(gossip::hear(Arc::clone(&site), socket, Arc::clone(&wanted)));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
     tokio::spawn(giver::run(Arc::clone(&site), store, wanted, stop.clone()));
+    tokio::spawn(peer_state::serve(Arc::clone(&site), states));
     tokio::spawn(caller::answer_balancer(Arc::clone(&site), balancer));
     tokio::spawn(reload(Arc::clone(&site), path));
     tokio::spawn(stop_when_told(Arc::clone(&site), stop_tx));
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -2,7 +2,7 @@
 //!
 //! All of it is used on one thread; the locks are never held over an `await`.
 
-use crate::edge::{Protocol, Vm};
+use crate::edge::{Feed, Protocol, Vm};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::NodeSettings;
@@ -13,6 +13,7 @@
 use limehollow::id::{ServiceName, VmName, ZoneName};
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{HoldingsReport, ModelRef, Roster};
+use limehollow_wire::word::{Positions, State};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,6 +34,10 @@
     pub arrivals: Arrivals,
     /// What the callers of the other VMs ask for, and when that was heard.
     pub demand: BTreeMap<VmName, (Instant, Vec<(ModelRef, f32)>)>,
+    /// How far this process has read what it follows.
+    pub positions: Positions,
+    /// The VM that has read each feed furthest, and how far.
+    pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
     /// What the order giver on this VM found out lately, for the other VMs.
     pub reports: BTreeMap<SmolStr, (Instant, HoldingsReport)>,
     /// The other VMs.
@@ -58,6 +63,10 @@
     pub metrics: Metrics,
     /// Told whenever an endpoint or what it holds has changed.
     pub changed: Notify,
+    /// Told when another VM has read the configuration further than this one.
+    pub configuration_behind: Notify,
+    /// Told when another VM has read the list of endpoints further than this one.
+    pub endpoints_behind: Notify,
     /// Told when a request waits for something that isn't loaded.
     pub urgent: Notify,
     known: Mutex<Known>,
@@ -78,6 +87,8 @@
             repeats: BTreeMap::new(),
             arrivals: Arrivals::default(),
             demand: BTreeMap::new(),
+            positions: Positions::default(),
+            ahead: BTreeMap::new(),
             reports: BTreeMap::new(),
             vms: BTreeMap::new(),
         };
@@ -91,6 +102,8 @@
             metrics: Metrics::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
+            configuration_behind: Notify::new(),
+            endpoints_behind: Notify::new(),
             known: Mutex::new(known),
             stopping: AtomicBool::new(false),
         })
@@ -133,6 +146,51 @@
         !self.is_stopping() && self.catalog.load().is_some() && !self.known().roster.is_empty()
     }
 
+    /// Gives how far this process has read what it follows.
+    pub fn positions(&self) -> Positions {
+        self.known().positions
+    }
+
+    /// Takes in how far another VM has read, and wakes the followers that are behind it.
+    pub fn note_peer_positions(&self, vm: &SmolStr, p: Positions) {
+        let mut known = self.known();
+        let mine = known.positions;
+        let feeds = [
+            (
+                Feed::Configuration,
+                p.configuration,
+                mine.configuration,
+                &self.configuration_behind,
+            ),
+            (
+                Feed::Endpoints,
+                p.endpoints,
+                mine.endpoints,
+                &self.endpoints_behind,
+            ),
+        ];
+        for (feed, theirs, mine, behind) in feeds {
+            if theirs <= mine {
+                continue;
+            }
+            let best = known.ahead.get(&feed).map_or(0, |(_, at)| *at);
+            if theirs >= best {
+                known.ahead.insert(feed, (vm.clone(), theirs));
+            }
+            behind.notify_one();
+        }
+    }
+
+    /// Gives what this process has read of the store, for a VM that can't read it.
+    pub fn state(&self) -> State {
+        let known = self.known();
+        State {
+            positions: known.positions,
+            catalog: self.catalog.load().as_deref().cloned(),
+            endpoints: known.roster.iter().map(|(_, e)| e.clone()).collect(),
+        }
+    }
+
     /// Takes in what the order giver knows of an endpoint.
     pub fn report(&self, now: Instant, r: &HoldingsReport) {
         let news = self.known().roster.report(now, r);
--- a/crates/limehollow-wire/src/word.rs
+++ b/crates/limehollow-wire/src/word.rs
@@ -2,7 +2,8 @@
 
 use crate::error::{BinarySnafu, Result, VersionSnafu};
 use limehollow::balance::Taken;
-use limehollow::roster::{HoldingsReport, ModelRef};
+use limehollow::catalog::Catalog;
+use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::ResultExt;
@@ -27,8 +28,46 @@
     pub urgent: bool,
     /// What the order giver knows of endpoints that changed lately.
     pub reports: Vec<HoldingsReport>,
-    /// The version of the configuration in force there.
-    pub catalog: u64,
+    /// How far it has read the configuration and the list of endpoints in the platform's store.
+    pub positions: Positions,
+}
+
+/// How far a process has read what it follows; zero where it has read nothing yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Positions {
+    /// The operators' configuration.
+    pub configuration: u64,
+    /// The list of endpoints.
+    pub endpoints: u64,
+}
+
+/// What a process has read of the platform's store, for one that can't read it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// How far it has read.
+    pub positions: Positions,
+    /// The configuration in force.
+    pub catalog: Option<Catalog>,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// Writes a state.
+///
+/// # Errors
+///
+/// [`crate::Error::Binary`] if the state can't be written.
+pub fn encode_state(s: &State) -> Result<Vec<u8>> {
+    postcard::to_extend(s, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
+}
+
+/// Reads a state.
+///
+/// # Errors
+///
+/// [`crate::Error::Version`] or [`crate::Error::Binary`].
+pub fn decode_state(bytes: &[u8]) -> Result<State> {
+    postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
 /// Writes a word.
@@ -46,6 +85,11 @@
 ///
 /// [`crate::Error::Version`] or [`crate::Error::Binary`].
 pub fn decode(bytes: &[u8]) -> Result<Word> {
+    postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
+}
+
+/// Gives what follows the version byte, if this release reads that version.
+fn body(bytes: &[u8]) -> Result<&[u8]> {
     let (version, rest) = bytes.split_first().unwrap_or((&0, &[]));
     if *version != SCHEMA {
         return VersionSnafu {
@@ -54,5 +98,5 @@
         }
         .fail();
     }
-    postcard::from_bytes(rest).context(BinarySnafu { len: bytes.len() })
+    Ok(rest)
 }
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -33,6 +33,11 @@
 const ADAPTER_HIGH: f64 = 150.0;
 /// An adapter makes way for one that is wanted this many times more.
 const ADAPTER_EDGE: f64 = 1.5;
+/// What an adapter that has other replicas counts, when one has to make way.
+const SPARE_ADAPTER: f64 = 0.2;
+/// How long an adapter that is asked for and nowhere waits until it counts twice as much. Adapters load in
+/// some ms, so one that is rarely asked for may take turns with others like it.
+const PATIENCE_S: f64 = 1.0;
 /// Loads that are left out of what the weight store allows, for orders that are carried out late.
 const CEILING_MARGIN: f64 = 2.0;
 
@@ -128,8 +133,21 @@
     holdings.iter().map(size).sum()
 }
 
-fn adapters(holdings: &Holdings) -> usize {
-    holdings.values().map(|h| h.adapters.len()).sum()
+/// Counts the replicas of each adapter that is somewhere.
+fn adapter_replicas(roster: &Roster, service: &ServiceName) -> BTreeMap<ModelRef, usize> {
+    let mut out: BTreeMap<ModelRef, usize> = BTreeMap::new();
+    for (_, e) in roster.open(service) {
+        for (model, held) in &e.holdings {
+            for a in &held.adapters {
+                let m = ModelRef {
+                    model: model.clone(),
+                    adapter: Some(a.clone()),
+                };
+                *out.entry(m).or_default() += 1;
+            }
+        }
+    }
+    out
 }
 
 /// An endpoint as a plan sees it: what it will hold once all moves under way are done.
@@ -165,6 +183,8 @@
     slow: BTreeMap<ModelRef, f64>,
     heard: Option<Instant>,
     moves: BTreeMap<EndpointKey, ModelMove>,
+    /// Since when adapters have been asked for that are nowhere.
+    missing: BTreeMap<ModelRef, Instant>,
     /// Adapters on their way.
     coming: BTreeMap<EndpointKey, ModelRef>,
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
@@ -370,6 +390,7 @@
     /// `resting` tells whether an endpoint can take an order on an adapter now.
     pub fn plan_adapters<F>(
         &mut self,
+        now: Instant,
         roster: &Roster,
         service: &ServiceName,
         spec: &EngineSpec,
@@ -378,28 +399,34 @@
     where
         F: Fn(EndpointKey) -> bool,
     {
-        let mut wanted: Vec<(f64, &ModelRef)> = self
-            .slow
-            .iter()
-            .filter(|(m, _)| m.adapter.is_some())
-            .map(|(m, d)| (*d, m))
-            .collect();
-        wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
-        for (demand, m) in wanted {
-            let there = roster
-                .open(service)
-                .filter(|(_, e)| crate::roster::holds(&e.holdings, m));
-            let coming = self.coming.values().filter(|c| *c == m);
+        let replicas = adapter_replicas(roster, service);
+        self.note_missing(now, &replicas);
+        let mut wanted: Vec<(f64, &ModelRef)> = Vec::new();
+        for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
+            let coming = self.coming.values().filter(|c| *c == m).count();
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
-            let n = (there.count() + coming.count()) as f64;
-            if n > 0.0 && demand / n < ADAPTER_HIGH {
-                continue;
+            let n = (replicas.get(m).copied().unwrap_or(0) + coming) as f64;
+            let since = self
+                .missing
+                .get(m)
+                .map(|t| now.duration_since(*t).as_secs_f64());
+            let weight = demand * (1.0 + since.unwrap_or(0.0) / PATIENCE_S);
+            if n < 1.0 || demand / n > ADAPTER_HIGH {
+                wanted.push((weight, m));
             }
+        }
+        wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let weighing = AdapterWeighing {
+            rebalancer: self,
+            roster,
+            service,
+            spec,
+            replicas: &replicas,
+        };
+        let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
+        for (weight, m) in wanted {
             let free = |k: EndpointKey| resting(k) && out.iter().all(|(o, _)| *o != k);
-            if let Some(found) = self.adapter_place(roster, service, spec, m, demand, free) {
-                out.push(found);
-            }
+            out.extend(weighing.place(m, weight, free));
         }
         for (key, m) in &out {
             self.coming.insert(*key, m.load.clone());
@@ -407,46 +434,53 @@
         out
     }
 
-    fn adapter_place<F>(
-        &self,
-        roster: &Roster,
-        service: &ServiceName,
-        spec: &EngineSpec,
-        m: &ModelRef,
-        demand: f64,
-        free: F,
-    ) -> Option<(EndpointKey, AdapterMove)>
+    fn note_missing(&mut self, now: Instant, replicas: &BTreeMap<ModelRef, usize>) {
+        let slow = &self.slow;
+        self.missing
+            .retain(|m, _| slow.contains_key(m) && !replicas.contains_key(m));
+        for m in slow.keys() {
+            if m.adapter.is_some() && !replicas.contains_key(m) {
+                self.missing.entry(m.clone()).or_insert(now);
+            }
+        }
+    }
+}
+
+/// One weighing of all places for adapters.
+struct AdapterWeighing<'a> {
+    rebalancer: &'a Rebalancer,
+    roster: &'a Roster,
+    service: &'a ServiceName,
+    spec: &'a EngineSpec,
+    replicas: &'a BTreeMap<ModelRef, usize>,
+}
+
+impl AdapterWeighing<'_> {
+    /// Finds where an adapter is loaded best, among the endpoints for which the predicate holds.
+    fn place<F>(&self, m: &ModelRef, weight: f64, free: F) -> Option<(EndpointKey, AdapterMove)>
     where
         F: Fn(EndpointKey) -> bool,
     {
-        let slow = |model: &SmolStr, adapter: &SmolStr| {
-            let r = ModelRef {
-                model: model.clone(),
-                adapter: Some(adapter.clone()),
-            };
-            (self.slow.get(&r).copied().unwrap_or(0.0), r)
-        };
-        let size = spec.models.get(&m.model)?.adapter_megabytes;
+        let size = self.spec.models.get(&m.model)?.adapter_megabytes;
         let mut best: Option<(f64, EndpointKey, Option<ModelRef>)> = None;
-        for (key, e) in roster.open(service).filter(|(k, _)| free(*k)) {
-            let missing = !crate::roster::holds(&e.holdings, m);
-            if !e.holdings.contains_key(&m.model) || !missing {
+        for (key, e) in self.roster.open(self.service).filter(|(k, _)| free(*k)) {
+            let has_model = e.holdings.contains_key(&m.model);
+            if !has_model || crate::roster::holds(&e.holdings, m) {
                 continue;
             }
-            let here = e.holdings.iter();
-            let all = here.flat_map(|(n, h)| h.adapters.iter().map(move |a| slow(n, a)));
-            let all: Vec<(f64, ModelRef)> = all.collect();
-            let load: f64 = all.iter().map(|(d, _)| d).sum();
-            let full = adapters(&e.holdings) >= spec.adapter_places
-                || used(&e.holdings, spec) + size > spec.megabytes;
-            let least = all.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
+            let there = e.holdings.iter();
+            let there = there.flat_map(|(n, h)| h.adapters.iter().map(move |a| (n, a)));
+            let there: Vec<(f64, ModelRef)> = there.map(|(n, a)| self.worth(n, a)).collect();
+            let load: f64 = there.iter().map(|(d, _)| d).sum();
+            let is_full = there.len() >= self.spec.adapter_places
+                || used(&e.holdings, self.spec) + size > self.spec.megabytes;
+            let least = there.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
+            // One that makes way is dearer than a free place.
             let (cost, evict) = match least {
-                Some((d, r)) if full && d * ADAPTER_EDGE <= demand => (load + d, Some(r)),
-                _ if full => continue,
-                _ => (load, None),
+                _ if !is_full => (load, None),
+                Some((d, r)) if d * ADAPTER_EDGE <= weight => (load + d + HIGH_LOAD, Some(r)),
+                _ => continue,
             };
-            // One that makes way is dearer than a free place.
-            let cost = cost + if evict.is_some() { HIGH_LOAD } else { 0.0 };
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, key, evict));
             }
@@ -455,6 +489,22 @@
         let load = m.clone();
         Some((key, AdapterMove { load, evict }))
     }
+
+    /// Gives how much an adapter is wanted at one of the endpoints that have it.
+    fn worth(&self, model: &SmolStr, adapter: &SmolStr) -> (f64, ModelRef) {
+        let m = ModelRef {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        let demand = self.rebalancer.slow.get(&m).copied().unwrap_or(0.0);
+        let is_spare = self.replicas.get(&m).is_some_and(|n| *n > 1);
+        let worth = if is_spare {
+            demand * SPARE_ADAPTER
+        } else {
+            demand
+        };
+        (worth, m)
+    }
 }
 
 /// One weighing of all places for a model.
