--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -18,9 +18,14 @@
 
 /// How long a call waits for a change: as long as the store holds one, less some time on the way.
 const WAIT: Duration = Duration::from_secs(25);
+/// The time after which one of the VMs asks for changes anew, on average: a fraction of the time in which
+/// a configuration has to be in force.
+const ASK_ANEW: Duration = Duration::from_millis(300);
+/// The spread of a VM's own waits, so that they don't fall together.
+const JITTER: std::ops::Range<f64> = 0.7..1.3;
 /// How long this VM takes to hear of a change by itself, at most, where the store is sound: a pause
 /// between reads and a call.
-const OWN_TIME: Duration = Duration::from_millis(500);
+const OWN_TIME: Duration = Duration::from_millis(300);
 /// The least time between two reads of a feed: what changes in between comes in one answer, and calls
 /// are priced.
 const PAUSE: Duration = Duration::from_millis(350);
@@ -99,10 +104,20 @@
 where
     P: Protocol,
 {
+    /// Gives how long the next call waits. A store that is slow may forget to wake a call, so the VMs
+    /// together ask anew every [`ASK_ANEW`]; whoever hears of a change tells the others.
     fn wait(&self) -> Duration {
+        let longest = match self.feed {
+            Feed::Vms => WAIT,
+            Feed::Configuration | Feed::Endpoints => {
+                let vms = u32::try_from(self.site.known().demand.len()).unwrap_or(u32::MAX);
+                let spread = rand::random_range(JITTER);
+                (ASK_ANEW * vms.saturating_add(1)).mul_f64(spread).min(WAIT)
+            }
+        };
         let due = self.missing.values().min();
-        due.map_or(WAIT, |t| {
-            t.saturating_duration_since(Instant::now()).min(WAIT)
+        due.map_or(longest, |t| {
+            t.saturating_duration_since(Instant::now()).min(longest)
         })
     }
 
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -34,11 +34,14 @@
 const CROWD_MS: f64 = 60.0;
 /// What an endpoint that fails all it is sent costs, in ms: more than any objective.
 const ERROR_MS: f64 = 3000.0;
-/// What an endpoint costs that just refused, in ms, and for how long.
-const REFUSED_MS: f64 = 150.0;
-const REFUSED_FOR: Duration = Duration::from_millis(500);
+/// How much longer a first result is expected to take at an endpoint that just refused, in ms: it has
+/// no place left, whatever is known of it. It fades with this time constant.
+const REFUSED_MS: f64 = 2500.0;
+const REFUSED_MEMORY_S: f64 = 0.5;
 /// The weight of a new sample in the smoothed figures.
 const SMOOTHING: f64 = 0.2;
+/// The weight of a sample of a token's time that is above the smoothed figure.
+const HIGH_SAMPLE: f64 = 0.002;
 /// An endpoint whose smoothed share of failures is above this is ejected: two failures in a row.
 const EJECT_ABOVE: f64 = 0.35;
 /// The share of failures that an endpoint comes back with, so that one more ejects it again.
@@ -189,6 +192,14 @@
         1.0 + (self.slowness.0 - 1.0) * (-age / SLOW_MEMORY_S).exp()
     }
 
+    fn refused_ms(&self, now: Instant) -> f64 {
+        let fade = |t: Instant| {
+            let age = now.duration_since(t).as_secs_f64();
+            (-age / REFUSED_MEMORY_S).exp()
+        };
+        self.refused_at.map_or(0.0, |t| REFUSED_MS * fade(t))
+    }
+
     fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|t| now < t)
     }
@@ -331,7 +342,7 @@
             }
             let expected = self.expected_ms(now, key, e, kv_tokens, job);
             let ejected = self.rows.get(key).is_some_and(|r| r.is_ejected(now));
-            let cost = expected + self.extra_ms(now, key, e);
+            let cost = expected + self.extra_ms(key, e);
             let better = best.is_none_or(|(ej, c, ..)| (ejected, cost) < (ej, c));
             if better {
                 best = Some((ejected, cost, key, expected));
@@ -359,7 +370,7 @@
         let mut taken = row.own;
         taken.add(&row.others);
         let read = row.slowness(now) * (BASE_MS + own_ms + taken.ahead(job.level()));
-        read + self.wait_ms(e, &taken, kv_tokens, job)
+        read + row.refused_ms(now) + self.wait_ms(e, &taken, kv_tokens, job)
     }
 
     /// Estimates how long a job waits for a place at an endpoint whose places are taken, in ms.
@@ -375,18 +386,13 @@
     }
 
     /// Gives what counts against an endpoint beside the time to the first result, as ms.
-    fn extra_ms(&self, now: Instant, key: EndpointKey, e: &Endpoint) -> f64 {
+    fn extra_ms(&self, key: EndpointKey, e: &Endpoint) -> f64 {
         let zone = if e.zone == self.zone { 0.0 } else { ZONE_MS };
         let Some(row) = self.rows.get(key) else {
             return zone;
         };
-        let refused = row
-            .refused_at
-            .is_some_and(|t| now.duration_since(t) < REFUSED_FOR);
         let requests = f64::from(row.own.requests + row.others.requests);
-        zone + row.errors * ERROR_MS
-            + requests / f64::from(e.slots.max(1)) * CROWD_MS
-            + if refused { REFUSED_MS } else { 0.0 }
+        zone + row.errors * ERROR_MS + requests / f64::from(e.slots.max(1)) * CROWD_MS
     }
 
     /// Gives the work that a job is for an endpoint until its first result, in ms.
@@ -483,7 +489,7 @@
         };
         let v = self.token_ms.entry(model.clone()).or_insert(sample);
         // Samples hold waits that aren't the prompt's, so the low ones say more than the high ones.
-        let weight = if sample < *v { SMOOTHING } else { 0.02 };
+        let weight = if sample < *v { SMOOTHING } else { HIGH_SAMPLE };
         *v += (sample - *v) * weight;
     }
 
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -75,6 +75,8 @@
     pub name: SmolStr,
     /// The size of its weights in megabytes.
     pub megabytes: f64,
+    /// How many adapters it has.
+    pub adapters: u32,
     /// The size of one of its adapters in megabytes.
     pub adapter_megabytes: f64,
     /// How long a load from the weight store takes.
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -24,6 +24,8 @@
 const MISSING_PAIN: f64 = 1e6;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
 const MIN_STAY: Duration = Duration::from_secs(5);
+/// How long an endpoint whose move failed gets no other.
+const FAILED_REST: Duration = Duration::from_secs(3);
 /// How far demand is foreseen from its present trend, in units of the smoothing's time constant.
 const FORESIGHT: f64 = 1.0;
 /// The time constant of the slower rates, which adapters go by: a few requests a minute say little in
@@ -31,6 +33,10 @@
 const SLOW_S: f64 = 5.0;
 /// An adapter gets another replica when one carries more than this, in ms of work a second.
 const ADAPTER_HIGH: f64 = 150.0;
+/// An adapter whose replicas carry more than this is loaded into free places as well, so that its
+/// requests have a choice of endpoints; those that are missing go first.
+const ADAPTER_SPREAD: f64 = 8.0;
+const SPREAD_LAST: f64 = 1e6;
 /// An adapter makes way for one that is wanted this many times more.
 const ADAPTER_EDGE: f64 = 1.5;
 /// What an adapter that has other replicas counts, when one has to make way.
@@ -188,6 +194,8 @@
     /// Adapters on their way.
     coming: BTreeMap<EndpointKey, ModelRef>,
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
+    /// Endpoints whose last move failed, and when.
+    failed: BTreeMap<EndpointKey, Instant>,
     loads: VecDeque<Instant>,
 }
 
@@ -299,6 +307,8 @@
             self.loads.pop_front();
         }
         self.loaded.retain(|_, t| now.duration_since(*t) < MIN_STAY);
+        self.failed
+            .retain(|_, t| now.duration_since(*t) < FAILED_REST);
         let mut places = self.places(roster, service, spec);
         let mut out = Vec::new();
         while self.ceiling(spec, ceiling) > 0 {
@@ -324,8 +334,13 @@
     }
 
     /// Notes that a model's move has ended, well or not.
-    pub fn model_ended(&mut self, key: EndpointKey) {
+    pub fn model_ended(&mut self, now: Instant, key: EndpointKey, is_done: bool) {
         self.moves.remove(&key);
+        if is_done {
+            self.failed.remove(&key);
+        } else {
+            self.failed.insert(key, now);
+        }
     }
 
     /// Notes that an adapter's move has ended, well or not.
@@ -346,7 +361,9 @@
                 models,
                 copies: e.copies.clone(),
                 free: spec.megabytes - used(&e.holdings, spec),
-                moving: m.is_some() || self.coming.contains_key(&key),
+                moving: m.is_some()
+                    || self.coming.contains_key(&key)
+                    || self.failed.contains_key(&key),
                 load: 0.0,
             }
         };
@@ -401,7 +418,7 @@
     {
         let replicas = adapter_replicas(roster, service);
         self.note_missing(now, &replicas);
-        let mut wanted: Vec<(f64, &ModelRef)> = Vec::new();
+        let mut wanted: Vec<(f64, &ModelRef, bool)> = Vec::new();
         for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
             let coming = self.coming.values().filter(|c| *c == m).count();
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
@@ -412,7 +429,9 @@
                 .map(|t| now.duration_since(*t).as_secs_f64());
             let weight = demand * (1.0 + since.unwrap_or(0.0) / PATIENCE_S);
             if n < 1.0 || demand / n > ADAPTER_HIGH {
-                wanted.push((weight, m));
+                wanted.push((weight, m, true));
+            } else if demand / n > ADAPTER_SPREAD {
+                wanted.push((demand / n / SPREAD_LAST, m, false));
             }
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -424,8 +443,9 @@
             replicas: &replicas,
         };
         let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
-        for (weight, m) in wanted {
+        for (weight, m, may_evict) in wanted {
             let free = |k: EndpointKey| resting(k) && out.iter().all(|(o, _)| *o != k);
+            let weight = if may_evict { weight } else { 0.0 };
             out.extend(weighing.place(m, weight, free));
         }
         for (key, m) in &out {
@@ -478,7 +498,9 @@
             // One that makes way is dearer than a free place.
             let (cost, evict) = match least {
                 _ if !is_full => (load, None),
-                Some((d, r)) if d * ADAPTER_EDGE <= weight => (load + d + HIGH_LOAD, Some(r)),
+                Some((d, r)) if weight > 0.0 && d * ADAPTER_EDGE <= weight => {
+                    (load + d + HIGH_LOAD, Some(r))
+                }
                 _ => continue,
             };
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
@@ -530,11 +552,9 @@
         let size = self.spec.models.get(model)?.megabytes;
         let is_missing = self.replicas(model) < 1.0;
         let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        for p in self
-            .places
-            .iter()
-            .filter(|p| !p.moving && !p.models.contains(model))
-        {
+        let may_take =
+            |p: &&Place| !p.moving && !p.models.contains(model) && !self.serves_adapters_alone(p);
+        for p in self.places.iter().filter(may_take) {
             let Some(evict) = self.make_room(p, size) else {
                 continue;
             };
@@ -554,6 +574,18 @@
         Some((gain, key, ModelMove { load, evict }))
     }
 
+    /// Tells whether an endpoint is the only one that can take orders on adapters that are asked for: it
+    /// takes none while it carries out an order on a model.
+    fn serves_adapters_alone(&self, p: &Place) -> bool {
+        p.models.iter().any(|m| {
+            let has_adapters = self.spec.models.get(m).is_some_and(|s| s.adapters > 0);
+            let others = self.places.iter().filter(|o| o.key != p.key && !o.moving);
+            has_adapters
+                && self.rebalancer.demand(m) > 0.0
+                && !others.into_iter().any(|o| o.models.contains(m))
+        })
+    }
+
     /// Gives how much the endpoints' pain falls when a model takes the place of others.
     fn gain(&self, target: &Place, model: &SmolStr, evict: &[SmolStr]) -> f64 {
         let (alone, before) = (self.share(model, 1.0), self.share(model, 0.0));
