--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -6,7 +6,7 @@
 //! replica of a model never makes way (`docs/design/system.md`).
 
 use crate::catalog::EngineSpec;
-use crate::id::{EndpointKey, ServiceName};
+use crate::id::{EndpointKey, ServiceName, ZoneName};
 use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -20,6 +20,10 @@
 const MOVE_PAIN: f64 = 0.3;
 /// What a load from the weight store costs more than one from a copy at hand: seconds of its use.
 const COLD_PAIN: f64 = 0.3;
+/// What a second replica may cost at most, and what it costs more in the zone of the first.
+const SPARE_PAIN: f64 = 0.1;
+/// Second replicas are loaded while fewer than this part of the endpoints are being ordered.
+const SPARE_MOVES_PART: usize = 4;
 /// What a model costs that is nowhere: more than any load.
 const MISSING_PAIN: f64 = 1e6;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
@@ -160,6 +164,7 @@
 #[derive(Clone, Debug)]
 struct Place {
     key: EndpointKey,
+    zone: ZoneName,
     models: BTreeSet<SmolStr>,
     copies: BTreeSet<SmolStr>,
     free: f64,
@@ -312,7 +317,9 @@
         let mut places = self.places(roster, service, spec);
         let mut out = Vec::new();
         while self.ceiling(spec, ceiling) > 0 {
-            let Some((key, m)) = self.best_move(&mut places, spec) else {
+            let best = self.best_move(&mut places, spec);
+            let best = best.or_else(|| self.spare_move(&mut places, spec, ceiling));
+            let Some((key, m)) = best else {
                 break;
             };
             let cold = places
@@ -333,6 +340,36 @@
         out
     }
 
+    /// Finds a place for a second replica of a model that has one only: an endpoint that is lost takes its
+    /// models with it, and a load from the weight store takes seconds.
+    ///
+    /// This is done while little else is, so that a shift of demand finds the weight store and the
+    /// endpoints free.
+    fn spare_move(
+        &self,
+        places: &mut [Place],
+        spec: &EngineSpec,
+        ceiling: LoadCeiling,
+    ) -> Option<(EndpointKey, ModelMove)> {
+        let moving = places.iter().filter(|p| p.moving).count();
+        let is_quiet = moving < places.len() / SPARE_MOVES_PART
+            && self.ceiling(spec, ceiling) > self.loads.len();
+        if !is_quiet {
+            return None;
+        }
+        let replicas = self.spread(places);
+        let w = Weighing {
+            rebalancer: self,
+            places,
+            replicas: &replicas,
+            spec,
+        };
+        let single = spec.models.keys().filter(|m| w.replicas(m) < 2.0);
+        let found = single.filter_map(|m| w.best_spare(m));
+        let best = found.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some((best.1, best.2))
+    }
+
     /// Notes that a model's move has ended, well or not.
     pub fn model_ended(&mut self, now: Instant, key: EndpointKey, is_done: bool) {
         self.moves.remove(&key);
@@ -358,6 +395,7 @@
             }
             Place {
                 key,
+                zone: e.zone.clone(),
                 models,
                 copies: e.copies.clone(),
                 free: spec.megabytes - used(&e.holdings, spec),
@@ -555,7 +593,7 @@
         let may_take =
             |p: &&Place| !p.moving && !p.models.contains(model) && !self.serves_adapters_alone(p);
         for p in self.places.iter().filter(may_take) {
-            let Some(evict) = self.make_room(p, size) else {
+            let Some(evict) = self.make_room(p, size, 1.0) else {
                 continue;
             };
             let mut gain = self.gain(p, model, &evict);
@@ -574,6 +612,38 @@
         Some((gain, key, ModelMove { load, evict }))
     }
 
+    /// Finds where a second replica of a model costs least. Gives what it is worth, too.
+    fn best_spare(&self, model: &SmolStr) -> Option<(f64, EndpointKey, ModelMove)> {
+        let size = self.spec.models.get(model)?.megabytes;
+        let held = self.places.iter().filter(|p| p.models.contains(model));
+        let zones: BTreeSet<&ZoneName> = held.map(|p| &p.zone).collect();
+        let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
+        let may_take =
+            |p: &&Place| !p.moving && !p.models.contains(model) && !self.serves_adapters_alone(p);
+        for p in self.places.iter().filter(may_take) {
+            // What makes way has to leave two replicas behind.
+            let Some(evict) = self.make_room(p, size, 2.0) else {
+                continue;
+            };
+            let mut worth = self.gain(p, model, &evict);
+            if worth < -SPARE_PAIN {
+                continue;
+            }
+            if zones.contains(&p.zone) {
+                worth -= SPARE_PAIN;
+            }
+            if !p.copies.contains(model) {
+                worth -= COLD_PAIN;
+            }
+            if best.as_ref().is_none_or(|(w, ..)| worth > *w) {
+                best = Some((worth, p.key, evict));
+            }
+        }
+        let (worth, key, evict) = best?;
+        let load = model.clone();
+        Some((worth, key, ModelMove { load, evict }))
+    }
+
     /// Tells whether an endpoint is the only one that can take orders on adapters that are asked for: it
     /// takes none while it carries out an order on a model.
     fn serves_adapters_alone(&self, p: &Place) -> bool {
@@ -609,13 +679,14 @@
         gain
     }
 
-    /// Names what has to make way on an endpoint for a model of this size, the least wanted first.
-    fn make_room(&self, p: &Place, size: f64) -> Option<Vec<SmolStr>> {
+    /// Names what has to make way on an endpoint for a model of this size, the least wanted first. Only
+    /// models with more than so many replicas make way.
+    fn make_room(&self, p: &Place, size: f64, left: f64) -> Option<Vec<SmolStr>> {
         let mut free = p.free;
         let mut may_go: Vec<(f64, &SmolStr)> = Vec::new();
         for m in &p.models {
             let stays = self.rebalancer.loaded.contains_key(&(p.key, m.clone()));
-            if self.replicas(m) > 1.0 && !stays {
+            if self.replicas(m) > left && !stays {
                 may_go.push((self.share(m, -1.0), m));
             }
         }
