--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -32,6 +32,9 @@
 /// The time between tries while the store is away: at first, and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+/// How long after this VM lost the store another has to have read on, so that the outage counts as this
+/// VM's own: others may have read a little further before an outage of the whole store.
+const ALONE_AFTER: Duration = Duration::from_millis(1500);
 /// How long entries that vanished around an outage may take to come back: the platform says about two
 /// seconds.
 pub const SETTLE: Duration = Duration::from_millis(2500);
@@ -46,6 +49,7 @@
         site,
         feed,
         lost: None,
+        was_alone: false,
         settled: None,
         missing: BTreeMap::new(),
     };
@@ -94,6 +98,8 @@
     site: Arc<Site<P>>,
     feed: Feed,
     lost: Option<Instant>,
+    /// Whether others read on while this VM could not.
+    was_alone: bool,
     /// Until when vanished entries may come back.
     settled: Option<Instant>,
     /// Entries that vanished around an outage, and when they count as gone.
@@ -173,6 +179,7 @@
             return None;
         }
         tracing::info!(feed = ?self.feed, %vm, position = at, "read from another VM");
+        self.was_alone |= self.lost.is_some_and(|t| t.elapsed() > ALONE_AFTER);
         self.note_position(at);
         let changes: Vec<Change> = match self.feed {
             Feed::Configuration => {
@@ -200,7 +207,9 @@
         };
         let now = Instant::now();
         tracing::info!(feed = ?self.feed, away_ms = now.duration_since(since).as_millis(), "store regained");
-        self.settled = Some(now + SETTLE);
+        // What others could read meanwhile went on without an outage: nothing has lapsed for it.
+        let was_alone = std::mem::take(&mut self.was_alone);
+        self.settled = (!was_alone).then_some(now + SETTLE);
     }
 
     fn apply(&mut self, changes: Vec<Change>, whole: bool) {
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -479,6 +479,18 @@
     /// Gives the final answer of a request that no endpoint has answered.
     fn give_up(&self, reason: Reason, after: Duration) -> Response<Outgoing<P>> {
         if self.verdict == Verdict::NotRun {
+            if may_log() {
+                let model = self.job.model.as_ref();
+                tracing::info!(
+                    id = %self.ask.id,
+                    rule = %self.rule.name,
+                    model = model.map(|m| m.model.as_str()),
+                    adapter = model.and_then(|m| m.adapter.as_deref()),
+                    tries = self.reached + self.unreached,
+                    waited_ms = millis(self.arrived.elapsed()),
+                    "given up"
+                );
+            }
             return refuse(self.site, &self.ask.id, reason, after);
         }
         tracing::info!(id = %self.ask.id, reason = reason.as_str(), "no answer; the request may have run");
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -75,8 +75,8 @@
     pub name: SmolStr,
     /// The size of its weights in megabytes.
     pub megabytes: f64,
-    /// How many adapters it has.
-    pub adapters: u32,
+    /// The names of its adapters.
+    pub adapters: Vec<SmolStr>,
     /// The size of one of its adapters in megabytes.
     pub adapter_megabytes: f64,
     /// How long a load from the weight store takes.
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -5,7 +5,7 @@
 //! another one where the load is lowest once the least wanted duplicates have made way. The last
 //! replica of a model never makes way (`docs/design/system.md`).
 
-use crate::catalog::EngineSpec;
+use crate::catalog::{EngineSpec, ModelSpec};
 use crate::id::{EndpointKey, ServiceName, ZoneName};
 use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
 use smol_str::SmolStr;
@@ -22,6 +22,10 @@
 const COLD_PAIN: f64 = 0.3;
 /// What a second replica may cost at most, and what it costs more in the zone of the first.
 const SPARE_PAIN: f64 = 0.1;
+/// The part of the replicas of a model with adapters that may be carrying out orders on models at once,
+/// since they take none on adapters meanwhile; and the same for second replicas.
+const MOVING_PART: f64 = 0.6;
+const SPARE_MOVING_PART: f64 = 0.25;
 /// Second replicas are loaded while fewer than this part of the endpoints are being ordered.
 const SPARE_MOVES_PART: usize = 4;
 /// What a model costs that is nowhere: more than any load.
@@ -486,6 +490,8 @@
             let weight = if may_evict { weight } else { 0.0 };
             out.extend(weighing.place(m, weight, free));
         }
+        let taken: BTreeSet<EndpointKey> = out.iter().map(|(k, _)| *k).collect();
+        out.extend(weighing.fill(|k| resting(k) && !taken.contains(&k)));
         for (key, m) in &out {
             self.coming.insert(*key, m.load.clone());
         }
@@ -550,6 +556,39 @@
         Some((key, AdapterMove { load, evict }))
     }
 
+    /// Fills free places with adapters that are nowhere, before they are asked for: they load in some ms,
+    /// but a request that finds none waits for that and for the order.
+    fn fill<F>(&self, free: F) -> Vec<(EndpointKey, AdapterMove)>
+    where
+        F: Fn(EndpointKey) -> bool,
+    {
+        let coming: BTreeSet<&ModelRef> = self.rebalancer.coming.values().collect();
+        let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
+        for (key, e) in self.roster.open(self.service).filter(|(k, _)| free(*k)) {
+            let there: usize = e.holdings.values().map(|h| h.adapters.len()).sum();
+            if there >= self.spec.adapter_places {
+                continue;
+            }
+            let specs = e.holdings.keys().filter_map(|m| self.spec.models.get(m));
+            let fits = |s: &&ModelSpec| {
+                used(&e.holdings, self.spec) + s.adapter_megabytes <= self.spec.megabytes
+            };
+            let refs = specs
+                .filter(fits)
+                .flat_map(|s| s.adapters.iter().map(move |a| (s, a)));
+            let mut refs = refs.map(|(s, a)| ModelRef {
+                model: s.name.clone(),
+                adapter: Some(a.clone()),
+            });
+            let found = refs.find(|m| {
+                let is_chosen = out.iter().any(|(_, o)| o.load == *m);
+                !is_chosen && !self.replicas.contains_key(m) && !coming.contains(m)
+            });
+            out.extend(found.map(|load| (key, AdapterMove { load, evict: None })));
+        }
+        out
+    }
+
     /// Gives how much an adapter is wanted at one of the endpoints that have it.
     fn worth(&self, model: &SmolStr, adapter: &SmolStr) -> (f64, ModelRef) {
         let m = ModelRef {
@@ -590,8 +629,7 @@
         let size = self.spec.models.get(model)?.megabytes;
         let is_missing = self.replicas(model) < 1.0;
         let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        let may_take =
-            |p: &&Place| !p.moving && !p.models.contains(model) && !self.serves_adapters_alone(p);
+        let may_take = |p: &&Place| self.may_move(p, model, MOVING_PART);
         for p in self.places.iter().filter(may_take) {
             let Some(evict) = self.make_room(p, size, 1.0) else {
                 continue;
@@ -618,8 +656,7 @@
         let held = self.places.iter().filter(|p| p.models.contains(model));
         let zones: BTreeSet<&ZoneName> = held.map(|p| &p.zone).collect();
         let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        let may_take =
-            |p: &&Place| !p.moving && !p.models.contains(model) && !self.serves_adapters_alone(p);
+        let may_take = |p: &&Place| self.may_move(p, model, SPARE_MOVING_PART);
         for p in self.places.iter().filter(may_take) {
             // What makes way has to leave two replicas behind.
             let Some(evict) = self.make_room(p, size, 2.0) else {
@@ -644,15 +681,23 @@
         Some((worth, key, ModelMove { load, evict }))
     }
 
-    /// Tells whether an endpoint is the only one that can take orders on adapters that are asked for: it
-    /// takes none while it carries out an order on a model.
-    fn serves_adapters_alone(&self, p: &Place) -> bool {
-        p.models.iter().any(|m| {
-            let has_adapters = self.spec.models.get(m).is_some_and(|s| s.adapters > 0);
-            let others = self.places.iter().filter(|o| o.key != p.key && !o.moving);
-            has_adapters
-                && self.rebalancer.demand(m) > 0.0
-                && !others.into_iter().any(|o| o.models.contains(m))
+    /// Tells whether an endpoint may be ordered to load a model: it isn't being ordered, and enough replicas
+    /// of the models with adapters that it holds stay at rest.
+    fn may_move(&self, p: &Place, model: &SmolStr, part: f64) -> bool {
+        if p.moving || p.models.contains(model) {
+            return false;
+        }
+        p.models.iter().all(|m| {
+            let has_adapters = self
+                .spec
+                .models
+                .get(m)
+                .is_some_and(|s| !s.adapters.is_empty());
+            let held = self.places.iter().filter(|o| o.models.contains(m));
+            let moving = held.filter(|o| o.moving).count();
+            #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
+            let moving = moving as f64 + 1.0;
+            !has_adapters || moving <= self.replicas(m) * part
         })
     }
 
