--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -405,8 +405,12 @@
             }
             let counted = match self.order(action, &subject, book.orders_taken).await? {
                 OrderReply::Taken => true,
-                OrderReply::Holds => false,
+                // An adapter that no request uses goes at once, which is answered as done and counts; a
+                // load of what is there doesn't.
+                OrderReply::Holds => action == Action::Unload,
                 OrderReply::Conflict => {
+                    // A report is as of some time ago; one that is read at once would show the same.
+                    sleep(ASK_EVERY).await;
                     book = self.read_book().await?;
                     continue;
                 }
