Tests of the site's decisions; a token's time starts from the usual one

Cause of the change: the test of slow endpoints failed: the first sample of a token's time was taken as it came, so one slow endpoint made the model slow everywhere.

--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -487,7 +487,10 @@
         let Some(model) = &sent.job_model else {
             return;
         };
-        let v = self.token_ms.entry(model.clone()).or_insert(sample);
+        let v = self
+            .token_ms
+            .entry(model.clone())
+            .or_insert(DEFAULT_TOKEN_MS);
         // Samples hold waits that aren't the prompt's, so the low ones say more than the high ones.
         let weight = if sample < *v { SMOOTHING } else { HIGH_SAMPLE };
         *v += (sample - *v) * weight;
--- /dev/null
+++ b/crates/limehollow/tests/balance.rs
@@ -0,0 +1,211 @@
+//! Which endpoint a request goes to.
+
+mod site;
+
+use limehollow::balance::{Balance, Choice, Job, Taken, WORD_LIFE};
+use limehollow::id::EndpointKey;
+use limehollow::load::Ending;
+use limehollow::roster::Roster;
+use limehollow::verdict::Failure;
+use site::{adapter, holding, job, model, roster};
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+fn choose(b: &Balance, r: &Roster, j: &Job) -> Choice {
+    b.choose(Instant::now(), r, Some(20_000), j, &[])
+}
+
+fn to(c: Choice) -> EndpointKey {
+    match c {
+        Choice::To(k, _) => k,
+        other => panic!("no endpoint: {other:?}"),
+    }
+}
+
+fn expected(c: Choice) -> f64 {
+    match c {
+        Choice::To(_, ms) => ms,
+        other => panic!("no endpoint: {other:?}"),
+    }
+}
+
+/// Ends a request as soon as it is sent.
+fn send(b: &mut Balance, key: EndpointKey, ending: Ending) {
+    let sent = b.start(Instant::now(), key, &job(model("big-0"), 100, 0), 30.0);
+    b.finish(Instant::now(), sent, ending);
+}
+
+#[test]
+fn choose_by_what_is_held() {
+    let (mut r, keys) = roster(&[&["big-0"], &["big-1"]]);
+    let b = Balance::new("a".into());
+    assert_eq!(to(choose(&b, &r, &job(model("big-1"), 100, 0))), keys[1]);
+    assert_eq!(
+        choose(&b, &r, &job(model("big-2"), 100, 0)),
+        Choice::NoModel
+    );
+    assert_eq!(
+        choose(&b, &r, &job(adapter("big-0", "a1"), 100, 0)),
+        Choice::NoAdapter
+    );
+    assert_eq!(
+        choose(&b, &r, &Job::plain("other".into(), 0)),
+        Choice::NoEndpoint
+    );
+    r.leave(keys[1]);
+    assert_eq!(
+        choose(&b, &r, &job(model("big-1"), 100, 0)),
+        Choice::NoModel
+    );
+}
+
+#[test]
+fn choose_not_what_was_tried() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let b = Balance::new("a".into());
+    let j = job(model("big-0"), 100, 0);
+    let second = b.choose(Instant::now(), &r, None, &j, &keys[..1]);
+    assert_eq!(to(second), keys[1]);
+    let third = b.choose(Instant::now(), &r, None, &j, &keys);
+    assert_eq!(third, Choice::NoEndpoint);
+}
+
+#[test]
+fn choose_own_zone_until_it_is_busier() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = job(model("big-0"), 2000, 0);
+    let first = to(choose(&b, &r, &j));
+    assert_eq!(first, keys[0]);
+    let _sent = b.start(Instant::now(), first, &j, 100.0);
+    assert_eq!(to(choose(&b, &r, &job(model("big-0"), 1999, 0))), keys[1]);
+}
+
+#[test]
+fn choose_by_what_others_say() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let taken = Taken {
+        requests: 3.0,
+        tokens: 6000.0,
+        ahead_ms: [200.0, 0.0, 0.0, 0.0],
+    };
+    b.hear(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
+    assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refresh_forgets_old_words() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let taken = Taken {
+        requests: 8.0,
+        tokens: 0.0,
+        ahead_ms: [900.0; 4],
+    };
+    b.hear(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
+    advance(WORD_LIFE).await;
+    b.refresh(Instant::now());
+    assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[0]);
+}
+
+#[test]
+fn expected_urgent_before_others() {
+    // What is less urgent stands behind; what is as urgent stands before.
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let _sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 9000, 1), 0.0);
+    let urgent = expected(choose(&b, &r, &job(model("big-0"), 100, 0)));
+    let equal = expected(choose(&b, &r, &job(model("big-0"), 100, 1)));
+    assert!(urgent + 300.0 < equal, "{urgent} {equal}");
+}
+
+#[test]
+fn expected_prompt_that_was_read_before() {
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = job(model("big-0"), 5000, 0);
+    let before = expected(choose(&b, &r, &j));
+    let sent = b.start(Instant::now(), keys[0], &j, before);
+    b.finish(Instant::now(), sent, Ending::Cancelled);
+    let after = expected(choose(&b, &r, &j));
+    assert!(after + 200.0 < before, "{before} {after}");
+    let other = Job::generation(site::llm(), adapter("big-0", "a1"), 0, (5000, 100), &[]);
+    assert!(b.demand_ms(&other) > 200.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_counts_as_time_and_fades() {
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    send(&mut b, keys[0], Ending::Failed(Failure::Refused));
+    let j = job(model("big-0"), 100, 0);
+    assert!(expected(choose(&b, &r, &j)) > 1000.0);
+    advance(Duration::from_secs(3)).await;
+    assert!(expected(choose(&b, &r, &j)) < 100.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn failures_eject_and_come_back() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = job(model("big-0"), 100, 0);
+    send(&mut b, keys[0], Ending::Failed(Failure::Broken));
+    assert!(
+        !b.is_ejected(Instant::now(), keys[0]),
+        "one failure is none"
+    );
+    send(&mut b, keys[0], Ending::Failed(Failure::ServerError));
+    assert!(b.is_ejected(Instant::now(), keys[0]));
+    assert_eq!(to(choose(&b, &r, &j)), keys[1]);
+    advance(Duration::from_secs(2)).await;
+    assert!(!b.is_ejected(Instant::now(), keys[0]));
+    let first = Duration::from_millis(50);
+    for _ in 0..20 {
+        send(&mut b, keys[0], Ending::Whole { first });
+    }
+    assert_eq!(to(choose(&b, &r, &j)), keys[0]);
+}
+
+#[test]
+fn failures_of_all_eject_none() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    for k in &keys {
+        send(&mut b, *k, Ending::Failed(Failure::Connect));
+        assert!(b.is_ejected(Instant::now(), *k));
+    }
+    let c = choose(&b, &r, &job(model("big-0"), 100, 0));
+    assert!(matches!(c, Choice::To(..)), "{c:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_endpoints_lose_share() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    for _ in 0..10 {
+        let j = job(model("big-0"), 100, 0);
+        let mut sent = b.start(Instant::now(), keys[0], &j, 40.0);
+        advance(Duration::from_millis(800)).await;
+        b.first(Instant::now(), &mut sent);
+        let first = Duration::from_millis(800);
+        b.finish(Instant::now(), sent, Ending::Whole { first });
+    }
+    assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[1]);
+    // Nothing is sent there, so nothing would be learnt: the slowness is forgotten.
+    advance(Duration::from_mins(1)).await;
+    assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[0]);
+}
+
+#[test]
+fn forget_endpoint_that_is_gone() {
+    let (mut r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 100, 0), 0.0);
+    r.remove("i-0");
+    b.forget(keys[0]);
+    r.list(Instant::now(), site::endpoint(0, "a", holding(&["big-0"])));
+    // Its request ends after another endpoint has its place in the arena.
+    b.finish(Instant::now(), sent, Ending::Cancelled);
+    assert_eq!(b.own().count(), 0);
+}
--- /dev/null
+++ b/crates/limehollow/tests/group_lease.rs
@@ -0,0 +1,91 @@
+//! When a process may give orders: the lease through a group, on paused time.
+
+use limehollow::group_lease::{Dealt, GroupLease, LeaseChange, ORDER_WITHIN, TTL};
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+const BETWEEN: Duration = Duration::from_secs(3);
+
+fn dealt(generation: u64, mine: bool) -> Dealt {
+    Dealt { generation, mine }
+}
+
+/// Joins at once, with an answer.
+fn join(l: &mut GroupLease, d: Dealt) -> Option<LeaseChange> {
+    let now = Instant::now();
+    l.dealt(now, now, d)
+}
+
+/// Holds the lease long enough for orders.
+async fn held() -> GroupLease {
+    let mut l = GroupLease::new(BETWEEN);
+    assert_eq!(join(&mut l, dealt(4, true)), Some(LeaseChange::Taken(4)));
+    for _ in 0..8 {
+        advance(Duration::from_millis(450)).await;
+        assert_eq!(join(&mut l, dealt(4, true)), None);
+    }
+    l
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_only_after_the_holder_before() {
+    let mut l = GroupLease::new(BETWEEN);
+    join(&mut l, dealt(4, true));
+    advance(Duration::from_millis(2900)).await;
+    join(&mut l, dealt(4, true));
+    assert_eq!(l.fence(Instant::now()), None);
+    advance(Duration::from_millis(300)).await;
+    assert_eq!(l.fence(Instant::now()), None, "it lapsed in between");
+    assert_eq!(held().await.fence(Instant::now()), Some(4));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_of_a_holder_cut_from_the_store() {
+    // It stops by itself, well before another can be dealt the lease.
+    let l = held().await;
+    advance(ORDER_WITHIN).await;
+    assert_eq!(l.fence(Instant::now()), None);
+    assert!(ORDER_WITHIN < TTL);
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_of_a_holder_frozen_and_woken() {
+    let mut l = held().await;
+    advance(Duration::from_secs(8)).await;
+    assert_eq!(l.fence(Instant::now()), None, "before it has asked");
+    // Even if it is dealt the lease again, another may have given orders in between.
+    assert_eq!(join(&mut l, dealt(4, true)), Some(LeaseChange::Taken(4)));
+    assert_eq!(l.fence(Instant::now()), None);
+    let mut l = held().await;
+    advance(Duration::from_secs(8)).await;
+    assert_eq!(join(&mut l, dealt(5, false)), Some(LeaseChange::Lost));
+    assert_eq!(l.fence(Instant::now()), None);
+    assert!(!l.is_held());
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_counts_from_the_call_not_its_answer() {
+    // The answer to a join that was under way during a freeze doesn't make the lease fresh.
+    let mut l = held().await;
+    let sent = Instant::now();
+    advance(ORDER_WITHIN).await;
+    l.dealt(sent, Instant::now(), dealt(4, true));
+    assert_eq!(l.fence(Instant::now()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_rises_and_never_falls() {
+    let mut l = held().await;
+    join(&mut l, dealt(9, true));
+    assert_eq!(l.fence(Instant::now()), Some(9));
+    join(&mut l, dealt(7, true));
+    assert_eq!(l.fence(Instant::now()), Some(9));
+    assert_eq!(l.generation(), 9);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drop_it_ends_orders_at_once() {
+    let mut l = held().await;
+    l.drop_it();
+    assert_eq!(l.fence(Instant::now()), None);
+}
--- /dev/null
+++ b/crates/limehollow/tests/rebalance.rs
@@ -0,0 +1,212 @@
+//! Which model and which adapter is loaded where next.
+
+mod site;
+
+use limehollow::id::EndpointKey;
+use limehollow::rebalance::{AdapterMove, ModelMove, Rebalancer, Step, used};
+use limehollow::roster::{ModelRef, Roster};
+use site::{CEILING, adapter, demand, engine, holding, llm, report, roster};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+fn plan(r: &mut Rebalancer, roster: &Roster, models: usize) -> Vec<(EndpointKey, ModelMove)> {
+    r.plan(Instant::now(), roster, &llm(), &engine(models), CEILING)
+}
+
+fn adapters(r: &mut Rebalancer, roster: &Roster) -> Vec<(EndpointKey, AdapterMove)> {
+    r.plan_adapters(Instant::now(), roster, &llm(), &engine(2), |_| true)
+}
+
+fn loads(moves: &[(EndpointKey, ModelMove)]) -> Vec<&str> {
+    moves.iter().map(|(_, m)| m.load.as_str()).collect()
+}
+
+#[test]
+fn plan_nothing_asked() {
+    let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-1"]]);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &BTreeMap::new());
+    assert_eq!(plan(&mut r, &roster, 2), []);
+}
+
+#[test]
+fn plan_model_that_is_nowhere() {
+    let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-1"]]);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &demand(&[("big-2", 10.0)]));
+    let moves = plan(&mut r, &roster, 3);
+    assert_eq!(loads(&moves), ["big-2"]);
+    assert!(plan(&mut r, &roster, 3).is_empty(), "it is on its way");
+}
+
+#[test]
+fn plan_hot_model_gets_idle_endpoints() {
+    // A sixth replica of six leaves its endpoint with five sixths of the load: still worth it.
+    let hot: &[&str] = &["big-0"];
+    let cold: &[&str] = &["big-1", "big-2"];
+    let (roster, keys) = roster(&[hot, hot, hot, hot, hot, cold, cold, cold]);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &demand(&[("big-0", 3000.0)]));
+    let moves = plan(&mut r, &roster, 3);
+    assert!(moves.len() >= 2, "{moves:?}");
+    assert!(loads(&moves).iter().all(|m| *m == "big-0"));
+    assert!(moves.iter().all(|(k, _)| keys[5..].contains(k)));
+}
+
+#[test]
+fn plan_last_replica_never_makes_way() {
+    let (roster, _) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-3", "big-4"]]);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &demand(&[("big-0", 5000.0)]));
+    assert_eq!(plan(&mut r, &roster, 5), []);
+}
+
+#[test]
+fn plan_duplicates_make_way() {
+    let (roster, _) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-1", "big-2"]]);
+    let mut r = Rebalancer::default();
+    r.hear(
+        Instant::now(),
+        &demand(&[("big-0", 3000.0), ("big-2", 50.0)]),
+    );
+    let moves = plan(&mut r, &roster, 3);
+    let first = &moves.first().expect("there is a move").1;
+    assert_eq!((first.load.as_str(), first.evict.len()), ("big-0", 1));
+    assert_eq!(first.evict[0], "big-1", "the least wanted goes");
+}
+
+#[test]
+fn plan_keeps_the_ceiling() {
+    // Two a second over five seconds and three on top, less two for orders that are carried out late.
+    let names: Vec<String> = (0..40).map(|i| format!("big-{i}")).collect();
+    let rows: Vec<&[&str]> = (0..40).map(|_| &[] as &[&str]).collect();
+    let (roster, _) = roster(&rows);
+    let wanted: Vec<(&str, f64)> = names.iter().map(|n| (n.as_str(), 10.0)).collect();
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &demand(&wanted));
+    assert_eq!(plan(&mut r, &roster, 40).len(), 11);
+    assert_eq!(plan(&mut r, &roster, 40).len(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn plan_ceiling_slides() {
+    let rows: Vec<&[&str]> = (0..40).map(|_| &[] as &[&str]).collect();
+    let (roster, _) = roster(&rows);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &BTreeMap::new());
+    let first = plan(&mut r, &roster, 40).len();
+    advance(CEILING.window / 2).await;
+    assert_eq!(plan(&mut r, &roster, 40).len(), 0);
+    advance(CEILING.window).await;
+    assert_eq!(plan(&mut r, &roster, 40).len(), first);
+}
+
+#[tokio::test(start_paused = true)]
+async fn plan_endpoint_that_failed_rests() {
+    let (roster, keys) = roster(&[&[]]);
+    let mut r = Rebalancer::default();
+    assert_eq!(plan(&mut r, &roster, 1).len(), 1);
+    r.model_ended(Instant::now(), keys[0], false);
+    assert_eq!(plan(&mut r, &roster, 1).len(), 0);
+    advance(Duration::from_secs(5)).await;
+    assert_eq!(plan(&mut r, &roster, 1).len(), 1);
+}
+
+#[test]
+fn plan_second_replica_in_another_zone() {
+    let (roster, keys) = roster(&[&["big-0"], &["big-1"], &[], &[]]);
+    let mut r = Rebalancer::default();
+    let moves = plan(&mut r, &roster, 2);
+    // A quarter of four endpoints may be ordered at once for this.
+    assert_eq!(moves.len(), 1);
+    let (key, m) = &moves[0];
+    let zone = |k: EndpointKey| roster.get(k).expect("listed").zone.clone();
+    let first = if m.load == "big-0" { keys[0] } else { keys[1] };
+    assert_ne!(zone(*key), zone(first));
+}
+
+#[test]
+fn plan_adapters_each_is_loaded_once() {
+    // Seven endpoints hold the model: an adapter that is asked for goes to one of them.
+    let (roster, _) = roster(&[&["big-0"] as &[&str]; 7]);
+    let mut r = Rebalancer::default();
+    let asked = BTreeMap::from([(adapter("big-0", "a7"), 10.0)]);
+    r.hear(Instant::now(), &asked);
+    let wanted = |moves: &[(EndpointKey, AdapterMove)]| {
+        let a7 = moves
+            .iter()
+            .filter(|(_, m)| m.load == adapter("big-0", "a7"));
+        a7.count()
+    };
+    assert_eq!(wanted(&adapters(&mut r, &roster)), 1);
+    assert_eq!(wanted(&adapters(&mut r, &roster)), 0);
+}
+
+#[test]
+fn plan_adapters_fill_free_places_once_each() {
+    let (roster, _) = roster(&[&["big-0"], &["big-0"], &["big-1"]]);
+    let mut r = Rebalancer::default();
+    let moves = adapters(&mut r, &roster);
+    let names: BTreeSet<&ModelRef> = moves.iter().map(|(_, m)| &m.load).collect();
+    assert_eq!((moves.len(), names.len()), (2, 2), "{moves:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn plan_adapters_that_are_nowhere_take_turns() {
+    // Both places carry more; one that waits long enough goes in all the same.
+    let (mut roster, keys) = roster(&[&["big-0"]]);
+    let mut full = holding(&["big-0"]);
+    full.get_mut("big-0").expect("there").adapters = ["a1".into(), "a2".into()].into();
+    roster.list(Instant::now(), site::endpoint(0, "a", full));
+    let asked = BTreeMap::from([
+        (adapter("big-0", "a1"), 30.0),
+        (adapter("big-0", "a2"), 40.0),
+        (adapter("big-0", "a3"), 10.0),
+    ]);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &asked);
+    assert_eq!(adapters(&mut r, &roster), []);
+    advance(Duration::from_secs(6)).await;
+    r.hear(Instant::now(), &asked);
+    let moves = adapters(&mut r, &roster);
+    let expected = AdapterMove {
+        load: adapter("big-0", "a3"),
+        evict: Some(adapter("big-0", "a1")),
+    };
+    assert_eq!(moves, [(keys[0], expected)]);
+}
+
+#[test]
+fn step_from_what_is_there() {
+    let spec = engine(4);
+    let m = ModelMove {
+        load: "big-0".into(),
+        evict: vec!["big-1".into()],
+    };
+    let cases = [
+        (
+            report(1, false, &["big-1", "big-2"]),
+            Step::Unload("big-1".into()),
+        ),
+        (report(1, true, &["big-1", "big-2"]), Step::Wait),
+        (report(2, false, &["big-2"]), Step::Load),
+        (report(3, false, &["big-0", "big-2"]), Step::Done),
+        // Somebody loaded another model meanwhile: nothing that may go makes enough room.
+        (report(3, false, &["big-2", "big-3"]), Step::NoRoom),
+    ];
+    for (r, expected) in cases {
+        assert_eq!(m.step(&r, &spec), expected, "{r:?}");
+    }
+}
+
+#[test]
+fn used_counts_adapters() {
+    let spec = engine(2);
+    let mut h = holding(&["big-0", "big-1"]);
+    h.get_mut("big-0")
+        .expect("there")
+        .adapters
+        .insert("a1".into());
+    assert!((used(&h, &spec) - 140_050.0).abs() < 1e-6);
+}
