No more prompts at an endpoint than its streams' pauses allow

What: an endpoint that would read for more than half of the longest pause gets no further prompt; a request waits at the gateway for a fifth of its objective and is then refused with when to come back.

--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -77,6 +77,7 @@
         }
         let now = Instant::now();
         self.site.known().balance.first(now, sent);
+        self.site.eased.notify_waiters();
         let since = now.duration_since(self.arrived);
         self.site.metrics.first_byte.observe(since.as_secs_f64());
     }
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -12,7 +12,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use limehollow::balance::{Choice, Job};
+use limehollow::balance::{Bounds, Choice, Job};
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::load::Ending;
@@ -30,6 +30,11 @@
 /// The part of its objective that a request waits at most for something that is being loaded: a
 /// refusal is in time within a quarter.
 const WAIT_SHARE: f64 = 0.2;
+/// The part of the longest pause that an endpoint may spend reading prompts: its streams wait meanwhile,
+/// and prompts that are sent by other gateways at the same moment come on top.
+const READING_SHARE: f64 = 0.5;
+/// How often a request that waits for a crowded endpoint looks again, beside when it is told.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
 /// The part of the objective that is left for a caller's second try.
 const SECOND_TRY: f64 = 0.6;
 /// Endpoints that are tried at most when no connection comes about.
@@ -297,33 +302,57 @@
             let now = Instant::now();
             let choice = {
                 let known = self.site.known();
-                let kv = self.catalog.engine(&self.job.service).map(|e| e.kv_tokens);
+                let bounds = self.bounds();
                 known
                     .balance
-                    .choose(now, &known.roster, kv, &self.job, &self.tried)
+                    .choose(now, &known.roster, bounds, &self.job, &self.tried)
             };
             let (reason, after) = match choice {
                 Choice::To(key, expected_ms) => return self.admit(key, expected_ms),
+                Choice::Crowded(expected_ms) => (Reason::Busy, self.come_back(expected_ms)),
                 Choice::NoEndpoint => (Reason::NoEndpoint, LATER),
                 Choice::NoModel => (Reason::NoModel, LATER),
                 Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_SOON),
             };
-            let is_missing = matches!(reason, Reason::NoAdapter | Reason::NoModel);
-            if !is_missing || now >= until {
+            if reason == Reason::NoEndpoint || now >= until {
                 return Err((reason, after));
             }
-            self.site.urgent.notify_one();
-            // A time-out only ends the wait: the next round refuses.
-            let _timed_out = timeout_at(until, changed).await;
+            // A time-out only ends the wait: the next round looks again, or refuses.
+            let _timed_out = if reason == Reason::Busy {
+                let soon = (now + LOOK_AGAIN).min(until);
+                timeout_at(soon, self.site.eased.notified()).await
+            } else {
+                self.site.urgent.notify_one();
+                timeout_at(until, changed).await
+            };
         }
     }
 
-    fn admit(&self, key: EndpointKey, expected_ms: f64) -> Result<Chosen, (Reason, Duration)> {
+    fn bounds(&self) -> Bounds {
+        let service = &self.job.service;
+        let pause = self.catalog.tightest_pause(service);
+        Bounds {
+            kv_tokens: self.catalog.engine(service).map(|e| e.kv_tokens),
+            reading_ms: pause.map_or(f64::INFINITY, |p| p.as_secs_f64() * 1000.0 * READING_SHARE),
+        }
+    }
+
+    /// Gives when a caller should come back that is refused because the first result would take so long.
+    fn come_back(&self, expected_ms: f64) -> Duration {
+        let objective = self.objective_ms();
+        let excess =
+            Duration::from_secs_f64((expected_ms - objective * SECOND_TRY).max(0.0) / 1000.0);
+        excess.clamp(SOON, LATEST)
+    }
+
+    fn objective_ms(&self) -> f64 {
         let objective = self.catalog.tightest_objective(&self.job.service);
-        let objective = objective.unwrap_or(self.rule.objective).as_secs_f64() * 1000.0;
-        if expected_ms > objective * PATIENCE {
-            let excess = Duration::from_secs_f64((expected_ms - objective * SECOND_TRY) / 1000.0);
-            return Err((Reason::Busy, excess.clamp(SOON, LATEST)));
+        objective.unwrap_or(self.rule.objective).as_secs_f64() * 1000.0
+    }
+
+    fn admit(&self, key: EndpointKey, expected_ms: f64) -> Result<Chosen, (Reason, Duration)> {
+        if expected_ms > self.objective_ms() * PATIENCE {
+            return Err((Reason::Busy, self.come_back(expected_ms)));
         }
         let known = self.site.known();
         let e = known.roster.get(key).ok_or((Reason::NoEndpoint, SOON))?;
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -63,6 +63,8 @@
     pub metrics: Metrics,
     /// Told whenever an endpoint or what it holds has changed.
     pub changed: Notify,
+    /// Told when a prompt has been read, or a request has ended.
+    pub eased: Notify,
     /// Told when another VM has read the configuration further than this one.
     pub configuration_behind: Notify,
     /// Told when another VM has read the list of endpoints further than this one.
@@ -102,6 +104,7 @@
             metrics: Metrics::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
+            eased: Notify::new(),
             configuration_behind: Notify::new(),
             endpoints_behind: Notify::new(),
             known: Mutex::new(known),
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -280,6 +280,9 @@
 pub enum Choice {
     /// Send it there; the first result is expected after so many ms.
     To(EndpointKey, f64),
+    /// All that hold what it needs have so many prompts to read that their streams would pause; the first
+    /// result would be expected after so many ms.
+    Crowded(f64),
     /// No endpoint of the service takes work.
     NoEndpoint,
     /// No endpoint that takes work holds the model.
@@ -288,6 +291,32 @@
     NoAdapter,
 }
 
+/// What endpoints of a service can bear.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Tokens that an endpoint's memory holds, where that is known.
+    pub kv_tokens: Option<u32>,
+    /// How long an endpoint may read prompts while its streams wait, in ms.
+    pub reading_ms: f64,
+}
+
+/// An endpoint that a request could go to.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    is_ejected: bool,
+    is_crowded: bool,
+    cost: f64,
+    key: EndpointKey,
+    expected_ms: f64,
+}
+
+impl Candidate {
+    fn is_better(self, other: Self) -> bool {
+        let rank = |c: Self| (c.is_ejected, c.is_crowded, c.cost);
+        rank(self) < rank(other)
+    }
+}
+
 /// What one gateway knows of the load of all endpoints.
 #[derive(Debug)]
 pub struct Balance {
@@ -320,12 +349,12 @@
         &self,
         now: Instant,
         roster: &Roster,
-        kv_tokens: Option<u32>,
+        bounds: Bounds,
         job: &Job,
         tried: &[EndpointKey],
     ) -> Choice {
         let mut found = Choice::NoEndpoint;
-        let mut best: Option<(bool, f64, EndpointKey, f64)> = None;
+        let mut best: Option<Candidate> = None;
         for (key, e) in roster.open(&job.service) {
             if let Some(wanted) = &job.model
                 && !holds(&e.holdings, wanted)
@@ -340,20 +369,40 @@
             if tried.contains(&key) {
                 continue;
             }
-            let expected = self.expected_ms(now, key, e, kv_tokens, job);
-            let ejected = self.rows.get(key).is_some_and(|r| r.is_ejected(now));
-            let cost = expected + self.extra_ms(key, e);
-            let better = best.is_none_or(|(ej, c, ..)| (ejected, cost) < (ej, c));
-            if better {
-                best = Some((ejected, cost, key, expected));
+            let expected_ms = self.expected_ms(now, key, e, bounds.kv_tokens, job);
+            let c = Candidate {
+                is_ejected: self.rows.get(key).is_some_and(|r| r.is_ejected(now)),
+                is_crowded: self.reading_ms(now, key, job) > bounds.reading_ms,
+                cost: expected_ms + self.extra_ms(key, e),
+                key,
+                expected_ms,
+            };
+            if best.is_none_or(|b| c.is_better(b)) {
+                best = Some(c);
             }
         }
         match best {
-            Some((_, _, key, expected)) => Choice::To(key, expected),
+            Some(c) if c.is_crowded => Choice::Crowded(c.expected_ms),
+            Some(c) => Choice::To(c.key, c.expected_ms),
             None => found,
         }
     }
 
+    /// Estimates how long an endpoint would read prompts if it got this one as well, in ms; zero if it has
+    /// none other, since then no smaller amount can be had.
+    fn reading_ms(&self, now: Instant, key: EndpointKey, job: &Job) -> f64 {
+        let Some(row) = self.rows.get(key) else {
+            return 0.0;
+        };
+        let mut taken = row.own;
+        taken.add(&row.others);
+        let ahead = taken.ahead(RANKS - 1);
+        if ahead <= 0.0 {
+            return 0.0;
+        }
+        row.slowness(now) * (ahead + self.work_ms(key, job))
+    }
+
     /// Estimates the time to a job's first result at an endpoint, in ms.
     fn expected_ms(
         &self,
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -138,6 +138,8 @@
     by_host: HashMap<SmolStr, Vec<usize>>,
     /// The shortest objective of each service's rules.
     tightest: BTreeMap<ServiceName, Duration>,
+    /// The shortest pause that each service's rules allow.
+    pauses: BTreeMap<ServiceName, Duration>,
 }
 
 impl Catalog {
@@ -157,10 +159,15 @@
             found.sort_by_key(|i| std::cmp::Reverse(rules[*i].prefix.len()));
         }
         let mut tightest: BTreeMap<ServiceName, Duration> = BTreeMap::new();
+        let mut pauses: BTreeMap<ServiceName, Duration> = BTreeMap::new();
         for r in &rules {
             for s in &r.shares {
                 let t = tightest.entry(s.service.clone()).or_insert(r.objective);
                 *t = r.objective.min(*t);
+                if let Some(pause) = r.pause {
+                    let p = pauses.entry(s.service.clone()).or_insert(pause);
+                    *p = pause.min(*p);
+                }
             }
         }
         Self {
@@ -170,6 +177,7 @@
             rules,
             by_host,
             tightest,
+            pauses,
         }
     }
 
@@ -182,6 +190,12 @@
         rules.find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Gives the shortest pause that the rules allow which go to a service.
+    #[must_use]
+    pub fn tightest_pause(&self, service: &ServiceName) -> Option<Duration> {
+        self.pauses.get(service).copied()
+    }
+
     /// Gives the shortest objective among the rules that go to a service.
     #[must_use]
     pub fn tightest_objective(&self, service: &ServiceName) -> Option<Duration> {
--- a/crates/limehollow/tests/balance.rs
+++ b/crates/limehollow/tests/balance.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use limehollow::balance::{Balance, Choice, Job, Taken, WORD_LIFE};
+use limehollow::balance::{Balance, Bounds, Choice, Job, Taken, WORD_LIFE};
 use limehollow::id::EndpointKey;
 use limehollow::load::Ending;
 use limehollow::roster::Roster;
@@ -11,8 +11,15 @@
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
+fn bounds() -> Bounds {
+    Bounds {
+        kv_tokens: Some(20_000),
+        reading_ms: f64::INFINITY,
+    }
+}
+
 fn choose(b: &Balance, r: &Roster, j: &Job) -> Choice {
-    b.choose(Instant::now(), r, Some(20_000), j, &[])
+    b.choose(Instant::now(), r, bounds(), j, &[])
 }
 
 fn to(c: Choice) -> EndpointKey {
@@ -64,9 +71,9 @@
     let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
     let b = Balance::new("a".into());
     let j = job(model("big-0"), 100, 0);
-    let second = b.choose(Instant::now(), &r, None, &j, &keys[..1]);
+    let second = b.choose(Instant::now(), &r, bounds(), &j, &keys[..1]);
     assert_eq!(to(second), keys[1]);
-    let third = b.choose(Instant::now(), &r, None, &j, &keys);
+    let third = b.choose(Instant::now(), &r, bounds(), &j, &keys);
     assert_eq!(third, Choice::NoEndpoint);
 }
 
@@ -209,3 +216,23 @@
     b.finish(Instant::now(), sent, Ending::Cancelled);
     assert_eq!(b.own().count(), 0);
 }
+
+#[test]
+fn choose_crowded_by_prompts() {
+    // Prompts that are read hold up the streams of an endpoint: no more than so much at once.
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let narrow = Bounds {
+        kv_tokens: None,
+        reading_ms: 150.0,
+    };
+    let pick =
+        |b: &Balance, n: u32| b.choose(Instant::now(), &r, narrow, &job(model("big-0"), n, 0), &[]);
+    // One prompt always may go, however long it is.
+    assert!(matches!(pick(&b, 9000), Choice::To(..)));
+    let mut sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 2000, 0), 0.0);
+    let _other = b.start(Instant::now(), keys[1], &job(model("big-0"), 2001, 0), 0.0);
+    assert!(matches!(pick(&b, 2002), Choice::Crowded(_)));
+    b.first(Instant::now(), &mut sent);
+    assert_eq!(to(pick(&b, 2002)), keys[0]);
+}
--- a/crates/limehollow/tests/catalog.rs
+++ b/crates/limehollow/tests/catalog.rs
@@ -55,7 +55,10 @@
 #[test]
 fn service_without_weights() {
     let r = rule("x.example", "/", &[("one", 0)]);
-    assert_eq!(r.service(7).map(|s| s.as_str()), Some("one"));
+    assert_eq!(
+        r.service(7).map(limehollow::id::ServiceName::as_str),
+        Some("one")
+    );
     assert_eq!(rule("x.example", "/", &[]).service(7), None);
 }
 
