--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -14,7 +14,7 @@
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::order_book::{AdapterStep, OrderBook};
 use limehollow::rebalance::{AdapterMove, EndpointReport, ModelMove, Rebalancer, Step};
-use limehollow::roster::{Holdings, HoldingsReport, ModelRef};
+use limehollow::roster::{Holdings, HoldingsReport, ModelRef, holds};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -36,6 +36,8 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(25);
 /// The time that other VMs get to hear that a model is about to go.
 const WITHDRAW: Duration = Duration::from_millis(30);
+/// How long an adapter may take to go: as long as most streams run.
+const DROP_TIMEOUT: Duration = Duration::from_secs(4);
 /// Steps of an adapter's move at most: dropping, loading, and conflicts in between.
 const MAX_ADAPTER_STEPS: u32 = 5;
 /// Orders that are given without an answer before a move is given up.
@@ -404,6 +406,11 @@
                 sleep(WITHDRAW).await;
             }
             let counted = match self.order(action, &subject, book.orders_taken).await? {
+                OrderReply::Taken if action == Action::Unload => {
+                    // It waits for its runs; until it is gone, the endpoint takes no other order.
+                    book = self.wait_dropped(&subject, book.orders_taken + 1).await?;
+                    continue;
+                }
                 OrderReply::Taken => true,
                 // An adapter that no request uses goes at once, which is answered as done and counts; a
                 // load of what is there doesn't.
@@ -427,6 +434,21 @@
         None
     }
 
+    /// Waits until an adapter that is being dropped is gone, by reports that count the order to drop it.
+    async fn wait_dropped(&self, m: &ModelRef, least: u64) -> Option<OrderBook> {
+        let until = Instant::now() + DROP_TIMEOUT;
+        while Instant::now() < until {
+            sleep(ASK_EVERY).await;
+            let mut book = self.read_book().await?;
+            if book.orders_taken >= least && !holds(&book.holdings, m) {
+                return Some(book);
+            }
+            book.withdraw(m);
+            self.tell(book.holdings, book.orders_taken);
+        }
+        None
+    }
+
     async fn read_book(&self) -> Option<OrderBook> {
         self.report().await.map(OrderBook::from)
     }
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -28,6 +28,12 @@
 const SPARE_MOVING_PART: f64 = 0.25;
 /// Second replicas are loaded while fewer than this part of the endpoints are being ordered.
 const SPARE_MOVES_PART: usize = 4;
+/// Copies are made of each model until this part of the endpoints has one.
+const COPIES_PART: usize = 2;
+/// An endpoint whose load is below this part of [`HIGH_LOAD`] is at rest.
+const REST_PART: f64 = 0.4;
+/// A model with less demand than this, in ms of work a second, makes way for a copy.
+const ASLEEP: f64 = 1.0;
 /// What a model costs that is nowhere: more than any load.
 const MISSING_PAIN: f64 = 1e6;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
@@ -370,7 +376,8 @@
         };
         let single = spec.models.keys().filter(|m| w.replicas(m) < 2.0);
         let found = single.filter_map(|m| w.best_spare(m));
-        let best = found.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        let best = found.max_by(|a, b| a.0.total_cmp(&b.0));
+        let best = best.or_else(|| w.best_copy())?;
         Some((best.1, best.2))
     }
 
@@ -681,6 +688,39 @@
         Some((worth, key, ModelMove { load, evict }))
     }
 
+    /// Finds an endpoint at rest for the model of which the fewest endpoints have a copy: when its demand
+    /// rises, a load from a copy takes a second or two, not eight.
+    fn best_copy(&self) -> Option<(f64, EndpointKey, ModelMove)> {
+        let has_copy = |p: &&Place, m: &SmolStr| p.models.contains(m) || p.copies.contains(m);
+        let copies = |m: &SmolStr| self.places.iter().filter(|p| has_copy(p, m)).count();
+        let mut models: Vec<(usize, &SmolStr)> =
+            self.spec.models.keys().map(|m| (copies(m), m)).collect();
+        models.sort_by_key(|(n, _)| *n);
+        for (n, model) in models {
+            if n * COPIES_PART >= self.places.len() {
+                return None;
+            }
+            let size = self.spec.models.get(model)?.megabytes;
+            let at_rest = |p: &&Place| {
+                p.load < HIGH_LOAD * REST_PART
+                    && !has_copy(p, model)
+                    && self.may_move(p, model, SPARE_MOVING_PART)
+            };
+            let mut places: Vec<&Place> = self.places.iter().filter(at_rest).collect();
+            places.sort_by(|a, b| a.load.total_cmp(&b.load));
+            let found = places.into_iter().find_map(|p| {
+                let evict = self.make_room(p, size, 1.0)?;
+                let asleep = evict.iter().all(|m| self.rebalancer.demand(m) < ASLEEP);
+                asleep.then_some((p.key, evict))
+            });
+            if let Some((key, evict)) = found {
+                let load = model.clone();
+                return Some((0.0, key, ModelMove { load, evict }));
+            }
+        }
+        None
+    }
+
     /// Tells whether an endpoint may be ordered to load a model: it isn't being ordered, and enough replicas
     /// of the models with adapters that it holds stay at rest.
     fn may_move(&self, p: &Place, model: &SmolStr, part: f64) -> bool {
