--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -28,6 +28,10 @@
 const SPARE_MOVING_PART: f64 = 0.25;
 /// Second replicas are loaded while fewer than this part of the endpoints are being ordered.
 const SPARE_MOVES_PART: usize = 4;
+/// Copies are made while fewer than this part of the endpoints are being ordered, and while more than so
+/// many times the loads of the window are left of the ceiling.
+const COPY_MOVES_PART: usize = 8;
+const COPY_CEILING_PART: usize = 3;
 /// Copies are made of each model until this part of the endpoints has one.
 const COPIES_PART: usize = 2;
 /// An endpoint whose load is below this part of [`HIGH_LOAD`] is at rest.
@@ -361,9 +365,10 @@
         spec: &EngineSpec,
         ceiling: LoadCeiling,
     ) -> Option<(EndpointKey, ModelMove)> {
+        let places_count = places.len();
         let moving = places.iter().filter(|p| p.moving).count();
-        let is_quiet = moving < places.len() / SPARE_MOVES_PART
-            && self.ceiling(spec, ceiling) > self.loads.len();
+        let left = self.ceiling(spec, ceiling);
+        let is_quiet = moving < places_count / SPARE_MOVES_PART && left > self.loads.len();
         if !is_quiet {
             return None;
         }
@@ -377,7 +382,10 @@
         let single = spec.models.keys().filter(|m| w.replicas(m) < 2.0);
         let found = single.filter_map(|m| w.best_spare(m));
         let best = found.max_by(|a, b| a.0.total_cmp(&b.0));
-        let best = best.or_else(|| w.best_copy())?;
+        // Copies are for later: they leave most of the weight store and of the endpoints free.
+        let is_idle =
+            moving * COPY_MOVES_PART < places_count && left > COPY_CEILING_PART * self.loads.len();
+        let best = best.or_else(|| is_idle.then(|| w.best_copy()).flatten())?;
         Some((best.1, best.2))
     }
 
