--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -44,7 +44,7 @@
 const LATER: Duration = Duration::from_secs(1);
 const LATEST: Duration = Duration::from_secs(5);
 /// When to come back for an adapter: it takes some ms to load, behind an order on a model a second.
-const ADAPTER_SOON: Duration = Duration::from_millis(300);
+const ADAPTER_SOON: Duration = Duration::from_millis(500);
 
 /// The body of an answer.
 pub type Outgoing<P> = Either<Full<Bytes>, Relay<P>>;
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -59,6 +59,8 @@
 const ADAPTER_EDGE: f64 = 1.5;
 /// What an adapter that has other replicas counts, when one has to make way.
 const SPARE_ADAPTER: f64 = 0.2;
+/// How long an adapter stays at least, so that callers who were told to come back find it.
+const ADAPTER_STAY: Duration = Duration::from_millis(1500);
 /// How long an adapter that is asked for and nowhere waits until it counts twice as much. Adapters load in
 /// some ms, so one that is rarely asked for may take turns with others like it.
 const PATIENCE_S: f64 = 1.0;
@@ -210,6 +212,8 @@
     moves: BTreeMap<EndpointKey, ModelMove>,
     /// Since when adapters have been asked for that are nowhere.
     missing: BTreeMap<ModelRef, Instant>,
+    /// Adapters that were loaded lately, and when that began.
+    fresh: BTreeMap<(EndpointKey, ModelRef), Instant>,
     /// Adapters on their way.
     coming: BTreeMap<EndpointKey, ModelRef>,
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
@@ -474,6 +478,8 @@
         F: Fn(EndpointKey) -> bool,
     {
         let replicas = adapter_replicas(roster, service);
+        self.fresh
+            .retain(|_, t| now.duration_since(*t) < ADAPTER_STAY);
         self.note_missing(now, &replicas);
         let mut wanted: Vec<(f64, &ModelRef, bool)> = Vec::new();
         for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
@@ -509,6 +515,7 @@
         out.extend(weighing.fill(|k| resting(k) && !taken.contains(&k)));
         for (key, m) in &out {
             self.coming.insert(*key, m.load.clone());
+            self.fresh.insert((*key, m.load.clone()), now);
         }
         out
     }
@@ -553,7 +560,11 @@
             let load: f64 = there.iter().map(|(d, _)| d).sum();
             let is_full = there.len() >= self.spec.adapter_places
                 || used(&e.holdings, self.spec) + size > self.spec.megabytes;
-            let least = there.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
+            let fresh = &self.rebalancer.fresh;
+            let may_go = there
+                .into_iter()
+                .filter(|(_, r)| !fresh.contains_key(&(key, r.clone())));
+            let least = may_go.min_by(|a, b| a.0.total_cmp(&b.0));
             // One that makes way is dearer than a free place.
             let (cost, evict) = match least {
                 _ if !is_full => (load, None),
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -210,3 +210,27 @@
         .insert("a1".into());
     assert!((used(&h, &spec) - 140_050.0).abs() < 1e-6);
 }
+
+#[tokio::test(start_paused = true)]
+async fn plan_adapters_a_fresh_one_stays() {
+    // Callers who were told to come back for it find it, however much another is wanted meanwhile.
+    let (mut roster, keys) = roster(&[&["big-0"]]);
+    let mut r = Rebalancer::default();
+    r.hear(
+        Instant::now(),
+        &BTreeMap::from([(adapter("big-0", "a1"), 5.0)]),
+    );
+    assert_eq!(adapters(&mut r, &roster).len(), 1);
+    r.adapter_ended(keys[0]);
+    let mut full = holding(&["big-0"]);
+    full.get_mut("big-0").expect("there").adapters = ["a1".into(), "a2".into()].into();
+    roster.list(Instant::now(), site::endpoint(0, "a", full));
+    let asked = BTreeMap::from([(adapter("big-0", "a3"), 500.0)]);
+    advance(Duration::from_millis(500)).await;
+    r.hear(Instant::now(), &asked);
+    let evicted = |moves: &[(EndpointKey, AdapterMove)]| moves[0].1.evict.clone();
+    assert_eq!(
+        evicted(&adapters(&mut r, &roster)),
+        Some(adapter("big-0", "a2"))
+    );
+}
