--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -34,6 +34,9 @@
 const MOVE_TIMEOUT: Duration = Duration::from_secs(40);
 /// What an adapter takes to load, beyond the answer to its order.
 const ADAPTER_LOAD: Duration = Duration::from_millis(25);
+/// How often other VMs are told again what is about to go: well within the time for which a report goes
+/// before the list.
+const TELL_EVERY: Duration = Duration::from_millis(1000);
 /// The time that other VMs get to hear that a model is about to go.
 const WITHDRAW: Duration = Duration::from_millis(30);
 /// How long an adapter may take to go: as long as most streams run.
@@ -322,6 +325,7 @@
         let began = Instant::now();
         let mut unanswered = 0;
         let mut least = 0;
+        let mut told = began;
         while began.elapsed() < MOVE_TIMEOUT {
             let Some(r) = self.report().await else {
                 unanswered += 1;
@@ -340,6 +344,11 @@
             };
             let order = match step {
                 Step::Wait => {
+                    // What is going is still listed until its last run has ended.
+                    if told.elapsed() >= TELL_EVERY {
+                        told = Instant::now();
+                        self.tell(left(&r, m), r.orders_taken.max(least));
+                    }
                     sleep(ASK_EVERY).await;
                     continue;
                 }
@@ -357,10 +366,8 @@
                 Step::Load => (Action::Load, m.load.clone()),
             };
             let (action, model) = order;
-            let mut left = r.holdings.clone();
-            left.retain(|name, _| !m.evict.contains(name));
             if action == Action::Unload {
-                self.tell(left.clone(), r.orders_taken);
+                self.tell(left(&r, m), r.orders_taken);
                 sleep(WITHDRAW).await;
             }
             let subject = ModelRef {
@@ -370,7 +377,8 @@
             match self.order(action, &subject, r.orders_taken).await {
                 Some(OrderReply::Taken) => {
                     least = r.orders_taken + 1;
-                    self.tell(left, least);
+                    told = Instant::now();
+                    self.tell(left(&r, m), least);
                 }
                 Some(OrderReply::Holds | OrderReply::Conflict) => {}
                 Some(OrderReply::Refused(_)) | None => unanswered += 1,
@@ -556,3 +564,10 @@
         );
     }
 }
+
+/// Gives what an endpoint holds, less what makes way in a move.
+fn left(r: &EndpointReport, m: &ModelMove) -> Holdings {
+    let mut left = r.holdings.clone();
+    left.retain(|name, _| !m.evict.contains(name));
+    left
+}
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -38,8 +38,11 @@
 const REST_PART: f64 = 0.4;
 /// A model with less demand than this, in ms of work a second, makes way for a copy.
 const ASLEEP: f64 = 1.0;
-/// What a model costs that is nowhere: more than any load.
-const MISSING_PAIN: f64 = 1e6;
+/// What a model costs that is nowhere: three endpoints at twice [`HIGH_LOAD`], and as much again for each
+/// so many ms of work a second that are asked of it. A model that is hardly asked for doesn't push out one
+/// that is hot.
+const MISSING_PAIN: f64 = 24.0;
+const MISSING_DEMAND: f64 = 240.0;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
 const MIN_STAY: Duration = Duration::from_secs(5);
 /// How long an endpoint whose move failed gets no other.
@@ -665,7 +668,7 @@
                 gain -= COLD_PAIN;
             }
             if is_missing {
-                gain += MISSING_PAIN;
+                gain += MISSING_PAIN * (1.0 + self.rebalancer.demand(model) / MISSING_DEMAND);
             }
             if gain > MOVE_PAIN && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
                 best = Some((gain, p.key, evict));
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -234,3 +234,18 @@
         Some(adapter("big-0", "a2"))
     );
 }
+
+#[test]
+fn plan_missing_model_spares_a_hot_one() {
+    // Both endpoints carry the hot model; one that is hardly asked for doesn't take a replica of it.
+    let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-2"]]);
+    let mut r = Rebalancer::default();
+    r.hear(
+        Instant::now(),
+        &demand(&[("big-0", 2400.0), ("big-3", 5.0)]),
+    );
+    assert_eq!(plan(&mut r, &roster, 4), []);
+    let mut r = Rebalancer::default();
+    r.hear(Instant::now(), &demand(&[("big-0", 200.0), ("big-3", 5.0)]));
+    assert_eq!(loads(&plan(&mut r, &roster, 4)), ["big-3"]);
+}
