--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -4,20 +4,26 @@
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{caller, follow, giver, gossip, peer_state};
+use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
 use limehollow_edge::settings;
 use smol_str::SmolStr;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{interval, sleep};
 
 /// How often the settings file is looked at: it may change without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
+/// How often what operators see of readiness is brought up to date.
+const SHOW_EVERY: Duration = Duration::from_secs(1);
+/// Dumps that may wait at once.
+const DUMPS: usize = 4;
 /// The time between tries to make this VM known.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -62,6 +68,7 @@
     tokio::spawn(giver::run(Arc::clone(&site), store, wanted, stop.clone()));
     tokio::spawn(peer_state::serve(Arc::clone(&site), states));
     tokio::spawn(caller::answer_balancer(Arc::clone(&site), balancer));
+    tokio::spawn(serve_operators(Arc::clone(&site)));
     tokio::spawn(reload(Arc::clone(&site), path));
     tokio::spawn(stop_when_told(Arc::clone(&site), stop_tx));
     caller::serve(site, callers, stop).await;
@@ -95,6 +102,45 @@
     std::future::pending::<()>().await;
 }
 
+/// Serves metrics and a dump of state, and keeps what they show up to date.
+async fn serve_operators<P>(site: Arc<Site<P>>)
+where
+    P: Protocol,
+{
+    let settings = site.settings.load_full();
+    let address = SocketAddr::new(settings.ip, settings.admin_port).to_string();
+    let (ready_tx, ready) = watch::channel(Readiness::Not("starting".to_owned()));
+    let (dumps, mut asked) = mpsc::channel::<DumpRequest>(DUMPS);
+    let admin = Admin {
+        registry: Arc::new(site.metrics.registry()),
+        ready,
+        dumps,
+    };
+    let forever = std::future::pending();
+    tokio::spawn(async move {
+        if let Err(e) = admin::serve(&address, admin, poem::Route::new(), forever).await {
+            tracing::error!(error = %e, "operators can't reach this process");
+        }
+    });
+    let mut ticks = interval(SHOW_EVERY);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let now = if site.is_ready() {
+                    Readiness::Ready
+                } else {
+                    Readiness::Not("no configuration, no endpoints, or told to end".to_owned())
+                };
+                ready_tx.send_replace(now);
+            }
+            Some(d) = asked.recv() => {
+                // Who asked may have gone.
+                let _gone = d.send(site.dump());
+            }
+        }
+    }
+}
+
 /// Puts this VM among those that others follow.
 async fn announce<P, S>(site: Arc<Site<P>>, store: S)
 where
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -194,6 +194,36 @@
         }
     }
 
+    /// Gives all that the process knows, for operators.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = Instant::now();
+        let known = self.known();
+        let endpoints = known.roster.iter().map(|(k, e)| {
+            serde_json::json!({
+                "instance": e.instance,
+                "service": e.service,
+                "zone": e.zone,
+                "leaving": e.leaving,
+                "ejected": known.balance.is_ejected(now, k),
+                "orders_taken": e.orders_taken,
+                "holdings": e.holdings,
+                "copies": e.copies,
+            })
+        });
+        let heard = known.demand.iter();
+        let heard =
+            heard.map(|(vm, (at, _))| (vm.to_string(), now.duration_since(*at).as_millis()));
+        let heard: BTreeMap<String, u128> = heard.collect();
+        serde_json::json!({
+            "vm": self.me,
+            "configuration": self.catalog.load().as_ref().map(|c| c.version),
+            "positions": known.positions,
+            "stopping": self.is_stopping(),
+            "vms_heard_ms_ago": heard,
+            "endpoints": endpoints.collect::<Vec<_>>(),
+        })
+    }
+
     /// Takes in what the order giver knows of an endpoint.
     pub fn report(&self, now: Instant, r: &HoldingsReport) {
         let news = self.known().roster.report(now, r);
--- /dev/null
+++ b/crates/limehollow-node/tests/following.rs
@@ -0,0 +1,150 @@
+//! Following the store through outages, on paused time.
+
+mod rig;
+
+use limehollow_node::edge::{Change, Feed};
+use limehollow_node::follow::{SETTLE, follow};
+use limehollow_node::site::Site;
+use rig::{Memory, Plain, catalog, endpoint, settings};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const SOON: Duration = Duration::from_secs(2);
+
+fn start(store: &Memory) -> Arc<Site<Plain>> {
+    let site = Site::new(settings(), Plain);
+    for feed in [Feed::Configuration, Feed::Endpoints] {
+        tokio::spawn(follow(Arc::clone(&site), store.clone(), feed));
+    }
+    site
+}
+
+fn configuration(version: u64) -> Change {
+    Change::Catalog(Box::new(catalog(version, Vec::new())))
+}
+
+fn listed(i: usize) -> Change {
+    Change::Endpoint(endpoint(i, ([127, 0, 0, 1], 9000).into()))
+}
+
+fn version(site: &Site<Plain>) -> u64 {
+    site.catalog.load().as_ref().map_or(0, |c| c.version)
+}
+
+fn endpoints(site: &Site<Plain>) -> Vec<String> {
+    let known = site.known();
+    known
+        .roster
+        .iter()
+        .map(|(_, e)| e.instance.to_string())
+        .collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn configuration_never_goes_back() {
+    let store = Memory::default();
+    let site = start(&store);
+    for (next, expected) in [(3, 3), (2, 3), (9, 9), (9, 9)] {
+        store.add(Feed::Configuration, configuration(next));
+        sleep(SOON).await;
+        assert_eq!(version(&site), expected);
+    }
+    // An older one that is read anew after the history was dropped is no news either.
+    store.compact(vec![configuration(4)]);
+    sleep(SOON * 10).await;
+    assert_eq!(version(&site), 9);
+}
+
+#[tokio::test(start_paused = true)]
+async fn malformed_record_keeps_the_last_good_one() {
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Configuration, configuration(3));
+    let bad = Change::Malformed {
+        key: "config".into(),
+        why: "a test".to_owned(),
+    };
+    store.add(Feed::Configuration, bad);
+    store.add(Feed::Configuration, configuration(4));
+    sleep(SOON).await;
+    assert_eq!(version(&site), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn state_stays_while_the_store_is_away() {
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Configuration, configuration(3));
+    store.add(Feed::Endpoints, listed(1));
+    sleep(SOON).await;
+    store.set_away(true);
+    store.add(Feed::Configuration, configuration(4));
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(
+        (version(&site), endpoints(&site)),
+        (3, vec!["i-1".to_owned()])
+    );
+    assert!(site.is_ready());
+    store.set_away(false);
+    sleep(SOON).await;
+    assert_eq!(version(&site), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_gone_in_calm_times() {
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Endpoints, listed(1));
+    store.add(Feed::Endpoints, listed(2));
+    sleep(SOON).await;
+    store.add(Feed::Endpoints, Change::EndpointGone("i-1".into()));
+    sleep(Duration::from_millis(800)).await;
+    assert_eq!(endpoints(&site), ["i-2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_lapsed_in_an_outage() {
+    // Both entries lapse while the store is away; one endpoint lists itself again.
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Endpoints, listed(1));
+    store.add(Feed::Endpoints, listed(2));
+    sleep(SOON).await;
+    store.set_away(true);
+    sleep(Duration::from_secs(5)).await;
+    store.add(Feed::Endpoints, Change::EndpointGone("i-1".into()));
+    store.add(Feed::Endpoints, Change::EndpointGone("i-2".into()));
+    store.set_away(false);
+    sleep(SETTLE.mul_f64(0.5)).await;
+    assert_eq!(endpoints(&site), ["i-1", "i-2"]);
+    store.add(Feed::Endpoints, listed(2));
+    sleep(SETTLE * 2).await;
+    assert_eq!(endpoints(&site), ["i-2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_missing_from_a_whole_read() {
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Endpoints, listed(1));
+    store.add(Feed::Endpoints, listed(2));
+    sleep(SOON).await;
+    store.compact(vec![listed(2)]);
+    sleep(SOON * 10).await;
+    assert_eq!(endpoints(&site), ["i-2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn start_without_the_store() {
+    let store = Memory::default();
+    store.set_away(true);
+    let site = start(&store);
+    sleep(SOON).await;
+    assert!(!site.is_ready());
+    store.add(Feed::Configuration, configuration(1));
+    store.add(Feed::Endpoints, listed(1));
+    store.set_away(false);
+    sleep(SOON).await;
+    assert!(site.is_ready());
+}
--- /dev/null
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -0,0 +1,407 @@
+//! A gateway on loopback before endpoints that do as a test says, and a store in memory.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use limehollow::catalog::{CallerLimits, Catalog, Rule, Share};
+use limehollow::group_lease::Dealt;
+use limehollow::id::ServiceName;
+use limehollow::rebalance::EndpointReport;
+use limehollow::retry::Repeat;
+use limehollow::roster::Endpoint;
+use limehollow_edge::settings::parse;
+use limehollow_node::caller;
+use limehollow_node::edge::{
+    Ask, BadAsk, BadAskSnafu, Change, Changes, Feed, Judgement, Order, OrderReply, Protocol,
+    Sending, Store, StoreError, Vm,
+};
+use limehollow_node::settings::NodeSettings;
+use limehollow_node::site::Site;
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const MARK: HeaderName = HeaderName::from_static("x-mark");
+
+/// A protocol with few words.
+#[derive(Clone, Copy, Debug)]
+pub struct Plain;
+
+impl Protocol for Plain {
+    fn ask(&self, head: &Parts) -> Result<Ask, BadAsk> {
+        let Some(id) = head.headers.get(ID).and_then(|v| v.to_str().ok()) else {
+            return BadAskSnafu {
+                header: "x-id",
+                why: "is missing",
+            }
+            .fail();
+        };
+        Ok(Ask {
+            id: SmolStr::new(id),
+            patience: None,
+            model: None,
+            prompt_tokens: 0,
+            max_output: 0,
+            parts: Vec::new(),
+        })
+    }
+
+    fn address(&self, headers: &mut HeaderMap, s: &Sending<'_>) {
+        let instance = HeaderValue::from_str(s.instance).expect("valid");
+        headers.insert("x-instance", instance);
+    }
+
+    fn judge(&self, status: StatusCode, headers: &HeaderMap, id: &str, _: &str) -> Judgement {
+        if headers.get(ID).is_some_and(|v| v != id) {
+            Judgement::Foreign
+        } else if headers.contains_key(NOT_RUN) {
+            Judgement::NotRun
+        } else if status.is_success() && !headers.contains_key(MARK) {
+            Judgement::Invalid
+        } else {
+            Judgement::Genuine
+        }
+    }
+
+    fn sign(&self, headers: &mut HeaderMap, id: &str) {
+        headers.insert(ID, HeaderValue::from_str(id).expect("valid"));
+    }
+
+    fn report(&self, _: &str) -> Request<Full<Bytes>> {
+        Request::new(Full::default())
+    }
+
+    fn read_report(&self, _: &[u8]) -> Result<EndpointReport, String> {
+        Err("no reports here".to_owned())
+    }
+
+    fn order(&self, _: &Order<'_>) -> Request<Full<Bytes>> {
+        Request::new(Full::default())
+    }
+
+    fn order_reply(&self, status: StatusCode) -> OrderReply {
+        OrderReply::Refused(status.as_u16())
+    }
+}
+
+/// What an endpoint does with a request.
+#[derive(Clone, Debug)]
+pub enum Does {
+    /// Writes these bytes and keeps the connection.
+    Writes(Vec<u8>),
+    /// Writes these bytes and closes.
+    WritesAndCloses(Vec<u8>),
+    /// Writes these bytes, then nothing more.
+    WritesAndWaits(Vec<u8>),
+    /// Closes without a word.
+    Closes,
+}
+
+pub fn answer(status: u16, id: &str, more: &str, body: &str) -> Vec<u8> {
+    let len = body.len();
+    format!("HTTP/1.1 {status} x\r\nx-id: {id}\r\n{more}content-length: {len}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+/// An endpoint, and what reached it.
+#[derive(Debug)]
+pub struct Server {
+    pub address: SocketAddr,
+    pub requests: Arc<AtomicUsize>,
+    /// How many connections their other side has closed.
+    pub left: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// Starts an endpoint that does these things, one a request, and the last again and again.
+    pub async fn start(does: Vec<Does>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let (requests, left) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let does = Arc::new(Mutex::new(VecDeque::from(does)));
+        let (r, l) = (Arc::clone(&requests), Arc::clone(&left));
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("it accepts");
+                tokio::spawn(serve(
+                    stream,
+                    Arc::clone(&does),
+                    Arc::clone(&r),
+                    Arc::clone(&l),
+                ));
+            }
+        });
+        Self {
+            address,
+            requests,
+            left,
+        }
+    }
+
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    does: Arc<Mutex<VecDeque<Does>>>,
+    requests: Arc<AtomicUsize>,
+    left: Arc<AtomicUsize>,
+) {
+    let mut buf = vec![0; 65_536];
+    loop {
+        match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => {}
+            _ => {
+                left.fetch_add(1, Ordering::Relaxed);
+                return;
+            }
+        }
+        requests.fetch_add(1, Ordering::Relaxed);
+        let next = {
+            let mut does = does.lock().expect("no test panics with it");
+            if does.len() > 1 {
+                does.pop_front()
+            } else {
+                does.front().cloned()
+            }
+        };
+        match next.expect("it does something") {
+            Does::Writes(bytes) | Does::WritesAndWaits(bytes) => {
+                stream.write_all(&bytes).await.expect("it is written");
+            }
+            Does::WritesAndCloses(bytes) => {
+                stream.write_all(&bytes).await.expect("it is written");
+                return;
+            }
+            Does::Closes => return,
+        }
+    }
+}
+
+pub fn settings() -> NodeSettings {
+    let text = "name = \"vm-1\"\navailability_zone = \"a\"\nip = \"127.0.0.1\"\naddress = \"127.0.0.1:1\"\n\
+        readiness_address = \"127.0.0.1:2\"\npeer_port = 0\nadmin_port = 0\nstore_address = \"127.0.0.1:3\"\n\
+        grace_ms = 8000\nlease_ms = 3000\nrepeat_ratio = 0.2\nrepeat_slack = 50.0\nrepeat_window_ms = 10000\n\
+        load_window_ms = 5000\nload_over = 1.1\n";
+    parse("test.toml", text).expect("they are valid")
+}
+
+pub fn rule(prefix: &str, repeat: Repeat, max_attempts: u32) -> Rule {
+    Rule {
+        name: SmolStr::new(prefix),
+        host: "portal.example".into(),
+        prefix: SmolStr::new(prefix),
+        shares: vec![Share {
+            service: "portal".into(),
+            weight: 1,
+        }],
+        repeat,
+        stream: false,
+        resumable: false,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(1000),
+        pause: None,
+        rank: 0,
+        max_attempts,
+    }
+}
+
+pub fn catalog(version: u64, rules: Vec<Rule>) -> Catalog {
+    let limits = CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 1000,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Catalog::new(version, rules, BTreeMap::new(), limits)
+}
+
+pub fn endpoint(i: usize, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        instance: format_smolstr!("i-{i}"),
+        service: ServiceName::from("portal"),
+        address,
+        zone: "a".into(),
+        slots: 6,
+        leaving: false,
+        holdings: BTreeMap::new(),
+        copies: BTreeSet::new(),
+        orders_taken: 0,
+    }
+}
+
+/// A gateway that takes connections.
+#[derive(Debug)]
+pub struct Gateway {
+    pub site: Arc<Site<Plain>>,
+    pub address: SocketAddr,
+    pub stop: watch::Sender<bool>,
+}
+
+impl Gateway {
+    /// Starts a gateway with one rule before these endpoints.
+    pub async fn start(rule: Rule, servers: &[SocketAddr]) -> Self {
+        let site = Site::new(settings(), Plain);
+        site.set_catalog(catalog(1, vec![rule]));
+        for (i, address) in servers.iter().enumerate() {
+            site.known()
+                .roster
+                .list(tokio::time::Instant::now(), endpoint(i, *address));
+        }
+        Self::with(site).await
+    }
+
+    pub async fn with(site: Arc<Site<Plain>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(caller::serve(Arc::clone(&site), listener, stopped));
+        Self {
+            site,
+            address,
+            stop,
+        }
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("it accepts")
+    }
+
+    /// Sends one request and reads all that comes until the connection ends.
+    pub async fn ask(&self, path: &str, body: &str) -> String {
+        let mut s = self.connect().await;
+        s.write_all(request(path, "1", "connection: close\r\n", body).as_bytes())
+            .await
+            .expect("it is written");
+        let mut out = Vec::new();
+        // A connection that is reset ends the answer too.
+        let _reset = s.read_to_end(&mut out).await;
+        String::from_utf8_lossy(&out).into_owned()
+    }
+}
+
+pub fn request(path: &str, id: &str, more: &str, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: portal.example\r\nx-id: {id}\r\n{more}content-length: {len}\r\n\r\n{body}"
+    )
+}
+
+pub fn status(answer: &str) -> u16 {
+    let word = answer.split(' ').nth(1);
+    word.and_then(|w| w.parse().ok()).unwrap_or(0)
+}
+
+/// A store in memory, which is away when a test says so.
+#[derive(Clone, Debug, Default)]
+pub struct Memory(Arc<Mutex<Kept>>, Arc<Notify>);
+
+#[derive(Debug, Default)]
+struct Kept {
+    changes: Vec<(Feed, Change)>,
+    /// What a whole read gives, where it isn't all changes.
+    newest: Option<Vec<Change>>,
+    /// Positions below this are gone.
+    first: usize,
+    is_away: bool,
+}
+
+impl Memory {
+    pub fn add(&self, feed: Feed, change: Change) {
+        self.0.lock().expect("sound").changes.push((feed, change));
+        self.1.notify_waiters();
+    }
+
+    pub fn set_away(&self, is_away: bool) {
+        self.0.lock().expect("sound").is_away = is_away;
+        self.1.notify_waiters();
+    }
+
+    /// Drops the history, and sets what a whole read gives from now on.
+    pub fn compact(&self, newest: Vec<Change>) {
+        let mut kept = self.0.lock().expect("sound");
+        // A record that nobody has read goes with the rest.
+        let unread = Change::EndpointGone("nobody".into());
+        kept.changes.push((Feed::Vms, unread));
+        kept.first = kept.changes.len();
+        kept.newest = Some(newest);
+        drop(kept);
+        self.1.notify_waiters();
+    }
+
+    fn read(&self, feed: Feed, from: usize) -> Result<Changes, StoreError> {
+        let kept = self.0.lock().expect("sound");
+        if kept.is_away {
+            return Err(StoreError::TurnedAway {
+                call: "changes",
+                status: 503,
+            });
+        }
+        if from < kept.first {
+            return Err(StoreError::Forgotten { call: "changes" });
+        }
+        let later = kept.changes.iter().skip(from);
+        let changes = later.filter(|(f, _)| *f == feed).map(|(_, c)| c.clone());
+        Ok(Changes {
+            next: kept.changes.len() as u64,
+            changes: changes.collect(),
+        })
+    }
+}
+
+impl Store for Memory {
+    async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
+        let first = self.0.lock().expect("sound").first;
+        let mut out = self.read(feed, first)?;
+        let newest = self.0.lock().expect("sound").newest.clone();
+        if let Some(mut whole) = newest {
+            whole.append(&mut out.changes);
+            out.changes = whole;
+        }
+        Ok(out)
+    }
+
+    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+        let from = usize::try_from(from).expect("it is small");
+        let changed = self.1.notified();
+        let now = self.read(feed, from)?;
+        if !now.changes.is_empty() {
+            return Ok(now);
+        }
+        // The time-out is an answer without changes.
+        let _timed_out = tokio::time::timeout(wait, changed).await;
+        self.read(feed, from)
+    }
+
+    async fn announce(&self, _: &Vm) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn join(&self, _: &str, _: u64) -> Result<Dealt, StoreError> {
+        Ok(Dealt {
+            generation: 1,
+            mine: true,
+        })
+    }
+
+    async fn leave(&self, _: &str) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
