--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -29,6 +29,8 @@
 /// The least time between two reads of a feed: what changes in between comes in one answer, and calls
 /// are priced.
 const PAUSE: Duration = Duration::from_millis(350);
+/// The same for the list of endpoints, which changes with each order and is longer in coming anyway.
+const LIST_PAUSE: Duration = Duration::from_millis(700);
 /// The time between tries while the store is away: at first, and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
@@ -75,7 +77,8 @@
                 next = Some(changes.next);
                 f.note_position(changes.next);
                 f.apply(changes.changes, whole);
-                sleep(PAUSE).await;
+                let list = feed == Feed::Endpoints;
+                sleep(if list { LIST_PAUSE } else { PAUSE }).await;
             }
             Err(StoreError::Forgotten { .. }) => {
                 tracing::info!(?feed, "history is gone; reading anew");
