Words inside a zone, sums between zones, one reader of the list a zone

What: one VM of each zone, the first that is heard, says the zone's sums to the others, and reads the list for its zone; it passes changes on by datagram with positions. Who misses one reads the store.

--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -7,6 +7,7 @@
 use limehollow::balance::PromptPart;
 use limehollow::catalog::Catalog;
 use limehollow::group_lease::Dealt;
+use limehollow::id::ZoneName;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
 use smol_str::SmolStr;
@@ -30,6 +31,8 @@
 pub struct Vm {
     /// Its name.
     pub name: SmolStr,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Where its datagrams arrive.
     pub address: SocketAddr,
 }
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -4,16 +4,17 @@
 //! last state stays in force. Entries that vanish during an outage or within [`SETTLE`] after it are
 //! taken as gone only if they are still missing then, since living endpoints list themselves again.
 
-use crate::edge::{Change, Feed, Protocol, Store, StoreError};
+use crate::edge::{Change, Changes, Feed, Protocol, Store, StoreError};
 use crate::metrics::Metrics;
 use crate::peer_state;
 use crate::site::Site;
 use limehollow::roster::Roster;
-use limehollow_wire::word::Positions;
+use limehollow_wire::word::{ListChange, ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep};
 
 /// How long a call waits for a change: as long as the store holds one, less some time on the way.
@@ -37,6 +38,10 @@
 /// How long after this VM lost the store another has to have read on, so that the outage counts as this
 /// VM's own: others may have read a little further before an outage of the whole store.
 const ALONE_AFTER: Duration = Duration::from_millis(1500);
+/// How long a VM goes without reading the list itself while it hears nothing new of it.
+const LISTEN_FOR: Duration = Duration::from_secs(5);
+/// Changes of the list that go into one word at most; beyond, each VM reads them itself.
+const MAX_PASSED_ON: usize = 40;
 /// How long entries that vanished around an outage may take to come back: the platform says about two
 /// seconds.
 pub const SETTLE: Duration = Duration::from_millis(2500);
@@ -55,14 +60,29 @@
         settled: None,
         missing: BTreeMap::new(),
     };
+    let mut offers = match feed {
+        Feed::Endpoints => f.site.take_list_offers(),
+        Feed::Configuration | Feed::Vms => None,
+    };
     let mut next = None;
     let mut pause = FIRST_PAUSE;
     loop {
+        let mut wait = f.wait();
+        if let (Some(at), Some(offers)) = (next, &mut offers)
+            && f.may_listen()
+        {
+            if let Some(to) = f.listen(at, offers).await {
+                next = Some(to);
+                continue;
+            }
+            // What is there is read; who speaks for the zone waits for what comes.
+            wait = Duration::ZERO;
+        }
         let whole = next.is_none();
         let read = async {
             match next {
                 None => store.newest(feed).await,
-                Some(from) => store.changes(feed, from, f.wait()).await,
+                Some(from) => store.changes(feed, from, wait).await,
             }
         };
         // A call that waits may miss a change; another VM that has read further shows it.
@@ -74,6 +94,7 @@
             Ok(changes) => {
                 f.regained();
                 pause = FIRST_PAUSE;
+                f.pass_on(next, &changes);
                 next = Some(changes.next);
                 f.note_position(changes.next);
                 f.apply(changes.changes, whole);
@@ -113,15 +134,73 @@
 where
     P: Protocol,
 {
+    /// Tells whether the list comes from the VM that speaks for the zone, so that one VM a zone reads it.
+    fn may_listen(&self) -> bool {
+        let has_speaker = self.site.known().peers.speaker(Instant::now()).is_some();
+        self.lost.is_none() && self.missing.is_empty() && has_speaker
+    }
+
+    /// Waits for changes that another VM offers, and takes them in. Gives the new position, or none when the
+    /// store has to be read: another VM is further and its changes didn't come, or nothing came for long.
+    async fn listen(
+        &mut self,
+        at: u64,
+        offers: &mut UnboundedReceiver<ListChanges>,
+    ) -> Option<u64> {
+        let offer = tokio::select! {
+            offer = offers.recv() => offer?,
+            () = self.behind() => return None,
+            () = sleep(LISTEN_FOR) => return None,
+        };
+        if offer.to <= at {
+            return Some(at);
+        }
+        if offer.from > at {
+            return None;
+        }
+        self.note_position(offer.to);
+        let changes = offer.changes.into_iter().map(|c| match c {
+            ListChange::Listed(e) => Change::Endpoint(e),
+            ListChange::Gone(i) => Change::EndpointGone(i),
+        });
+        self.apply(changes.collect(), false);
+        Some(offer.to)
+    }
+
+    /// Puts changes of the list that were read into the words for the VMs of the zone.
+    fn pass_on(&self, from: Option<u64>, read: &Changes) {
+        let (Feed::Endpoints, Some(from)) = (self.feed, from) else {
+            return;
+        };
+        let changes = read.changes.iter().filter_map(|c| match c {
+            Change::Endpoint(e) => Some(ListChange::Listed(e.clone())),
+            Change::EndpointGone(i) => Some(ListChange::Gone(i.clone())),
+            _ => None,
+        });
+        let news = ListChanges {
+            from,
+            to: read.next,
+            changes: changes.collect(),
+        };
+        if news.to > news.from && news.changes.len() <= MAX_PASSED_ON {
+            self.site
+                .known()
+                .list_news
+                .push_back((Instant::now(), news));
+            self.site.urgent.notify_one();
+        }
+    }
+
     /// Gives how long the next call waits. A store that is slow may forget to wake a call, so the VMs
     /// together ask anew every [`ASK_ANEW`]; whoever hears of a change tells the others.
     fn wait(&self) -> Duration {
         let longest = match self.feed {
             Feed::Vms => WAIT,
             Feed::Configuration | Feed::Endpoints => {
-                let vms = u32::try_from(self.site.known().demand.len()).unwrap_or(u32::MAX);
+                let alive = self.site.known().peers.alive(Instant::now());
+                let vms = u32::try_from(alive).unwrap_or(u32::MAX);
                 let spread = rand::random_range(JITTER);
-                (ASK_ANEW * vms.saturating_add(1)).mul_f64(spread).min(WAIT)
+                (ASK_ANEW * vms).mul_f64(spread).min(WAIT)
             }
         };
         let due = self.missing.values().min();
@@ -167,7 +246,7 @@
             if *at <= position(known.positions, self.feed) {
                 return None;
             }
-            (vm.clone(), known.vms.get(vm)?.address)
+            (vm.clone(), known.peers.address(vm)?)
         };
         let state = match peer_state::fetch(address).await {
             Ok(s) => s,
@@ -243,9 +322,8 @@
                     news = true;
                 }
                 Change::Vm(vm) => {
-                    if vm.name.as_str() != self.site.me.as_str() {
-                        self.site.known().vms.insert(vm.name.clone(), vm);
-                    }
+                    let mut known = self.site.known();
+                    known.peers.learn(vm.name, vm.zone, vm.address);
                 }
                 Change::Malformed { key, why } => {
                     tracing::warn!(feed = ?self.feed, %key, why, "a record can't be read; the last good one stays");
--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -26,6 +26,8 @@
 const WEIGH_EVERY: Duration = Duration::from_millis(200);
 /// How often demand and load are put into a log line.
 const LOG_DEMAND_EVERY: Duration = Duration::from_secs(1);
+/// The demand that a request stands for that waits for something not loaded, in ms of work a second.
+const WAITING_DEMAND: f64 = 5.0;
 /// How often a busy endpoint is asked how far it is.
 const ASK_EVERY: Duration = Duration::from_millis(150);
 /// How long a call to an endpoint may take.
@@ -118,8 +120,14 @@
                 failing = false;
                 let change = with_lease(&lease, |l| l.dealt(sent, Instant::now(), dealt));
                 match change {
-                    Some(LeaseChange::Taken(fence)) => tracing::info!(fence, "lease taken"),
-                    Some(LeaseChange::Lost) => tracing::info!(generation, "lease lost"),
+                    Some(LeaseChange::Taken(fence)) => {
+                        site.known().giver = Some(SmolStr::new(site.me.as_str()));
+                        tracing::info!(fence, "lease taken");
+                    }
+                    Some(LeaseChange::Lost) => {
+                        site.known().giver = None;
+                        tracing::info!(generation, "lease lost");
+                    }
                     None => {}
                 }
                 let held = with_lease(&lease, |l| l.is_held());
@@ -273,6 +281,10 @@
         for (m, d) in known.demand.values().flat_map(|(_, d)| d) {
             *sum.entry(m.clone()).or_default() += f64::from(*d);
         }
+        // A request that waits is told at once, before the demand that it is part of.
+        for m in known.wanted.keys() {
+            sum.entry(m.clone()).or_insert(WAITING_DEMAND);
+        }
         sum
     }
 
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -1,17 +1,19 @@
 //! What VMs of a site tell each other, by datagram.
 //!
-//! Each VM says several times a second what its requests take at the endpoints and what its callers ask
-//! for; the order giver adds what it did. A lost datagram is made good by the next.
+//! Inside a zone each VM says several times a second what its requests take at the endpoints and what its
+//! callers ask for. One VM of each zone says the sums to the other zones. The order giver tells all zones what
+//! it did. A lost datagram is made good by the next ([`limehollow::peers`], `docs/design/system.md`).
 
-use crate::edge::{Protocol, Vm};
+use crate::edge::Protocol;
 use crate::logbook;
 use crate::settings::NodeSettings;
 use crate::site::{Known, Site};
-use limehollow::balance::Taken;
-use limehollow::id::{EndpointKey, VmName};
-use limehollow::roster::HoldingsReport;
-use limehollow_wire::word::{Word, decode, encode};
+use limehollow::balance::{Taken, WORD_LIFE};
+use limehollow::id::{EndpointKey, VmName, ZoneName};
+use limehollow::roster::{HoldingsReport, ModelRef};
+use limehollow_wire::word::{Voice, Word, decode, encode};
 use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,53 +22,71 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, interval, sleep, timeout};
 
-/// How often a VM speaks: a tenth of the tightest objective of the kinds that run models.
-const EVERY: Duration = Duration::from_millis(120);
-/// How often at most it speaks between its times, when a request waits for something.
+/// How often a VM speaks inside its zone, and one for it to other zones: a tenth of the tightest objective
+/// of the kinds that run models. What is older than that costs worth: at 120 ms inside and 240 ms between
+/// zones it was 0.02 to 0.04 on quiet days (`docs/design/system.md`).
+const EVERY: Duration = Duration::from_millis(80);
+/// The neighbours up to which it speaks that often; with more of them it is slower in proportion, down to
+/// [`SLOWEST`], so that what a VM has to read stays bounded.
+const FEW: usize = 8;
+const SLOWEST: Duration = Duration::from_millis(240);
+/// How often at most a VM speaks between its times, when a request waits for something.
 const URGENT_EVERY: Duration = Duration::from_millis(15);
 /// For how long the order giver repeats a report: some datagrams in a row may be lost.
 const REPEATED_FOR: Duration = Duration::from_millis(1500);
+/// For how long changes of the list are repeated inside the zone; who misses them reads the store.
+const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
 /// Reports in one word at most, so that it fits in few packets.
 const MAX_REPORTS: usize = 8;
 /// The largest datagram that is read.
-const MAX_WORD: usize = 16 << 10;
-/// After how long what a VM's callers asked for counts no more.
+const MAX_WORD: usize = 60 << 10;
+/// After how long what a VM's callers asked for, or waited for, counts no more.
 const DEMAND_LIFE: Duration = Duration::from_secs(2);
+const WANT_LIFE: Duration = Duration::from_secs(1);
 /// How often what is kept at rest is swept.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
+/// A word and where it goes.
+type Letter = (Word, Vec<SocketAddr>);
+
 /// Says this VM's words for as long as the process lives.
 pub async fn speak<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
-    let mut number = limehollow_edge::process::incarnation();
-    let seeds = seeds(&site.settings.load());
+    let mut s = Speaker {
+        number: limehollow_edge::process::incarnation(),
+        seeds: seeds(&site.settings.load()),
+        summed: Instant::now(),
+        site: Arc::clone(&site),
+    };
     let mut last = Instant::now();
     loop {
-        let urgent = timeout(EVERY, site.urgent.notified()).await.is_ok();
+        let urgent = timeout(s.pace(), site.urgent.notified()).await.is_ok();
         if urgent {
             // The order giver may be on this VM.
             wanted.notify_one();
             sleep((last + URGENT_EVERY).saturating_duration_since(Instant::now())).await;
         }
         last = Instant::now();
-        number += 1;
-        let (word, vms) = word(&site, number, urgent);
-        let bytes = match encode(&word) {
-            Ok(b) => b,
-            Err(e) => {
-                tracing::error!(error = %e, "a word can't be written");
-                continue;
-            }
-        };
-        for vm in &vms {
-            send(&socket, &bytes, vm.address).await;
+        for (word, to) in s.letters(last) {
+            send_all(&socket, &word, &to).await;
         }
-        if vms.is_empty() {
-            for a in &seeds {
-                send(&socket, &bytes, *a).await;
-            }
+    }
+}
+
+async fn send_all(socket: &UdpSocket, word: &Word, to: &[SocketAddr]) {
+    let bytes = match encode(word) {
+        Ok(b) => b,
+        Err(e) => {
+            tracing::error!(error = %e, "a word can't be written");
+            return;
+        }
+    };
+    for a in to {
+        // A VM that is gone refuses or is silent; its silence shows elsewhere.
+        if let Err(e) = socket.send_to(&bytes, *a).await {
+            tracing::debug!(to = %a, error = %e, "a word was not sent");
         }
     }
 }
@@ -83,50 +103,148 @@
         .collect()
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
-    // A VM that is gone refuses or is silent; its silence shows elsewhere.
-    if let Err(e) = socket.send_to(bytes, to).await {
-        tracing::debug!(%to, error = %e, "a word was not sent");
-    }
+struct Speaker<P> {
+    site: Arc<Site<P>>,
+    number: u64,
+    seeds: Vec<SocketAddr>,
+    /// When the zone's sums were said last.
+    summed: Instant,
 }
 
-fn word<P>(site: &Site<P>, number: u64, urgent: bool) -> (Word, Vec<Vm>)
+impl<P> Speaker<P>
 where
     P: Protocol,
 {
-    let now = Instant::now();
-    let mut known = site.known();
-    let known = &mut *known;
-    known
-        .reports
-        .retain(|_, (at, _)| now.duration_since(*at) < REPEATED_FOR);
-    let mut reports: Vec<&(Instant, HoldingsReport)> = known.reports.values().collect();
-    reports.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
-    let named = |(k, t): (EndpointKey, Taken)| {
-        let e = known.roster.get(k)?;
-        Some((e.instance.clone(), t))
-    };
+    /// Gives the time until the next word.
+    fn pace(&self) -> Duration {
+        let neighbours = self.site.known().peers.neighbours().len();
+        #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
+        let slower = neighbours as f64 / FEW as f64;
+        EVERY.mul_f64(slower.max(1.0)).min(SLOWEST)
+    }
+
+    /// Gives what is to be said now, and to whom.
+    fn letters(&mut self, now: Instant) -> Vec<Letter> {
+        self.number += 1;
+        let site = Arc::clone(&self.site);
+        let mut known = site.known();
+        let known = &mut *known;
+        let own = self.own(now, known);
+        let mut to = known.peers.neighbours();
+        if !own.wants.is_empty() {
+            // The order giver hears it at once, wherever it is.
+            let giver = known.giver.as_ref().and_then(|g| known.peers.address(g));
+            to.extend(giver.filter(|a| !to.contains(a)));
+        }
+        if known.peers.known() == 1 {
+            to.clone_from(&self.seeds);
+        }
+        let mut letters = Vec::new();
+        if !own.reports.is_empty() {
+            letters.push((news(&own), known.peers.envoys()));
+        }
+        if now.duration_since(self.summed) >= EVERY && known.peers.is_speaker(now) {
+            self.summed = now;
+            letters.push((sums(&own, now, known), known.peers.envoys()));
+        }
+        letters.push((own, to));
+        letters
+    }
+
+    fn own(&self, now: Instant, known: &mut Known) -> Word {
+        let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
+        known.reports.retain(|_, (at, _)| fresh(at, REPEATED_FOR));
+        known
+            .list_news
+            .retain(|(at, _)| fresh(at, LIST_REPEATED_FOR));
+        let mut reports: Vec<&(Instant, HoldingsReport)> = known.reports.values().collect();
+        reports.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let reports = reports.into_iter().take(MAX_REPORTS);
+        let named = |(k, t): (EndpointKey, Taken)| {
+            let e = known.roster.get(k)?;
+            Some((e.instance.clone(), t))
+        };
+        let me = SmolStr::new(self.site.me.as_str());
+        Word {
+            voice: Voice::Own,
+            pass_on: false,
+            zone: SmolStr::new(self.site.zone.as_str()),
+            vms: 1,
+            address: format_smolstr!("{}", self.site.settings.load().peer_address()),
+            number: self.number,
+            taken: known.balance.own().filter_map(named).collect(),
+            demand: rates(known.arrivals.rates(now)),
+            wants: std::mem::take(&mut known.wants).into_iter().collect(),
+            reports: reports.map(|(_, r)| r.clone()).collect(),
+            list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
+            giver: known.giver.clone().filter(|g| *g == me),
+            positions: known.positions,
+            from: me,
+        }
+    }
+}
+
+fn rates(rates: Vec<(ModelRef, f64)>) -> Vec<(ModelRef, f32)> {
     #[expect(clippy::cast_possible_truncation, reason = "rounding is harmless")]
-    let demand = known
-        .arrivals
-        .rates(now)
-        .into_iter()
-        .map(|(m, r)| (m, r as f32));
-    let word = Word {
-        from: SmolStr::new(site.me.as_str()),
-        address: format_smolstr!("{}", site.settings.load().peer_address()),
-        number,
-        taken: known.balance.own().filter_map(named).collect(),
-        demand: demand.collect(),
-        urgent,
-        reports: reports
-            .into_iter()
-            .take(MAX_REPORTS)
-            .map(|(_, r)| r.clone())
-            .collect(),
-        positions: known.positions,
-    };
-    (word, known.vms.values().cloned().collect())
+    let narrow = |(m, r)| (m, r as f32);
+    rates.into_iter().map(narrow).collect()
+}
+
+/// Makes a word that only carries what the order giver did.
+fn news(own: &Word) -> Word {
+    Word {
+        voice: Voice::News,
+        pass_on: true,
+        vms: 0,
+        taken: Vec::new(),
+        demand: Vec::new(),
+        wants: Vec::new(),
+        list: Vec::new(),
+        ..own.clone()
+    }
+}
+
+/// Makes the word of a zone: the sums over its VMs.
+fn sums(own: &Word, now: Instant, known: &Known) -> Word {
+    let here = |vm: &VmName| !is_zone(vm);
+    let fresh = |at: &Instant| now.duration_since(*at) < WORD_LIFE;
+    let mut taken: BTreeMap<SmolStr, Taken> = own.taken.iter().cloned().collect();
+    for (instance, t) in known
+        .taken
+        .values()
+        .filter(|(at, _)| fresh(at))
+        .flat_map(|(_, t)| t)
+    {
+        taken.entry(instance.clone()).or_default().add(t);
+    }
+    let mut demand: BTreeMap<ModelRef, f32> = own.demand.iter().cloned().collect();
+    let others = known
+        .demand
+        .iter()
+        .filter(|(vm, (at, _))| here(vm) && fresh(at));
+    for (m, d) in others.flat_map(|(_, (_, d))| d) {
+        *demand.entry(m.clone()).or_default() += d;
+    }
+    Word {
+        voice: Voice::Zone,
+        vms: u16::try_from(known.peers.alive_here(now)).unwrap_or(u16::MAX),
+        taken: taken.into_iter().collect(),
+        demand: demand.into_iter().collect(),
+        reports: Vec::new(),
+        ..news(own)
+    }
+}
+
+/// The name under which a zone's sums are kept beside the words of VMs.
+fn zone_name(zone: &str) -> VmName {
+    VmName::from(format!("{ZONE_MARK}{zone}"))
+}
+
+/// No VM's name begins with it.
+const ZONE_MARK: &str = "zone/";
+
+fn is_zone(vm: &VmName) -> bool {
+    vm.as_str().starts_with(ZONE_MARK)
 }
 
 /// Takes in other VMs' words for as long as the process lives.
@@ -143,15 +261,22 @@
                 continue;
             }
         };
-        match decode(&buf[..n]) {
-            Ok(w) => {
-                if w.urgent {
-                    wanted.notify_one();
-                }
-                take_in(&site, w);
+        let mut w = match decode(&buf[..n]) {
+            Ok(w) => w,
+            Err(e) => {
+                tracing::debug!(error = %e, "a word can't be read");
+                continue;
             }
-            Err(e) => tracing::debug!(error = %e, "a word can't be read"),
+        };
+        if w.pass_on {
+            w.pass_on = false;
+            let neighbours = site.known().peers.neighbours();
+            send_all(&socket, &w, &neighbours).await;
         }
+        if !w.wants.is_empty() {
+            wanted.notify_one();
+        }
+        take_in(&site, w);
     }
 }
 
@@ -165,24 +290,48 @@
     P: Protocol,
 {
     let now = Instant::now();
-    let from = VmName::from(w.from.as_str());
+    let zone = ZoneName::from(w.zone.as_str());
     {
         let mut known = site.known();
-        let key = |(i, t): (SmolStr, Taken)| Some((known.roster.key(&i)?, t));
-        let taken: Vec<(EndpointKey, Taken)> = w.taken.into_iter().filter_map(key).collect();
-        known.balance.hear(now, from.clone(), taken);
-        known.demand.insert(from, (now, w.demand));
-        if !known.vms.contains_key(&w.from)
-            && let Ok(address) = w.address.parse()
+        let known = &mut *known;
+        if let Ok(address) = w.address.parse()
+            && known.peers.learn(w.from.clone(), zone.clone(), address)
         {
-            let name = w.from.clone();
-            tracing::info!(vm = %name, %address, "a VM was heard of first from itself");
-            known.vms.insert(name.clone(), Vm { name, address });
+            tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
+        }
+        let key = |(i, t): &(SmolStr, Taken)| Some((known.roster.key(i)?, *t));
+        let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
+        match w.voice {
+            Voice::Own => {
+                let is_new = known.peers.hear(now, &w.from, w.number);
+                if is_new && zone == site.zone {
+                    let from = VmName::from(w.from.as_str());
+                    known.balance.hear(now, from.clone(), taken);
+                    known.taken.insert(from.clone(), (now, w.taken));
+                    known.demand.insert(from, (now, w.demand));
+                }
+            }
+            Voice::Zone if zone != site.zone => {
+                known
+                    .peers
+                    .hear_zone(now, zone, w.from.clone(), usize::from(w.vms));
+                let from = zone_name(&w.zone);
+                known.balance.hear(now, from.clone(), taken);
+                known.demand.insert(from, (now, w.demand));
+            }
+            Voice::Zone | Voice::News => {}
+        }
+        known.wanted.extend(w.wants.into_iter().map(|m| (m, now)));
+        if w.giver.is_some() {
+            known.giver = w.giver;
         }
     }
     for r in &w.reports {
         site.report(now, r);
     }
+    for l in w.list {
+        site.offer_list(l);
+    }
     site.note_peer_positions(&w.from, w.positions);
 }
 
@@ -202,6 +351,12 @@
             known
                 .demand
                 .retain(|_, (at, _)| now.duration_since(*at) < DEMAND_LIFE);
+            known
+                .taken
+                .retain(|_, (at, _)| now.duration_since(*at) < WORD_LIFE);
+            known
+                .wanted
+                .retain(|_, at| now.duration_since(*at) < WANT_LIFE);
             site.pool.sweep(|k| known.roster.get(k).is_some());
         }
         let out = logbook::refill();
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -322,6 +322,9 @@
                 let soon = (now + LOOK_AGAIN).min(until);
                 timeout_at(soon, self.site.eased.notified()).await
             } else {
+                if let Some(m) = &self.job.model {
+                    self.site.known().wants.insert(m.clone());
+                }
                 self.site.urgent.notify_one();
                 timeout_at(until, changed).await
             };
@@ -462,7 +465,7 @@
     fn site_takes_repeat(&self) -> bool {
         let rules = self.site.settings.load().repeats();
         let mut known = self.site.known();
-        let gateways = known.vms.len() + 1;
+        let gateways = known.peers.known();
         let window = known.repeats.entry(self.job.service.clone()).or_default();
         let taken = window.take(Instant::now(), rules, gateways);
         drop(known);
@@ -476,7 +479,7 @@
     fn site_has_repeat(&self) -> bool {
         let rules = self.site.settings.load().repeats();
         let mut known = self.site.known();
-        let gateways = known.vms.len() + 1;
+        let gateways = known.peers.known();
         let window = known.repeats.entry(self.job.service.clone()).or_default();
         window.has(Instant::now(), rules, gateways)
     }
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -149,6 +149,7 @@
 {
     let vm = Vm {
         name: SmolStr::new(site.me.as_str()),
+        zone: site.zone.clone(),
         address: site.settings.load().peer_address(),
     };
     while let Err(e) = store.announce(&vm).await {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -2,23 +2,25 @@
 //!
 //! All of it is used on one thread; the locks are never held over an `await`.
 
-use crate::edge::{Feed, Protocol, Vm};
+use crate::edge::{Feed, Protocol};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::NodeSettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limehollow::arrivals::Arrivals;
-use limehollow::balance::Balance;
+use limehollow::balance::{Balance, Taken};
 use limehollow::catalog::Catalog;
 use limehollow::id::{ServiceName, VmName, ZoneName};
+use limehollow::peers::Peers;
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{HoldingsReport, ModelRef, Roster};
-use limehollow_wire::word::{Positions, State};
+use limehollow_wire::word::{ListChanges, Positions, State};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 
 /// What is known of endpoints, load and demand.
@@ -32,8 +34,18 @@
     pub repeats: BTreeMap<ServiceName, RepeatWindow>,
     /// What this VM's callers ask for.
     pub arrivals: Arrivals,
-    /// What the callers of the other VMs ask for, and when that was heard.
+    /// What the callers of other VMs, and of other zones, ask for, and when that was heard.
     pub demand: BTreeMap<VmName, (Instant, Vec<(ModelRef, f32)>)>,
+    /// What other VMs have at the endpoints, as the VMs of this zone said it last.
+    pub taken: BTreeMap<VmName, (Instant, Vec<(SmolStr, Taken)>)>,
+    /// What requests wait for here that isn't loaded, until it is told.
+    pub wants: BTreeSet<ModelRef>,
+    /// What other VMs' requests wait for, and when that was heard.
+    pub wanted: BTreeMap<ModelRef, Instant>,
+    /// The VM that gives orders, as far as is known.
+    pub giver: Option<SmolStr>,
+    /// Changes of the list that this VM read lately, for the VMs of its zone.
+    pub list_news: VecDeque<(Instant, ListChanges)>,
     /// How far this process has read what it follows.
     pub positions: Positions,
     /// The VM that has read each feed furthest, and how far.
@@ -41,7 +53,7 @@
     /// What the order giver on this VM found out lately, for the other VMs.
     pub reports: BTreeMap<SmolStr, (Instant, HoldingsReport)>,
     /// The other VMs.
-    pub vms: BTreeMap<SmolStr, Vm>,
+    pub peers: Peers,
 }
 
 /// The state of one process.
@@ -71,6 +83,8 @@
     pub endpoints_behind: Notify,
     /// Told when a request waits for something that isn't loaded.
     pub urgent: Notify,
+    list_tx: UnboundedSender<ListChanges>,
+    list_rx: Mutex<Option<UnboundedReceiver<ListChanges>>>,
     known: Mutex<Known>,
     stopping: AtomicBool,
 }
@@ -89,11 +103,17 @@
             repeats: BTreeMap::new(),
             arrivals: Arrivals::default(),
             demand: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            wants: BTreeSet::new(),
+            wanted: BTreeMap::new(),
+            giver: None,
+            list_news: VecDeque::new(),
             positions: Positions::default(),
             ahead: BTreeMap::new(),
             reports: BTreeMap::new(),
-            vms: BTreeMap::new(),
+            peers: Peers::new(SmolStr::new(settings.name.as_str()), zone.clone()),
         };
+        let (list_tx, list_rx) = mpsc::unbounded_channel();
         Arc::new(Self {
             me: VmName::from(settings.name.as_str()),
             zone,
@@ -107,6 +127,8 @@
             eased: Notify::new(),
             configuration_behind: Notify::new(),
             endpoints_behind: Notify::new(),
+            list_tx,
+            list_rx: Mutex::new(Some(list_rx)),
             known: Mutex::new(known),
             stopping: AtomicBool::new(false),
         })
@@ -149,6 +171,23 @@
         !self.is_stopping() && self.catalog.load().is_some() && !self.known().roster.is_empty()
     }
 
+    /// Offers changes of the list that another VM of the zone has read to the follower of the list.
+    pub fn offer_list(&self, l: ListChanges) {
+        if l.to <= self.known().positions.endpoints {
+            return;
+        }
+        // Without a follower, as in some tests, nobody needs them.
+        let _nobody = self.list_tx.send(l);
+    }
+
+    /// Takes the changes of the list that other VMs offer; there is one follower of the list.
+    pub fn take_list_offers(&self) -> Option<UnboundedReceiver<ListChanges>> {
+        self.list_rx
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take()
+    }
+
     /// Gives how far this process has read what it follows.
     pub fn positions(&self) -> Positions {
         self.known().positions
@@ -210,10 +249,9 @@
                 "copies": e.copies,
             })
         });
-        let heard = known.demand.iter();
-        let heard =
-            heard.map(|(vm, (at, _))| (vm.to_string(), now.duration_since(*at).as_millis()));
-        let heard: BTreeMap<String, u128> = heard.collect();
+        let heard = known.peers.silences(now);
+        let heard = heard.map(|(vm, t)| (vm.clone(), t.map(|t| t.as_millis())));
+        let heard: BTreeMap<SmolStr, Option<u128>> = heard.collect();
         serde_json::json!({
             "vm": self.me,
             "configuration": self.catalog.load().as_ref().map(|c| c.version),
--- a/crates/limehollow-wire/src/word.rs
+++ b/crates/limehollow-wire/src/word.rs
@@ -11,11 +11,51 @@
 /// The schema version that this release writes and reads.
 pub const SCHEMA: u8 = 1;
 
-/// What one process knows at first hand.
+/// For whom a word is said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Voice {
+    /// For the VM itself, to the VMs of its zone.
+    #[default]
+    Own,
+    /// For all VMs of its zone, to other zones.
+    Zone,
+    /// For nobody: it only carries news.
+    News,
+}
+
+/// A change of the list of endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ListChange {
+    /// An endpoint is there, or says something else of itself.
+    Listed(Endpoint),
+    /// The instance is off the list.
+    Gone(SmolStr),
+}
+
+/// Changes of the list of endpoints, for VMs that have read up to the first position.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListChanges {
+    /// The position before them.
+    pub from: u64,
+    /// The position after them.
+    pub to: u64,
+    /// The changes.
+    pub changes: Vec<ListChange>,
+}
+
+/// What one process tells others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Word {
+    /// For whom it is said.
+    pub voice: Voice,
+    /// Whether who hears it passes it on inside its own zone.
+    pub pass_on: bool,
     /// The name of the VM.
     pub from: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// How many VMs it is said for.
+    pub vms: u16,
     /// Where its datagrams arrive, as `IP:PORT`.
     pub address: SmolStr,
     /// Rises with each word of one start of the process; a later start begins higher.
@@ -24,8 +64,12 @@
     pub taken: Vec<(SmolStr, Taken)>,
     /// What its callers ask of each model, in ms of work a second.
     pub demand: Vec<(ModelRef, f32)>,
-    /// Whether a request waits for something that isn't loaded.
-    pub urgent: bool,
+    /// What requests wait for that isn't loaded.
+    pub wants: Vec<ModelRef>,
+    /// Changes of the list that this VM read lately.
+    pub list: Vec<ListChanges>,
+    /// The VM that gives orders, if that is known.
+    pub giver: Option<SmolStr>,
     /// What the order giver knows of endpoints that changed lately.
     pub reports: Vec<HoldingsReport>,
     /// How far it has read the configuration and the list of endpoints in the platform's store.
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -145,7 +145,8 @@
 }
 
 impl Taken {
-    fn add(&mut self, other: &Self) {
+    /// Adds what another has.
+    pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.tokens += other.tokens;
         for (a, b) in self.ahead_ms.iter_mut().zip(other.ahead_ms) {
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod membership;
 pub mod order;
 pub mod order_book;
+pub mod peers;
 pub mod placement;
 pub mod plan;
 pub mod rebalance;
--- /dev/null
+++ b/crates/limehollow/src/peers.rs
@@ -0,0 +1,183 @@
+//! The other VMs of a site: who is heard, who speaks for a zone, and to whom.
+//!
+//! Inside a zone all VMs tell each other. One VM of each zone, the first by name of those that are heard,
+//! speaks for it to the other zones by sums, and whoever hears such a word passes it on inside its own
+//! zone. So bytes between zones grow with the zones, not with the square of the VMs.
+
+use crate::id::ZoneName;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// After how long without a word a VM counts as silent: eight words.
+pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
+/// After how long without a sum a zone counts as silent.
+const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    zone: ZoneName,
+    heard: Option<Instant>,
+    /// The number of its last word; a later start begins higher.
+    number: u64,
+}
+
+#[derive(Clone, Debug)]
+struct OtherZone {
+    heard: Instant,
+    from: SmolStr,
+    vms: usize,
+}
+
+/// The other VMs, as one VM knows them.
+#[derive(Debug)]
+pub struct Peers {
+    me: SmolStr,
+    zone: ZoneName,
+    rows: BTreeMap<SmolStr, Peer>,
+    zones: BTreeMap<ZoneName, OtherZone>,
+    turn: usize,
+}
+
+/// Queries.
+impl Peers {
+    /// Makes the peers of a VM that knows none.
+    #[must_use]
+    pub fn new(me: SmolStr, zone: ZoneName) -> Self {
+        Self {
+            me,
+            zone,
+            rows: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Counts the VMs that have ever been known, this one too.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.rows.len() + 1
+    }
+
+    /// Counts the VMs that are heard, this one too, those of other zones by what is said for them.
+    #[must_use]
+    pub fn alive(&self, now: Instant) -> usize {
+        let zones = self.zones.values();
+        let others = zones.filter(|z| now.duration_since(z.heard) < ZONE_SILENT_AFTER);
+        self.alive_here(now) + others.map(|z| z.vms).sum::<usize>()
+    }
+
+    /// Counts the VMs of the own zone that are heard, this one too.
+    #[must_use]
+    pub fn alive_here(&self, now: Instant) -> usize {
+        self.heard_here(now).count() + 1
+    }
+
+    /// Tells whether this VM speaks for its zone.
+    #[must_use]
+    pub fn is_speaker(&self, now: Instant) -> bool {
+        self.heard_here(now).all(|(name, _)| *name > self.me)
+    }
+
+    /// Gives the VM that speaks for the own zone, unless it is this one.
+    #[must_use]
+    pub fn speaker(&self, now: Instant) -> Option<&SmolStr> {
+        let first = self.heard_here(now).map(|(name, _)| name).next()?;
+        (*first < self.me).then_some(first)
+    }
+
+    /// Gives where a VM's datagrams arrive.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.rows.get(name).map(|p| p.address)
+    }
+
+    /// Gives the addresses of the own zone's other VMs, the silent ones too.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let here = self.rows.values().filter(|p| p.zone == self.zone);
+        here.map(|p| p.address).collect()
+    }
+
+    /// Gives for each VM how long ago it was heard, for a dump.
+    pub fn silences(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, Option<Duration>)> {
+        let rows = self.rows.iter();
+        rows.map(move |(name, p)| (name, p.heard.map(|t| now.duration_since(t))))
+    }
+
+    fn heard_here(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, &Peer)> {
+        let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
+        here.filter(move |(_, p)| {
+            p.heard
+                .is_some_and(|t| now.duration_since(t) < SILENT_AFTER)
+        })
+    }
+}
+
+/// Commands.
+impl Peers {
+    /// Takes in where a VM is. Gives whether it is a new one.
+    pub fn learn(&mut self, name: SmolStr, zone: ZoneName, address: SocketAddr) -> bool {
+        if name == self.me {
+            return false;
+        }
+        if let Some(p) = self.rows.get_mut(&name) {
+            p.address = address;
+            p.zone = zone;
+            return false;
+        }
+        let peer = Peer {
+            address,
+            zone,
+            heard: None,
+            number: 0,
+        };
+        self.rows.insert(name, peer);
+        true
+    }
+
+    /// Notes a VM's own word. Gives whether it is newer than the last.
+    pub fn hear(&mut self, now: Instant, name: &str, number: u64) -> bool {
+        let Some(p) = self.rows.get_mut(name) else {
+            return false;
+        };
+        if number <= p.number {
+            return false;
+        }
+        p.number = number;
+        p.heard = Some(now);
+        true
+    }
+
+    /// Notes a word that was said for a zone.
+    pub fn hear_zone(&mut self, now: Instant, zone: ZoneName, from: SmolStr, vms: usize) {
+        let row = OtherZone {
+            heard: now,
+            from,
+            vms,
+        };
+        self.zones.insert(zone, row);
+    }
+
+    /// Gives to whom in the other zones a word goes: in each the VM that was heard last for it, and one more
+    /// in turn, so that a zone whose speaker is gone is reached soon.
+    pub fn envoys(&mut self) -> Vec<SocketAddr> {
+        self.turn += 1;
+        let mut by_zone: BTreeMap<&ZoneName, Vec<(&SmolStr, SocketAddr)>> = BTreeMap::new();
+        for (name, p) in self.rows.iter().filter(|(_, p)| p.zone != self.zone) {
+            by_zone.entry(&p.zone).or_default().push((name, p.address));
+        }
+        let mut out = Vec::new();
+        for (zone, vms) in by_zone {
+            let (name, address) = vms[self.turn % vms.len()];
+            out.push(address);
+            let last = self.zones.get(zone).map(|z| &z.from);
+            let last = last.and_then(|from| vms.iter().find(|(n, _)| *n == from && *n != name));
+            out.extend(last.map(|(_, a)| *a));
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/limehollow/tests/peers.rs
@@ -0,0 +1,92 @@
+//! Who is heard, who speaks for a zone, and to whom.
+
+use limehollow::peers::{Peers, SILENT_AFTER};
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use tokio::time::{Instant, advance};
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// The peers of vm-2: vm-1 and vm-3 in its zone, vm-4 to vm-6 in another.
+fn peers() -> Peers {
+    let mut p = Peers::new("vm-2".into(), "a".into());
+    for i in [1_u16, 3, 4, 5, 6] {
+        let zone = if i < 4 { "a" } else { "b" };
+        assert!(p.learn(format_smolstr!("vm-{i}"), zone.into(), address(i)));
+    }
+    p
+}
+
+#[test]
+fn learn_itself_and_again() {
+    let mut p = peers();
+    assert!(!p.learn("vm-2".into(), "a".into(), address(2)));
+    assert!(
+        !p.learn("vm-3".into(), "a".into(), address(33)),
+        "it has moved"
+    );
+    assert_eq!(p.address("vm-3"), Some(address(33)));
+    assert_eq!(p.known(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn speaker_is_the_first_that_is_heard() {
+    let mut p = peers();
+    let now = Instant::now();
+    assert!(p.is_speaker(now), "nobody else is heard");
+    p.hear(now, "vm-3", 1);
+    assert!(p.is_speaker(now));
+    p.hear(now, "vm-1", 1);
+    assert!(!p.is_speaker(now));
+    assert_eq!(p.speaker(now).map(SmolStr::as_str), Some("vm-1"));
+    advance(SILENT_AFTER).await;
+    assert!(p.is_speaker(Instant::now()));
+    assert_eq!(p.speaker(Instant::now()), None);
+}
+
+#[test]
+fn hear_older_words_are_none() {
+    let mut p = peers();
+    let now = Instant::now();
+    assert!(p.hear(now, "vm-3", 7));
+    assert!(!p.hear(now, "vm-3", 7));
+    assert!(!p.hear(now, "vm-3", 6));
+    assert!(!p.hear(now, "vm-9", 1), "nobody knows it");
+}
+
+#[tokio::test(start_paused = true)]
+async fn alive_by_words_and_sums() {
+    let mut p = peers();
+    assert_eq!(p.alive(Instant::now()), 1);
+    p.hear(Instant::now(), "vm-3", 1);
+    p.hear_zone(Instant::now(), "b".into(), "vm-4".into(), 3);
+    assert_eq!(
+        (p.alive(Instant::now()), p.alive_here(Instant::now())),
+        (5, 2)
+    );
+    advance(SILENT_AFTER * 3).await;
+    assert_eq!(p.alive(Instant::now()), 1);
+}
+
+#[test]
+fn envoys_reach_each_vm_of_a_zone_in_turn() {
+    let mut p = peers();
+    let mut reached = BTreeSet::new();
+    for _ in 0..3 {
+        reached.extend(p.envoys());
+    }
+    assert_eq!(
+        reached,
+        BTreeSet::from([address(4), address(5), address(6)])
+    );
+    // Who spoke for the zone last is told each time.
+    p.hear_zone(Instant::now(), "b".into(), "vm-5".into(), 3);
+    for _ in 0..4 {
+        let to = p.envoys();
+        assert!(to.contains(&address(5)) && to.len() <= 2, "{to:?}");
+    }
+    assert_eq!(p.neighbours(), [address(1), address(3)]);
+}
