Connections to endpoints are reset, not closed, when a request is given up

What: the socket is reset when it is dropped. The test that a request given up is reset failed before.

--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -11,8 +11,11 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -113,7 +116,7 @@
         };
         let stream = connected.context(IoSnafu)?;
         tune(&stream).context(IoSnafu)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::handshake(TokioIo::new(ResetOnDrop(stream)))
             .await
             .context(HttpSnafu)?;
         tokio::spawn(async move {
@@ -174,10 +177,56 @@
     }
 }
 
-/// Makes a cut connection show within seconds.
+/// A stream that isn't closed in order but reset when it is dropped ([`tune`] has it so): a close would
+/// have the system send on what it still holds.
+struct ResetOnDrop(TcpStream);
+
+impl AsyncRead for ResetOnDrop {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for ResetOnDrop {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+}
+
+/// Makes a cut connection show within seconds, and drops what a cut holds up when it is given up: a
+/// request, or an order, that was given up must not arrive after the cut.
 fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_EVERY)
--- a/crates/limehollow-node/tests/requests.rs
+++ b/crates/limehollow-node/tests/requests.rs
@@ -256,6 +256,31 @@
     assert_eq!(g.site.known().balance.own().count(), 0);
 }
 
+#[tokio::test]
+async fn request_given_up_is_reset() {
+    // Bytes that a cut holds up must not arrive after it: an order would come seconds late, from a holder
+    // that another has followed. A close would have them sent on; a reset drops them.
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let ended = tokio::spawn(async move {
+        let (mut s, _) = listener.accept().await.expect("a request comes");
+        let mut buf = [0; 4096];
+        while s.read(&mut buf).await? > 0 {}
+        Ok::<(), std::io::Error>(())
+    });
+    let mut r = rule("/a/", Repeat::Never, 1);
+    r.timeout = Duration::from_millis(200);
+    let g = Gateway::start(r, &[address]).await;
+    assert_eq!(status(&g.ask("/a/", "").await), 504);
+    let e = ended
+        .await
+        .expect("it ends")
+        .expect_err("it is reset, not closed");
+    assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 #[tokio::test]
 async fn stop_answers_and_closes() {
     let s = Server::start(vec![whole("x")]).await;
