--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One try at an endpoint.
 
 use crate::edge::{Judgement, Protocol};
-use crate::pool::Connection;
+use crate::pool::{Connection, Pool};
 use crate::site::Site;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
@@ -89,6 +89,7 @@
 /// [`Failed`] says whether the request may have run.
 pub async fn send<P>(
     site: &Site<P>,
+    pool: &Pool,
     to: &Target,
     mut req: Request<Full<Bytes>>,
     id: &str,
@@ -97,20 +98,20 @@
     P: Protocol,
 {
     // A kept connection that turns out to be closed gives the request back unsent.
-    while let Some(mut c) = site.pool.take(to.key) {
+    while let Some(mut c) = pool.take(to.key) {
         match c.sender.try_send_request(req).await {
-            Ok(response) => return judge(site, response, c, (id, &to.instance)),
+            Ok(response) => return judge(site, pool, response, c, (id, &to.instance)),
             Err(mut e) => match e.take_message() {
                 Some(unsent) => req = unsent,
                 None => return Err(Failed::broken(format_smolstr!("{}", e.error()))),
             },
         }
     }
-    let opened = site.pool.open(to.key, to.address).await;
+    let opened = pool.open(to.key, to.address).await;
     site.metrics.connections_opened.inc();
     let mut c = opened.map_err(|e| Failed::connect(format_smolstr!("{e}")))?;
     match c.sender.try_send_request(req).await {
-        Ok(response) => judge(site, response, c, (id, &to.instance)),
+        Ok(response) => judge(site, pool, response, c, (id, &to.instance)),
         Err(mut e) => Err(match e.take_message() {
             Some(_) => Failed::connect(format_smolstr!("{}", e.error())),
             None => Failed::broken(format_smolstr!("{}", e.error())),
@@ -120,6 +121,7 @@
 
 fn judge<P>(
     site: &Site<P>,
+    pool: &Pool,
     response: Response<Incoming>,
     mut connection: Connection,
     (id, instance): (&str, &str),
@@ -136,11 +138,11 @@
         }),
         Judgement::NotRun => {
             let why = format_smolstr!("status {}, not run", status.as_u16());
-            site.pool.put_later(connection, Some(response.into_body()));
+            pool.put_later(connection, Some(response.into_body()));
             Err(Failed::not_run(why, None))
         }
         Judgement::Misdirected { other_instance } => {
-            site.pool.put_later(connection, Some(response.into_body()));
+            pool.put_later(connection, Some(response.into_body()));
             let why = SmolStr::new_static("misdirected, not run");
             Err(Failed::not_run(why, Some(other_instance)))
         }
--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/giver.rs
@@ -492,14 +492,14 @@
     async fn report(&self) -> Option<EndpointReport> {
         let req = self.site.protocol.report(&self.to.instance);
         let call = async {
-            let sent = attempt::send(&self.site, &self.to, req, "").await;
+            let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "").await;
             let answer = sent.map_err(|f| f.why)?;
             let (head, body) = answer.response.into_parts();
             let body = body
                 .collect()
                 .await
                 .map_err(|e| SmolStr::from(e.to_string()))?;
-            self.site.pool.put_later(answer.connection, None);
+            self.site.control_pool.put_later(answer.connection, None);
             if !head.status.is_success() {
                 return Err(SmolStr::from(format!("status {}", head.status.as_u16())));
             }
@@ -532,12 +532,14 @@
             fence,
         };
         let req = self.site.protocol.order(&o);
-        let sent = attempt::send(&self.site, &self.to, req, "");
+        let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "");
         let reply = match timeout(CALL_TIMEOUT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = self.site.protocol.order_reply(answer.response.status());
                 let body = answer.response.into_body();
-                self.site.pool.put_later(answer.connection, Some(body));
+                self.site
+                    .control_pool
+                    .put_later(answer.connection, Some(body));
                 Ok(reply)
             }
             Ok(Err(f)) => Err(f.why),
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -357,7 +357,9 @@
             known
                 .wanted
                 .retain(|_, at| now.duration_since(*at) < WANT_LIFE);
-            site.pool.sweep(|k| known.roster.get(k).is_some());
+            let is_there = |k| known.roster.get(k).is_some();
+            site.pool.sweep(is_there);
+            site.control_pool.sweep(is_there);
         }
         let out = logbook::refill();
         if out > 0 {
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -378,7 +378,7 @@
         let mut running = Running::new(Arc::clone(self.site), sent, id, instance, self.arrived);
         self.log_sent(c);
         let req = self.request(c, now);
-        let answer = attempt::send(self.site, &c.to, req, &self.ask.id);
+        let answer = attempt::send(self.site, &self.site.pool, &c.to, req, &self.ask.id);
         let Ok(sent) = timeout_at(self.expiry, answer).await else {
             running.end(Ending::Failed(Failure::Deadline), "expired");
             return Ok(self.expired());
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -69,8 +69,11 @@
     pub catalog: ArcSwapOption<Catalog>,
     /// What callers and endpoints speak.
     pub protocol: P,
-    /// Connections to endpoints.
+    /// Connections to endpoints for callers' requests.
     pub pool: Pool,
+    /// Connections to endpoints for reports and orders: a new one may have to wait for a place at an endpoint
+    /// that is full, which is when an order matters most.
+    pub control_pool: Pool,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Told whenever an endpoint or what it holds has changed.
@@ -121,6 +124,7 @@
             catalog: ArcSwapOption::empty(),
             protocol,
             pool: Pool::default(),
+            control_pool: Pool::default(),
             metrics: Metrics::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -38,6 +38,9 @@
 const REST_PART: f64 = 0.4;
 /// A model with less demand than this, in ms of work a second, makes way for a copy.
 const ASLEEP: f64 = 1.0;
+/// What it costs to unload a model whose replica carries [`HIGH_LOAD`]: the unload waits for its runs, and
+/// the endpoint takes no other order meanwhile.
+const BUSY_PAIN: f64 = 2.0;
 /// What a model costs that is nowhere: three endpoints at twice [`HIGH_LOAD`], and as much again for each
 /// so many ms of work a second that are asked of it. A model that is hardly asked for doesn't push out one
 /// that is hot.
@@ -664,6 +667,7 @@
                 continue;
             };
             let mut gain = self.gain(p, model, &evict);
+            gain -= evict.iter().map(|m| self.share(m, 0.0)).sum::<f64>() / HIGH_LOAD * BUSY_PAIN;
             if !p.copies.contains(model) {
                 gain -= COLD_PAIN;
             }
