--- /dev/null
+++ b/crates/limehollow-node/src/answer.rs
@@ -0,0 +1,117 @@
+//! Answers of the gateway's own, and what is taken off an endpoint's.
+
+use crate::edge::Protocol;
+use crate::logbook::may_log;
+use crate::metrics::Metrics;
+use crate::relay::{Relay, millis};
+use crate::site::Site;
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Response, StatusCode};
+use http_body_util::{Either, Full};
+use std::time::Duration;
+
+/// The body of an answer.
+pub type Outgoing<P> = Either<Full<Bytes>, Relay<P>>;
+
+/// Why a request is refused; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    NoConfiguration,
+    NoEndpoint,
+    NoModel,
+    NoAdapter,
+    Busy,
+    TurnedAway,
+    Unreached,
+}
+
+impl Reason {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no configuration yet",
+            Self::NoEndpoint => "no endpoint takes work",
+            Self::NoModel => "no endpoint holds the model",
+            Self::NoAdapter => "no endpoint holds the adapter",
+            Self::Busy => "the endpoints are busy",
+            Self::TurnedAway => "the endpoint refused it",
+            Self::Unreached => "no endpoint could be reached",
+        }
+    }
+}
+
+/// Takes out the headers that concern one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(|w| w.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    let always = [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::EXPECT,
+        header::HeaderName::from_static("keep-alive"),
+        header::HeaderName::from_static("proxy-connection"),
+    ];
+    for name in always {
+        headers.remove(name);
+    }
+}
+
+/// Refuses a request that did not run.
+pub(crate) fn refuse<P>(
+    site: &Site<P>,
+    id: &str,
+    reason: Reason,
+    after: Duration,
+) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    Metrics::count(&site.metrics.requests, "refused");
+    Metrics::count(&site.metrics.refusals, reason.as_str());
+    if may_log() {
+        tracing::info!(
+            id,
+            reason = reason.as_str(),
+            retry_after_ms = millis(after),
+            "refused"
+        );
+    }
+    let text = format!("{}\n", reason.as_str());
+    let mut res = plain(site, StatusCode::SERVICE_UNAVAILABLE, id, &text);
+    let after = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()));
+    if let Ok(after) = after {
+        res.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+    res
+}
+
+/// Makes an answer of the gateway's own.
+pub(crate) fn plain<P>(
+    site: &Site<P>,
+    status: StatusCode,
+    id: &str,
+    text: &str,
+) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
+    let mut res = Response::new(Either::Left(body));
+    *res.status_mut() = status;
+    if !id.is_empty() {
+        site.protocol.sign(res.headers_mut(), id);
+    }
+    res
+}
--- /dev/null
+++ b/crates/limehollow-node/src/controller.rs
@@ -0,0 +1,208 @@
+//! The controller: holds the lease, and moves models and adapters as demand moves.
+//!
+//! One VM of the site gives all orders: the one that holds the lease ([`crate::lease`]). It weighs demand
+//! several times a second and begins a task for each move ([`crate::order_task`]).
+
+use crate::attempt::Target;
+use crate::edge::{Protocol, Store};
+use crate::lease::{SharedLease, keep_lease, with_lease};
+use crate::order_task::{Ended, Moved, OrderTask};
+use crate::site::Site;
+use limehollow::catalog::EngineSpec;
+use limehollow::group_lease::GroupLease;
+use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::order_book::OrderBook;
+use limehollow::rebalance::Rebalancer;
+use limehollow::roster::ModelRef;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// How often demand is weighed.
+const WEIGH_EVERY: Duration = Duration::from_millis(200);
+/// How often demand and load are put into a log line.
+const LOG_DEMAND_EVERY: Duration = Duration::from_secs(1);
+/// The demand that a request stands for that waits for something not loaded, in ms of work a second.
+const WAITING_DEMAND: f64 = 5.0;
+
+/// Holds the lease whenever it is dealt to this VM, and gives orders while it holds it.
+pub async fn run<P, S>(
+    site: Arc<Site<P>>,
+    store: S,
+    wanted: Arc<Notify>,
+    stop: watch::Receiver<bool>,
+) where
+    P: Protocol,
+    S: Store,
+{
+    let between = Duration::from_millis(site.settings.load().lease_ms);
+    let lease: SharedLease = Arc::new(Mutex::new(GroupLease::new(between)));
+    let (ended_tx, mut ended) = mpsc::unbounded_channel();
+    let mut g = Controller {
+        site: Arc::clone(&site),
+        lease: Arc::clone(&lease),
+        rebalancers: BTreeMap::new(),
+        books: BTreeMap::new(),
+        at_work: BTreeSet::new(),
+        logged: Instant::now(),
+        ended: ended_tx,
+    };
+    tokio::spawn(keep_lease(site, store, lease, stop));
+    // One clock for all rounds: a sleep in the loop would begin anew with each other event.
+    let mut ticks = interval(WEIGH_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => g.weigh(),
+            () = wanted.notified() => g.load_adapters(),
+            Some(e) = ended.recv() => g.note_end(&e),
+        }
+    }
+}
+
+struct Controller<P>
+where
+    P: Protocol,
+{
+    site: Arc<Site<P>>,
+    lease: SharedLease,
+    rebalancers: BTreeMap<ServiceName, Rebalancer>,
+    /// What is known of endpoints whose last order was ours and was answered.
+    books: BTreeMap<EndpointKey, OrderBook>,
+    /// Endpoints that a task is at work with.
+    at_work: BTreeSet<EndpointKey>,
+    /// When demand was last put into a log line.
+    logged: Instant,
+    ended: mpsc::UnboundedSender<Ended>,
+}
+
+impl<P> Controller<P>
+where
+    P: Protocol,
+{
+    fn note_end(&mut self, e: &Ended) {
+        self.at_work.remove(&e.key);
+        match &e.book {
+            Some(b) => self.books.insert(e.key, b.clone()),
+            None => self.books.remove(&e.key),
+        };
+        if let Some(r) = self.rebalancers.get_mut(&e.service) {
+            match e.what {
+                Moved::Model => r.model_ended(Instant::now(), e.key, e.book.is_some()),
+                Moved::Adapter => r.adapter_ended(e.key),
+            }
+        }
+        self.load_adapters();
+    }
+
+    /// Weighs demand anew, and begins the moves that it asks for.
+    fn weigh(&mut self) {
+        let Some(fence) = with_lease(&self.lease, |l| l.fence(Instant::now())) else {
+            if self.at_work.is_empty() {
+                self.rebalancers.clear();
+                self.books.clear();
+            }
+            return;
+        };
+        let Some(catalog) = self.site.catalog.load_full() else {
+            return;
+        };
+        let now = Instant::now();
+        let demand = self.demand(now);
+        let ceiling = self.site.settings.load().ceiling();
+        for (service, spec) in &catalog.services {
+            let Some(engine) = &spec.engine else { continue };
+            let r = self.rebalancers.entry(service.clone()).or_default();
+            r.observe(now, &demand);
+            if now.duration_since(self.logged) >= LOG_DEMAND_EVERY {
+                self.logged = now;
+                let seen = r.loads(&self.site.known().roster, service, engine);
+                tracing::info!(%service, models = ?seen.models, endpoints = ?seen.endpoints, "demand");
+            }
+            let moves = r.plan(now, &self.site.known().roster, service, engine, ceiling);
+            for (key, m) in moves {
+                tracing::info!(fence, load = %m.load, evict = ?m.evict, "move begins");
+                self.books.remove(&key);
+                if let Some(task) = self.task(service, key, engine) {
+                    self.at_work.insert(key);
+                    let ended = self.ended.clone();
+                    tokio::spawn(async move {
+                        let book = task.move_model(&m).await;
+                        task.end(Moved::Model, &ended, book);
+                    });
+                }
+            }
+        }
+        self.load_adapters();
+    }
+
+    /// Begins to load adapters that are asked for and not there.
+    fn load_adapters(&mut self) {
+        if with_lease(&self.lease, |l| l.fence(Instant::now())).is_none() {
+            return;
+        }
+        let Some(catalog) = self.site.catalog.load_full() else {
+            return;
+        };
+        let now = Instant::now();
+        let demand = self.demand(now);
+        for (service, spec) in &catalog.services {
+            let Some(engine) = &spec.engine else { continue };
+            let r = self.rebalancers.entry(service.clone()).or_default();
+            r.observe(now, &demand);
+            let at_work = &self.at_work;
+            let resting = |k: EndpointKey| !at_work.contains(&k);
+            let known = self.site.known();
+            let moves = r.plan_adapters(now, &known.roster, service, engine, resting);
+            drop(known);
+            for (key, m) in moves {
+                let book = self.books.get(&key).cloned();
+                if let Some(task) = self.task(service, key, engine) {
+                    self.at_work.insert(key);
+                    let ended = self.ended.clone();
+                    tokio::spawn(async move {
+                        let book = task.move_adapter(&m, book).await;
+                        task.end(Moved::Adapter, &ended, book);
+                    });
+                }
+            }
+        }
+    }
+
+    /// Sums what the callers of all VMs ask for.
+    fn demand(&self, now: Instant) -> BTreeMap<ModelRef, f64> {
+        let mut known = self.site.known();
+        let mut sum: BTreeMap<ModelRef, f64> = known.arrivals.rates(now).into_iter().collect();
+        for (m, d) in known.demand.values().flat_map(|(_, d)| d) {
+            *sum.entry(m.clone()).or_default() += f64::from(*d);
+        }
+        // A request that waits is told at once, before the demand that it is part of.
+        for m in known.wanted.keys() {
+            sum.entry(m.clone()).or_insert(WAITING_DEMAND);
+        }
+        sum
+    }
+
+    fn task(
+        &self,
+        service: &ServiceName,
+        key: EndpointKey,
+        spec: &EngineSpec,
+    ) -> Option<OrderTask<P>> {
+        let known = self.site.known();
+        let e = known.roster.get(key)?;
+        Some(OrderTask {
+            site: Arc::clone(&self.site),
+            lease: Arc::clone(&self.lease),
+            service: service.clone(),
+            spec: spec.clone(),
+            to: Target {
+                key,
+                instance: e.instance.clone(),
+                address: e.address,
+            },
+        })
+    }
+}
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -9,7 +9,7 @@
 use crate::peer_state;
 use crate::site::Site;
 use limehollow::roster::Roster;
-use limehollow_wire::word::{ListChange, ListChanges, Positions};
+use limehollow_wire::gossip::{ListChange, ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,7 +40,7 @@
 const ALONE_AFTER: Duration = Duration::from_millis(1500);
 /// How long a VM goes without reading the list itself while it hears nothing new of it.
 const LISTEN_FOR: Duration = Duration::from_secs(5);
-/// Changes of the list that go into one word at most; beyond, each VM reads them itself.
+/// Changes of the list that go into one message at most; beyond, each VM reads them itself.
 const MAX_PASSED_ON: usize = 40;
 /// How long entries that vanished around an outage may take to come back: the platform says about two
 /// seconds.
@@ -75,7 +75,7 @@
                 next = Some(to);
                 continue;
             }
-            // What is there is read; who speaks for the zone waits for what comes.
+            // What is there is read; who leads the zone waits for what comes.
             wait = Duration::ZERO;
         }
         let whole = next.is_none();
@@ -134,10 +134,15 @@
 where
     P: Protocol,
 {
-    /// Tells whether the list comes from the VM that speaks for the zone, so that one VM a zone reads it.
+    /// Tells whether the list comes from the VM that leads the zone, so that one VM a zone reads it.
     fn may_listen(&self) -> bool {
-        let has_speaker = self.site.known().peers.speaker(Instant::now()).is_some();
-        self.lost.is_none() && self.missing.is_empty() && has_speaker
+        let has_leader = self
+            .site
+            .known()
+            .peers
+            .zone_leader(Instant::now())
+            .is_some();
+        self.lost.is_none() && self.missing.is_empty() && has_leader
     }
 
     /// Waits for changes that another VM offers, and takes them in. Gives the new position, or none when the
@@ -167,7 +172,7 @@
         Some(offer.to)
     }
 
-    /// Puts changes of the list that were read into the words for the VMs of the zone.
+    /// Puts changes of the list that were read into the messages for the VMs of the zone.
     fn pass_on(&self, from: Option<u64>, read: &Changes) {
         let (Feed::Endpoints, Some(from)) = (self.feed, from) else {
             return;
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -1,17 +1,17 @@
 //! What VMs of a site tell each other, by datagram.
 //!
-//! Inside a zone each VM says several times a second what its requests take at the endpoints and what its
-//! callers ask for. One VM of each zone says the sums to the other zones. The order giver tells all zones what
+//! Inside a zone each VM sends several times a second what its requests take at the endpoints and what its
+//! callers ask for. One VM of each zone sends the sums to the other zones. The controller sends all zones what
 //! it did. A lost datagram is made good by the next ([`limehollow::peers`], `docs/design/system.md`).
 
 use crate::edge::Protocol;
 use crate::logbook;
 use crate::settings::NodeSettings;
 use crate::site::{Known, Site};
-use limehollow::balance::{Taken, WORD_LIFE};
+use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::id::{EndpointKey, VmName, ZoneName};
 use limehollow::roster::{HoldingsReport, ModelRef};
-use limehollow_wire::word::{Voice, Word, decode, encode};
+use limehollow_wire::gossip::{Message, Scope, decode, encode};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::io;
@@ -22,39 +22,39 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, interval, sleep, timeout};
 
-/// How often a VM speaks inside its zone, and one for it to other zones: a tenth of the tightest objective
+/// How often a VM sends inside its zone, and one for it to other zones: a tenth of the tightest objective
 /// of the kinds that run models. What is older than that costs worth: at 120 ms inside and 240 ms between
 /// zones it was 0.02 to 0.04 on quiet days (`docs/design/system.md`).
 const EVERY: Duration = Duration::from_millis(80);
-/// The neighbours up to which it speaks that often; with more of them it is slower in proportion, down to
+/// The neighbours up to which it sends that often; with more of them it is slower in proportion, down to
 /// [`SLOWEST`], so that what a VM has to read stays bounded.
 const FEW: usize = 8;
 const SLOWEST: Duration = Duration::from_millis(240);
-/// How often at most a VM speaks between its times, when a request waits for something.
+/// How often at most a VM sends between its times, when a request waits for something.
 const URGENT_EVERY: Duration = Duration::from_millis(15);
-/// For how long the order giver repeats a report: some datagrams in a row may be lost.
+/// For how long the controller repeats a report: some datagrams in a row may be lost.
 const REPEATED_FOR: Duration = Duration::from_millis(1500);
 /// For how long changes of the list are repeated inside the zone; who misses them reads the store.
 const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
-/// Reports in one word at most, so that it fits in few packets.
+/// Reports in one message at most, so that it fits in few packets.
 const MAX_REPORTS: usize = 8;
 /// The largest datagram that is read.
-const MAX_WORD: usize = 60 << 10;
+const MAX_MESSAGE: usize = 60 << 10;
 /// After how long what a VM's callers asked for, or waited for, counts no more.
 const DEMAND_LIFE: Duration = Duration::from_secs(2);
 const WANT_LIFE: Duration = Duration::from_secs(1);
 /// How often what is kept at rest is swept.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
-/// A word and where it goes.
-type Letter = (Word, Vec<SocketAddr>);
+/// A message and where it goes.
+type Outgoing = (Message, Vec<SocketAddr>);
 
-/// Says this VM's words for as long as the process lives.
-pub async fn speak<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
+/// Sends this VM's messages for as long as the process lives.
+pub async fn send<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
-    let mut s = Speaker {
+    let mut s = Sender {
         number: limehollow_edge::process::incarnation(),
         seeds: seeds(&site.settings.load()),
         summed: Instant::now(),
@@ -64,29 +64,29 @@
     loop {
         let urgent = timeout(s.pace(), site.urgent.notified()).await.is_ok();
         if urgent {
-            // The order giver may be on this VM.
+            // The controller may be on this VM.
             wanted.notify_one();
             sleep((last + URGENT_EVERY).saturating_duration_since(Instant::now())).await;
         }
         last = Instant::now();
-        for (word, to) in s.letters(last) {
-            send_all(&socket, &word, &to).await;
+        for (message, to) in s.outgoing(last) {
+            send_all(&socket, &message, &to).await;
         }
     }
 }
 
-async fn send_all(socket: &UdpSocket, word: &Word, to: &[SocketAddr]) {
-    let bytes = match encode(word) {
+async fn send_all(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
+    let bytes = match encode(message) {
         Ok(b) => b,
         Err(e) => {
-            tracing::error!(error = %e, "a word can't be written");
+            tracing::error!(error = %e, "a message can't be written");
             return;
         }
     };
     for a in to {
         // A VM that is gone refuses or is silent; its silence shows elsewhere.
         if let Err(e) = socket.send_to(&bytes, *a).await {
-            tracing::debug!(to = %a, error = %e, "a word was not sent");
+            tracing::debug!(to = %a, error = %e, "a message was not sent");
         }
     }
 }
@@ -103,7 +103,7 @@
         .collect()
 }
 
-struct Speaker<P> {
+struct Sender<P> {
     site: Arc<Site<P>>,
     number: u64,
     seeds: Vec<SocketAddr>,
@@ -111,11 +111,11 @@
     summed: Instant,
 }
 
-impl<P> Speaker<P>
+impl<P> Sender<P>
 where
     P: Protocol,
 {
-    /// Gives the time until the next word.
+    /// Gives the time until the next message.
     fn pace(&self) -> Duration {
         let neighbours = self.site.known().peers.neighbours().len();
         #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
@@ -124,7 +124,7 @@
     }
 
     /// Gives what is to be said now, and to whom.
-    fn letters(&mut self, now: Instant) -> Vec<Letter> {
+    fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
         self.number += 1;
         let site = Arc::clone(&self.site);
         let mut known = site.known();
@@ -132,26 +132,29 @@
         let own = self.own(now, known);
         let mut to = known.peers.neighbours();
         if !own.wants.is_empty() {
-            // The order giver hears it at once, wherever it is.
-            let giver = known.giver.as_ref().and_then(|g| known.peers.address(g));
-            to.extend(giver.filter(|a| !to.contains(a)));
+            // The controller hears it at once, wherever it is.
+            let controller = known
+                .controller
+                .as_ref()
+                .and_then(|g| known.peers.address(g));
+            to.extend(controller.filter(|a| !to.contains(a)));
         }
         if known.peers.known() == 1 {
             to.clone_from(&self.seeds);
         }
-        let mut letters = Vec::new();
+        let mut outgoing = Vec::new();
         if !own.reports.is_empty() {
-            letters.push((news(&own), known.peers.envoys()));
+            outgoing.push((news(&own), known.peers.zone_targets()));
         }
-        if now.duration_since(self.summed) >= EVERY && known.peers.is_speaker(now) {
+        if now.duration_since(self.summed) >= EVERY && known.peers.is_zone_leader(now) {
             self.summed = now;
-            letters.push((sums(&own, now, known), known.peers.envoys()));
+            outgoing.push((sums(&own, now, known), known.peers.zone_targets()));
         }
-        letters.push((own, to));
-        letters
+        outgoing.push((own, to));
+        outgoing
     }
 
-    fn own(&self, now: Instant, known: &mut Known) -> Word {
+    fn own(&self, now: Instant, known: &mut Known) -> Message {
         let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
         known.reports.retain(|_, (at, _)| fresh(at, REPEATED_FOR));
         known
@@ -165,9 +168,9 @@
             Some((e.instance.clone(), t))
         };
         let me = SmolStr::new(self.site.me.as_str());
-        Word {
-            voice: Voice::Own,
-            pass_on: false,
+        Message {
+            scope: Scope::Vm,
+            forward: false,
             zone: SmolStr::new(self.site.zone.as_str()),
             vms: 1,
             address: format_smolstr!("{}", self.site.settings.load().peer_address()),
@@ -177,7 +180,7 @@
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
             reports: reports.map(|(_, r)| r.clone()).collect(),
             list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
-            giver: known.giver.clone().filter(|g| *g == me),
+            controller: known.controller.clone().filter(|g| *g == me),
             positions: known.positions,
             from: me,
         }
@@ -190,11 +193,11 @@
     rates.into_iter().map(narrow).collect()
 }
 
-/// Makes a word that only carries what the order giver did.
-fn news(own: &Word) -> Word {
-    Word {
-        voice: Voice::News,
-        pass_on: true,
+/// Makes a message that only carries what the controller did.
+fn news(own: &Message) -> Message {
+    Message {
+        scope: Scope::News,
+        forward: true,
         vms: 0,
         taken: Vec::new(),
         demand: Vec::new(),
@@ -204,10 +207,10 @@
     }
 }
 
-/// Makes the word of a zone: the sums over its VMs.
-fn sums(own: &Word, now: Instant, known: &Known) -> Word {
+/// Makes the message of a zone: the sums over its VMs.
+fn sums(own: &Message, now: Instant, known: &Known) -> Message {
     let here = |vm: &VmName| !is_zone(vm);
-    let fresh = |at: &Instant| now.duration_since(*at) < WORD_LIFE;
+    let fresh = |at: &Instant| now.duration_since(*at) < MESSAGE_LIFE;
     let mut taken: BTreeMap<SmolStr, Taken> = own.taken.iter().cloned().collect();
     for (instance, t) in known
         .taken
@@ -225,8 +228,8 @@
     for (m, d) in others.flat_map(|(_, (_, d))| d) {
         *demand.entry(m.clone()).or_default() += d;
     }
-    Word {
-        voice: Voice::Zone,
+    Message {
+        scope: Scope::Zone,
         vms: u16::try_from(known.peers.alive_here(now)).unwrap_or(u16::MAX),
         taken: taken.into_iter().collect(),
         demand: demand.into_iter().collect(),
@@ -235,7 +238,7 @@
     }
 }
 
-/// The name under which a zone's sums are kept beside the words of VMs.
+/// The name under which a zone's sums are kept beside the messages of VMs.
 fn zone_name(zone: &str) -> VmName {
     VmName::from(format!("{ZONE_MARK}{zone}"))
 }
@@ -247,12 +250,12 @@
     vm.as_str().starts_with(ZONE_MARK)
 }
 
-/// Takes in other VMs' words for as long as the process lives.
-pub async fn hear<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
+/// Takes in other VMs' messages for as long as the process lives.
+pub async fn receive<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
-    let mut buf = vec![0; MAX_WORD];
+    let mut buf = vec![0; MAX_MESSAGE];
     loop {
         let n = match socket.recv_from(&mut buf).await {
             Ok((n, _)) => n,
@@ -264,12 +267,12 @@
         let mut w = match decode(&buf[..n]) {
             Ok(w) => w,
             Err(e) => {
-                tracing::debug!(error = %e, "a word can't be read");
+                tracing::debug!(error = %e, "a message can't be read");
                 continue;
             }
         };
-        if w.pass_on {
-            w.pass_on = false;
+        if w.forward {
+            w.forward = false;
             let neighbours = site.known().peers.neighbours();
             send_all(&socket, &w, &neighbours).await;
         }
@@ -281,11 +284,11 @@
 }
 
 async fn pause_after(e: &io::Error) {
-    tracing::debug!(error = %e, "no word could be read");
+    tracing::debug!(error = %e, "no message could be read");
     sleep(URGENT_EVERY).await;
 }
 
-fn take_in<P>(site: &Site<P>, w: Word)
+fn take_in<P>(site: &Site<P>, w: Message)
 where
     P: Protocol,
 {
@@ -301,29 +304,29 @@
         }
         let key = |(i, t): &(SmolStr, Taken)| Some((known.roster.key(i)?, *t));
         let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
-        match w.voice {
-            Voice::Own => {
-                let is_new = known.peers.hear(now, &w.from, w.number);
+        match w.scope {
+            Scope::Vm => {
+                let is_new = known.peers.receive(now, &w.from, w.number);
                 if is_new && zone == site.zone {
                     let from = VmName::from(w.from.as_str());
-                    known.balance.hear(now, from.clone(), taken);
+                    known.balance.receive(now, from.clone(), taken);
                     known.taken.insert(from.clone(), (now, w.taken));
                     known.demand.insert(from, (now, w.demand));
                 }
             }
-            Voice::Zone if zone != site.zone => {
+            Scope::Zone if zone != site.zone => {
                 known
                     .peers
-                    .hear_zone(now, zone, w.from.clone(), usize::from(w.vms));
+                    .receive_zone(now, zone, w.from.clone(), usize::from(w.vms));
                 let from = zone_name(&w.zone);
-                known.balance.hear(now, from.clone(), taken);
+                known.balance.receive(now, from.clone(), taken);
                 known.demand.insert(from, (now, w.demand));
             }
-            Voice::Zone | Voice::News => {}
+            Scope::Zone | Scope::News => {}
         }
         known.wanted.extend(w.wants.into_iter().map(|m| (m, now)));
-        if w.giver.is_some() {
-            known.giver = w.giver;
+        if w.controller.is_some() {
+            known.controller = w.controller;
         }
     }
     for r in &w.reports {
@@ -353,7 +356,7 @@
                 .retain(|_, (at, _)| now.duration_since(*at) < DEMAND_LIFE);
             known
                 .taken
-                .retain(|_, (at, _)| now.duration_since(*at) < WORD_LIFE);
+                .retain(|_, (at, _)| now.duration_since(*at) < MESSAGE_LIFE);
             known
                 .wanted
                 .retain(|_, at| now.duration_since(*at) < WANT_LIFE);
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -10,19 +10,22 @@
 //!   endpoint over a connection of [`pool`], [`relay`] a streamed answer.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say, [`peer_state`]
 //!   what one has read that another can't.
-//! * [`giver`] holds the lease and moves models and adapters.
+//! * [`controller`] moves models and adapters while this VM holds the lease.
 //! * [`site`] is the state that they share, [`run`] puts all together.
 //!
 //! The design and what was weighed are in `docs/design/system.md`.
 
+pub mod answer;
 pub mod attempt;
 pub mod caller;
+pub mod controller;
 pub mod edge;
 pub mod follow;
-pub mod giver;
 pub mod gossip;
+mod lease;
 pub mod logbook;
 pub mod metrics;
+mod order_task;
 pub mod peer_state;
 pub mod pool;
 pub mod relay;
--- a/crates/limehollow-node/src/giver.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -1,33 +1,26 @@
-//! The order giver: holds the lease, and moves models and adapters as demand moves.
+//! The orders of one move at one endpoint.
 //!
-//! One VM of the site gives all orders. Before each order on a model it reads the endpoint's own report
-//! and names the number of orders in it, so that an order that is carried out late is void once another
-//! was taken. Other VMs hear at once what is about to go and what has come.
+//! Before each order on a model the endpoint's own report is read, and the order names the number of orders
+//! in it, so that an order that is carried out late is void once another was taken. Other VMs hear at once
+//! what is about to go and what has come.
 
 use crate::attempt::{self, Target};
-use crate::edge::{Action, Order, OrderReply, Protocol, Store};
+use crate::edge::{Action, Order, OrderReply, Protocol};
+use crate::lease::{SharedLease, with_lease};
 use crate::metrics::Metrics;
 use crate::site::Site;
 use http_body_util::BodyExt;
 use limehollow::catalog::EngineSpec;
-use limehollow::group_lease::{GroupLease, JOIN_EVERY, LeaseChange};
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::order_book::{AdapterStep, OrderBook};
-use limehollow::rebalance::{AdapterMove, EndpointReport, ModelMove, Rebalancer, Step};
+use limehollow::rebalance::{AdapterMove, EndpointReport, ModelMove, Step};
 use limehollow::roster::{Holdings, HoldingsReport, ModelRef, holds};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
 
-/// How often demand is weighed.
-const WEIGH_EVERY: Duration = Duration::from_millis(200);
-/// How often demand and load are put into a log line.
-const LOG_DEMAND_EVERY: Duration = Duration::from_secs(1);
-/// The demand that a request stands for that waits for something not loaded, in ms of work a second.
-const WAITING_DEMAND: f64 = 5.0;
 /// How often a busy endpoint is asked how far it is.
 const ASK_EVERY: Duration = Duration::from_millis(150);
 /// How long a call to an endpoint may take.
@@ -48,280 +41,46 @@
 /// Orders that are given without an answer before a move is given up.
 const MAX_UNANSWERED: u32 = 3;
 
-/// The lease as the tasks of this process share it.
-type SharedLease = Arc<Mutex<GroupLease>>;
-
-fn with_lease<T, F>(lease: &SharedLease, f: F) -> T
-where
-    F: FnOnce(&mut GroupLease) -> T,
-{
-    f(&mut lease.lock().unwrap_or_else(PoisonError::into_inner))
-}
-
-/// Holds the lease whenever it is dealt to this VM, and gives orders while it holds it.
-pub async fn run<P, S>(
-    site: Arc<Site<P>>,
-    store: S,
-    wanted: Arc<Notify>,
-    stop: watch::Receiver<bool>,
-) where
-    P: Protocol,
-    S: Store,
-{
-    let between = Duration::from_millis(site.settings.load().lease_ms);
-    let lease: SharedLease = Arc::new(Mutex::new(GroupLease::new(between)));
-    let (ended_tx, mut ended) = mpsc::unbounded_channel();
-    let mut g = Giver {
-        site: Arc::clone(&site),
-        lease: Arc::clone(&lease),
-        rebalancers: BTreeMap::new(),
-        books: BTreeMap::new(),
-        at_work: BTreeSet::new(),
-        logged: Instant::now(),
-        ended: ended_tx,
-    };
-    tokio::spawn(keep_lease(site, store, lease, stop));
-    // One clock for all rounds: a sleep in the loop would begin anew with each other event.
-    let mut ticks = interval(WEIGH_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => g.weigh(),
-            () = wanted.notified() => g.load_adapters(),
-            Some(e) = ended.recv() => g.note_end(&e),
-        }
-    }
-}
-
-/// Joins the group again and again; leaves it when the process ends.
-async fn keep_lease<P, S>(
-    site: Arc<Site<P>>,
-    store: S,
-    lease: SharedLease,
-    mut stop: watch::Receiver<bool>,
-) where
-    P: Protocol,
-    S: Store,
-{
-    let member = format!("{}@{}", site.me, site.settings.load().ip);
-    let mut failing = false;
-    loop {
-        if *stop.borrow() {
-            if let Err(e) = store.leave(&member).await {
-                tracing::info!(error = %e, "the group could not be left");
-            }
-            with_lease(&lease, GroupLease::drop_it);
-            return;
-        }
-        let sent = Instant::now();
-        let generation = with_lease(&lease, |l| l.generation());
-        match store.join(&member, generation).await {
-            Ok(dealt) => {
-                failing = false;
-                let change = with_lease(&lease, |l| l.dealt(sent, Instant::now(), dealt));
-                match change {
-                    Some(LeaseChange::Taken(fence)) => {
-                        site.known().giver = Some(SmolStr::new(site.me.as_str()));
-                        tracing::info!(fence, "lease taken");
-                    }
-                    Some(LeaseChange::Lost) => {
-                        site.known().giver = None;
-                        tracing::info!(generation, "lease lost");
-                    }
-                    None => {}
-                }
-                let held = with_lease(&lease, |l| l.is_held());
-                site.metrics.holds_lease.set(i64::from(held));
-            }
-            Err(e) => {
-                if !failing {
-                    tracing::warn!(error = %e, "the lease can't be renewed");
-                }
-                failing = true;
-            }
-        }
-        let next = sleep((sent + JOIN_EVERY).saturating_duration_since(Instant::now()));
-        tokio::select! {
-            () = next => {}
-            // An error says that the process is ending, which the next round sees as well.
-            _told = stop.changed() => {}
-        }
-    }
-}
-
 /// What was moved.
 #[derive(Clone, Copy)]
-enum Moved {
+pub(crate) enum Moved {
     Model,
     Adapter,
 }
 
 /// What a task of a move says at its end.
-struct Ended {
-    what: Moved,
-    service: ServiceName,
-    key: EndpointKey,
+pub(crate) struct Ended {
+    /// What was moved.
+    pub(crate) what: Moved,
+    pub(crate) service: ServiceName,
+    pub(crate) key: EndpointKey,
     /// What is known of the endpoint now.
-    book: Option<OrderBook>,
-}
-
-struct Giver<P>
-where
-    P: Protocol,
-{
-    site: Arc<Site<P>>,
-    lease: SharedLease,
-    rebalancers: BTreeMap<ServiceName, Rebalancer>,
-    /// What is known of endpoints whose last order was ours and was answered.
-    books: BTreeMap<EndpointKey, OrderBook>,
-    /// Endpoints that a task is at work with.
-    at_work: BTreeSet<EndpointKey>,
-    /// When demand was last put into a log line.
-    logged: Instant,
-    ended: mpsc::UnboundedSender<Ended>,
-}
-
-impl<P> Giver<P>
-where
-    P: Protocol,
-{
-    fn note_end(&mut self, e: &Ended) {
-        self.at_work.remove(&e.key);
-        match &e.book {
-            Some(b) => self.books.insert(e.key, b.clone()),
-            None => self.books.remove(&e.key),
-        };
-        if let Some(r) = self.rebalancers.get_mut(&e.service) {
-            match e.what {
-                Moved::Model => r.model_ended(Instant::now(), e.key, e.book.is_some()),
-                Moved::Adapter => r.adapter_ended(e.key),
-            }
-        }
-        self.load_adapters();
-    }
-
-    /// Weighs demand anew, and begins the moves that it asks for.
-    fn weigh(&mut self) {
-        let Some(fence) = with_lease(&self.lease, |l| l.fence(Instant::now())) else {
-            if self.at_work.is_empty() {
-                self.rebalancers.clear();
-                self.books.clear();
-            }
-            return;
-        };
-        let Some(catalog) = self.site.catalog.load_full() else {
-            return;
-        };
-        let now = Instant::now();
-        let demand = self.demand(now);
-        let ceiling = self.site.settings.load().ceiling();
-        for (service, spec) in &catalog.services {
-            let Some(engine) = &spec.engine else { continue };
-            let r = self.rebalancers.entry(service.clone()).or_default();
-            r.hear(now, &demand);
-            if now.duration_since(self.logged) >= LOG_DEMAND_EVERY {
-                self.logged = now;
-                let seen = r.loads(&self.site.known().roster, service, engine);
-                tracing::info!(%service, models = ?seen.models, endpoints = ?seen.endpoints, "demand");
-            }
-            let moves = r.plan(now, &self.site.known().roster, service, engine, ceiling);
-            for (key, m) in moves {
-                tracing::info!(fence, load = %m.load, evict = ?m.evict, "move begins");
-                self.books.remove(&key);
-                if let Some(hand) = self.hand(service, key, engine) {
-                    self.at_work.insert(key);
-                    let ended = self.ended.clone();
-                    tokio::spawn(async move {
-                        let book = hand.move_model(&m).await;
-                        hand.end(Moved::Model, &ended, book);
-                    });
-                }
-            }
-        }
-        self.load_adapters();
-    }
-
-    /// Begins to load adapters that are asked for and not there.
-    fn load_adapters(&mut self) {
-        if with_lease(&self.lease, |l| l.fence(Instant::now())).is_none() {
-            return;
-        }
-        let Some(catalog) = self.site.catalog.load_full() else {
-            return;
-        };
-        let now = Instant::now();
-        let demand = self.demand(now);
-        for (service, spec) in &catalog.services {
-            let Some(engine) = &spec.engine else { continue };
-            let r = self.rebalancers.entry(service.clone()).or_default();
-            r.hear(now, &demand);
-            let at_work = &self.at_work;
-            let resting = |k: EndpointKey| !at_work.contains(&k);
-            let known = self.site.known();
-            let moves = r.plan_adapters(now, &known.roster, service, engine, resting);
-            drop(known);
-            for (key, m) in moves {
-                let book = self.books.get(&key).cloned();
-                if let Some(hand) = self.hand(service, key, engine) {
-                    self.at_work.insert(key);
-                    let ended = self.ended.clone();
-                    tokio::spawn(async move {
-                        let book = hand.move_adapter(&m, book).await;
-                        hand.end(Moved::Adapter, &ended, book);
-                    });
-                }
-            }
-        }
-    }
-
-    /// Sums what the callers of all VMs ask for.
-    fn demand(&self, now: Instant) -> BTreeMap<ModelRef, f64> {
-        let mut known = self.site.known();
-        let mut sum: BTreeMap<ModelRef, f64> = known.arrivals.rates(now).into_iter().collect();
-        for (m, d) in known.demand.values().flat_map(|(_, d)| d) {
-            *sum.entry(m.clone()).or_default() += f64::from(*d);
-        }
-        // A request that waits is told at once, before the demand that it is part of.
-        for m in known.wanted.keys() {
-            sum.entry(m.clone()).or_insert(WAITING_DEMAND);
-        }
-        sum
-    }
-
-    fn hand(&self, service: &ServiceName, key: EndpointKey, spec: &EngineSpec) -> Option<Hand<P>> {
-        let known = self.site.known();
-        let e = known.roster.get(key)?;
-        Some(Hand {
-            site: Arc::clone(&self.site),
-            lease: Arc::clone(&self.lease),
-            service: service.clone(),
-            spec: spec.clone(),
-            to: Target {
-                key,
-                instance: e.instance.clone(),
-                address: e.address,
-            },
-        })
-    }
+    pub(crate) book: Option<OrderBook>,
 }
 
 /// What a task needs to give orders to one endpoint.
-struct Hand<P>
+pub(crate) struct OrderTask<P>
 where
     P: Protocol,
 {
-    site: Arc<Site<P>>,
-    lease: SharedLease,
-    service: ServiceName,
-    spec: EngineSpec,
-    to: Target,
+    pub(crate) site: Arc<Site<P>>,
+    pub(crate) lease: SharedLease,
+    pub(crate) service: ServiceName,
+    pub(crate) spec: EngineSpec,
+    pub(crate) to: Target,
 }
 
-impl<P> Hand<P>
+impl<P> OrderTask<P>
 where
     P: Protocol,
 {
-    fn end(&self, what: Moved, ended: &mpsc::UnboundedSender<Ended>, book: Option<OrderBook>) {
+    /// Says that the task has ended.
+    pub(crate) fn end(
+        &self,
+        what: Moved,
+        ended: &mpsc::UnboundedSender<Ended>,
+        book: Option<OrderBook>,
+    ) {
         let e = Ended {
             what,
             service: self.service.clone(),
@@ -333,7 +92,7 @@
     }
 
     /// Carries out a move of a model. Gives what is known of the endpoint then.
-    async fn move_model(&self, m: &ModelMove) -> Option<OrderBook> {
+    pub(crate) async fn move_model(&self, m: &ModelMove) -> Option<OrderBook> {
         let began = Instant::now();
         let mut unanswered = 0;
         let mut least = 0;
@@ -406,7 +165,11 @@
     }
 
     /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then.
-    async fn move_adapter(&self, m: &AdapterMove, book: Option<OrderBook>) -> Option<OrderBook> {
+    pub(crate) async fn move_adapter(
+        &self,
+        m: &AdapterMove,
+        book: Option<OrderBook>,
+    ) -> Option<OrderBook> {
         let mut book = match book {
             Some(b) => b,
             None => self.read_book().await?,
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use limehollow_wire::word::{State, decode_state, encode_state};
+use limehollow_wire::gossip::{State, decode_state, encode_state};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -1,5 +1,6 @@
 //! The life of one request: from its head to its final answer.
 
+use crate::answer::{Outgoing, Reason, plain, refuse, strip_hop_headers};
 use crate::attempt::{self, Failed, Target};
 use crate::edge::{Ask, Protocol, Sending};
 use crate::logbook::may_log;
@@ -7,14 +8,15 @@
 use crate::relay::{Relay, Running, millis};
 use crate::site::Site;
 use bytes::Bytes;
-use http::header::{self, HeaderMap, HeaderValue};
+use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use limehollow::balance::{Bounds, Choice, Job};
+use limehollow::balance::{Bounds, Choice};
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::job::Job;
 use limehollow::load::Ending;
 use limehollow::retry::Repeat;
 use limehollow::verdict::{Failure, Verdict};
@@ -46,35 +48,6 @@
 /// When to come back for an adapter: it takes some ms to load, behind an order on a model a second.
 const ADAPTER_SOON: Duration = Duration::from_millis(500);
 
-/// The body of an answer.
-pub type Outgoing<P> = Either<Full<Bytes>, Relay<P>>;
-
-/// Why a request is refused; it did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reason {
-    NoConfiguration,
-    NoEndpoint,
-    NoModel,
-    NoAdapter,
-    Busy,
-    TurnedAway,
-    Unreached,
-}
-
-impl Reason {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::NoConfiguration => "no configuration yet",
-            Self::NoEndpoint => "no endpoint takes work",
-            Self::NoModel => "no endpoint holds the model",
-            Self::NoAdapter => "no endpoint holds the adapter",
-            Self::Busy => "the endpoints are busy",
-            Self::TurnedAway => "the endpoint refused it",
-            Self::Unreached => "no endpoint could be reached",
-        }
-    }
-}
-
 /// Answers a request.
 ///
 /// # Errors
@@ -196,34 +169,6 @@
     }
 }
 
-/// Takes out the headers that concern one connection only.
-fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|w| w.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    let always = [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::CONTENT_LENGTH,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::EXPECT,
-        header::HeaderName::from_static("keep-alive"),
-        header::HeaderName::from_static("proxy-connection"),
-    ];
-    for name in always {
-        headers.remove(name);
-    }
-}
-
 /// One request on its way to endpoints.
 struct Dispatch<'a, P>
 where
@@ -553,41 +498,3 @@
         }
     }
 }
-
-/// Refuses a request that did not run.
-fn refuse<P>(site: &Site<P>, id: &str, reason: Reason, after: Duration) -> Response<Outgoing<P>>
-where
-    P: Protocol,
-{
-    Metrics::count(&site.metrics.requests, "refused");
-    Metrics::count(&site.metrics.refusals, reason.as_str());
-    if may_log() {
-        tracing::info!(
-            id,
-            reason = reason.as_str(),
-            retry_after_ms = millis(after),
-            "refused"
-        );
-    }
-    let text = format!("{}\n", reason.as_str());
-    let mut res = plain(site, StatusCode::SERVICE_UNAVAILABLE, id, &text);
-    let after = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()));
-    if let Ok(after) = after {
-        res.headers_mut().insert(header::RETRY_AFTER, after);
-    }
-    res
-}
-
-/// Makes an answer of the gateway's own.
-fn plain<P>(site: &Site<P>, status: StatusCode, id: &str, text: &str) -> Response<Outgoing<P>>
-where
-    P: Protocol,
-{
-    let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
-    let mut res = Response::new(Either::Left(body));
-    *res.status_mut() = status;
-    if !id.is_empty() {
-        site.protocol.sign(res.headers_mut(), id);
-    }
-    res
-}
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::edge::{Feed, Protocol, Store, Vm};
 use crate::settings::NodeSettings;
 use crate::site::Site;
-use crate::{caller, follow, giver, gossip, peer_state};
+use crate::{caller, controller, follow, gossip, peer_state};
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
@@ -58,14 +58,23 @@
         tokio::spawn(follow::follow(Arc::clone(&site), store.clone(), feed));
     }
     tokio::spawn(announce(Arc::clone(&site), store.clone()));
-    tokio::spawn(gossip::speak(
+    tokio::spawn(gossip::send(
         Arc::clone(&site),
         Arc::clone(&socket),
         Arc::clone(&wanted),
     ));
-    tokio::spawn(gossip::hear(Arc::clone(&site), socket, Arc::clone(&wanted)));
+    tokio::spawn(gossip::receive(
+        Arc::clone(&site),
+        socket,
+        Arc::clone(&wanted),
+    ));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
-    tokio::spawn(giver::run(Arc::clone(&site), store, wanted, stop.clone()));
+    tokio::spawn(controller::run(
+        Arc::clone(&site),
+        store,
+        wanted,
+        stop.clone(),
+    ));
     tokio::spawn(peer_state::serve(Arc::clone(&site), states));
     tokio::spawn(caller::answer_balancer(Arc::clone(&site), balancer));
     tokio::spawn(serve_operators(Arc::clone(&site)));
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -14,7 +14,7 @@
 use limehollow::peers::Peers;
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{HoldingsReport, ModelRef, Roster};
-use limehollow_wire::word::{ListChanges, Positions, State};
+use limehollow_wire::gossip::{ListChanges, Positions, State};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,14 +43,14 @@
     /// What other VMs' requests wait for, and when that was heard.
     pub wanted: BTreeMap<ModelRef, Instant>,
     /// The VM that gives orders, as far as is known.
-    pub giver: Option<SmolStr>,
+    pub controller: Option<SmolStr>,
     /// Changes of the list that this VM read lately, for the VMs of its zone.
     pub list_news: VecDeque<(Instant, ListChanges)>,
     /// How far this process has read what it follows.
     pub positions: Positions,
     /// The VM that has read each feed furthest, and how far.
     pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
-    /// What the order giver on this VM found out lately, for the other VMs.
+    /// What the controller on this VM found out lately, for the other VMs.
     pub reports: BTreeMap<SmolStr, (Instant, HoldingsReport)>,
     /// The other VMs.
     pub peers: Peers,
@@ -109,7 +109,7 @@
             taken: BTreeMap::new(),
             wants: BTreeSet::new(),
             wanted: BTreeMap::new(),
-            giver: None,
+            controller: None,
             list_news: VecDeque::new(),
             positions: Positions::default(),
             ahead: BTreeMap::new(),
@@ -266,7 +266,7 @@
         })
     }
 
-    /// Takes in what the order giver knows of an endpoint.
+    /// Takes in what the controller knows of an endpoint.
     pub fn report(&self, now: Instant, r: &HoldingsReport) {
         let news = self.known().roster.report(now, r);
         if news {
--- a/crates/limehollow-wire/src/word.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -11,15 +11,15 @@
 /// The schema version that this release writes and reads.
 pub const SCHEMA: u8 = 1;
 
-/// For whom a word is said.
+/// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Voice {
-    /// For the VM itself, to the VMs of its zone.
+pub enum Scope {
+    /// The VM itself; it goes to the VMs of its zone.
     #[default]
-    Own,
-    /// For all VMs of its zone, to other zones.
+    Vm,
+    /// All VMs of its zone; it goes to other zones.
     Zone,
-    /// For nobody: it only carries news.
+    /// Nothing but what the controller did.
     News,
 }
 
@@ -45,20 +45,20 @@
 
 /// What one process tells others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Message {
     /// For whom it is said.
-    pub voice: Voice,
+    pub scope: Scope,
     /// Whether who hears it passes it on inside its own zone.
-    pub pass_on: bool,
+    pub forward: bool,
     /// The name of the VM.
     pub from: SmolStr,
     /// Its availability zone.
     pub zone: SmolStr,
-    /// How many VMs it is said for.
+    /// How many VMs it covers.
     pub vms: u16,
     /// Where its datagrams arrive, as `IP:PORT`.
     pub address: SmolStr,
-    /// Rises with each word of one start of the process; a later start begins higher.
+    /// Rises with each message of one start of the process; a later start begins higher.
     pub number: u64,
     /// What its requests take at each endpoint, by instance.
     pub taken: Vec<(SmolStr, Taken)>,
@@ -69,8 +69,8 @@
     /// Changes of the list that this VM read lately.
     pub list: Vec<ListChanges>,
     /// The VM that gives orders, if that is known.
-    pub giver: Option<SmolStr>,
-    /// What the order giver knows of endpoints that changed lately.
+    pub controller: Option<SmolStr>,
+    /// What the controller knows of endpoints that changed lately.
     pub reports: Vec<HoldingsReport>,
     /// How far it has read the configuration and the list of endpoints in the platform's store.
     pub positions: Positions,
@@ -114,21 +114,21 @@
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
-/// Writes a word.
+/// Writes a message.
 ///
 /// # Errors
 ///
-/// [`crate::Error::Binary`] if the word can't be written.
-pub fn encode(w: &Word) -> Result<Vec<u8>> {
+/// [`crate::Error::Binary`] if the message can't be written.
+pub fn encode(w: &Message) -> Result<Vec<u8>> {
     postcard::to_extend(w, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
 }
 
-/// Reads a word.
+/// Reads a message.
 ///
 /// # Errors
 ///
 /// [`crate::Error::Version`] or [`crate::Error::Binary`].
-pub fn decode(bytes: &[u8]) -> Result<Word> {
+pub fn decode(bytes: &[u8]) -> Result<Message> {
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
--- a/crates/limehollow-wire/src/lib.rs
+++ b/crates/limehollow-wire/src/lib.rs
@@ -16,9 +16,9 @@
 pub mod claim;
 pub mod engine;
 pub mod error;
+pub mod gossip;
 pub mod peer;
 pub mod platform;
 pub mod record;
-pub mod word;
 
 pub use error::{Error, Result};
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -6,20 +6,17 @@
 //! the request; another zone, failures and recent refusals count as time (`docs/design/system.md`).
 
 use crate::id::{EndpointKey, ServiceName, VmName, ZoneName};
+use crate::job::{Job, RANKS};
 use crate::load::Ending;
-use crate::roster::{Endpoint, ModelRef, Roster, holds};
+use crate::roster::{Endpoint, Roster, holds};
 use crate::verdict::Failure;
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, HashMap};
-use std::hash::Hasher;
 use std::time::Duration;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
 
-/// How many ranks are told apart; those behind count as the last.
-pub const RANKS: usize = 4;
 /// Time to a first result of an endpoint at rest, in ms: the network there and back and one step.
 const BASE_MS: f64 = 25.0;
 /// What a token of a prompt costs as long as nothing was measured, in ms: a large model on the
@@ -52,87 +49,10 @@
 const SLOW_MEMORY_S: f64 = 4.0;
 const MAX_SLOWNESS: f64 = 20.0;
 /// For how long what another gateway said counts.
-pub const WORD_LIFE: Duration = Duration::from_millis(1500);
+pub const MESSAGE_LIFE: Duration = Duration::from_millis(1500);
 /// Prompt beginnings that are remembered for an endpoint; the older half is dropped beyond.
 const MAX_REMEMBERED: usize = 2048;
 
-/// A part of a prompt that other requests may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Names the part's content.
-    pub id: u64,
-    /// Its length in tokens.
-    pub tokens: u32,
-}
-
-/// What a request asks of an endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Job {
-    /// The service.
-    pub service: ServiceName,
-    /// The model, if the service runs models.
-    pub model: Option<ModelRef>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// The most tokens that may be generated.
-    pub max_output: u32,
-    /// The rank; 0 is the most urgent.
-    pub rank: u8,
-    /// Hashes of the prompt's beginnings, the shortest first, each with the tokens that its last part
-    /// adds.
-    beginnings: Vec<(u64, u32)>,
-}
-
-impl Job {
-    /// Makes a job of a plain service.
-    #[must_use]
-    pub fn plain(service: ServiceName, rank: u8) -> Self {
-        Self {
-            service,
-            model: None,
-            prompt_tokens: 0,
-            max_output: 0,
-            rank,
-            beginnings: Vec::new(),
-        }
-    }
-
-    /// Makes a job of a service that runs models.
-    #[must_use]
-    pub fn generation(
-        service: ServiceName,
-        model: ModelRef,
-        rank: u8,
-        (prompt_tokens, max_output): (u32, u32),
-        parts: &[PromptPart],
-    ) -> Self {
-        let mut h = Xxh3::new();
-        h.write(model.model.as_bytes());
-        h.write(model.adapter.as_deref().unwrap_or("").as_bytes());
-        let beginnings = parts.iter().map(|p| {
-            h.write_u64(p.id);
-            (h.digest(), p.tokens)
-        });
-        Self {
-            beginnings: beginnings.collect(),
-            service,
-            model: Some(model),
-            prompt_tokens,
-            max_output,
-            rank,
-        }
-    }
-
-    /// Gives the tokens that the request will hold in memory, as far as can be said before it runs.
-    fn tokens(&self) -> f64 {
-        f64::from(self.prompt_tokens) + 0.6 * f64::from(self.max_output)
-    }
-
-    fn level(&self) -> usize {
-        usize::from(self.rank).min(RANKS - 1)
-    }
-}
-
 /// What a gateway has at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Taken {
@@ -323,7 +243,7 @@
 pub struct Balance {
     zone: ZoneName,
     rows: SecondaryMap<EndpointKey, Row>,
-    words: BTreeMap<VmName, (Instant, Vec<(EndpointKey, Taken)>)>,
+    messages: BTreeMap<VmName, (Instant, Vec<(EndpointKey, Taken)>)>,
     /// Time that a token of a prompt takes, in ms, by model.
     token_ms: BTreeMap<SmolStr, f64>,
     /// Time that a request is held, in ms, by service.
@@ -338,7 +258,7 @@
         Self {
             zone,
             rows: SecondaryMap::new(),
-            words: BTreeMap::new(),
+            messages: BTreeMap::new(),
             token_ms: BTreeMap::new(),
             held_ms: BTreeMap::new(),
         }
@@ -582,31 +502,31 @@
     }
 
     /// Takes in what another gateway has at the endpoints.
-    pub fn hear(&mut self, now: Instant, from: VmName, taken: Vec<(EndpointKey, Taken)>) {
-        self.words.insert(from, (now, taken));
+    pub fn receive(&mut self, now: Instant, from: VmName, taken: Vec<(EndpointKey, Taken)>) {
+        self.messages.insert(from, (now, taken));
         self.refresh(now);
     }
 
     /// Drops what other gateways said too long ago.
     pub fn refresh(&mut self, now: Instant) {
-        self.words
-            .retain(|_, (at, _)| now.duration_since(*at) < WORD_LIFE);
+        self.messages
+            .retain(|_, (at, _)| now.duration_since(*at) < MESSAGE_LIFE);
         for row in self.rows.values_mut() {
             row.others = Taken::default();
         }
-        let words = std::mem::take(&mut self.words);
-        for (key, t) in words.values().flat_map(|(_, w)| w) {
+        let messages = std::mem::take(&mut self.messages);
+        for (key, t) in messages.values().flat_map(|(_, w)| w) {
             if let Some(row) = self.row(now, *key) {
                 row.others.add(t);
             }
         }
-        self.words = words;
+        self.messages = messages;
     }
 
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, key: EndpointKey) {
         self.rows.remove(key);
-        for (_, taken) in self.words.values_mut() {
+        for (_, taken) in self.messages.values_mut() {
             taken.retain(|(k, _)| *k != key);
         }
     }
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -12,7 +12,7 @@
 //! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
 //! * [`lease`], [`membership`] and [`order`] drive a controller.
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] drive a gateway.
-//! * [`catalog`], [`roster`], [`balance`], [`retry_window`], [`arrivals`], [`group_lease`] and
+//! * [`catalog`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`group_lease`] and
 //!   [`rebalance`] drive the process of a site whose platform keeps configuration and endpoints
 //!   (`docs/design/system.md`).
 //!
@@ -39,6 +39,7 @@
 pub mod group_lease;
 pub mod id;
 pub mod intent;
+pub mod job;
 pub mod lease;
 pub mod listing;
 pub mod load;
--- a/crates/limehollow/src/order_book.rs
+++ b/crates/limehollow/src/order_book.rs
@@ -1,4 +1,4 @@
-//! What the order giver knows of one endpoint, from its report and the orders since.
+//! What the controller knows of one endpoint, from its report and the orders since.
 //!
 //! An order names the number of orders that the endpoint has taken, so an order that rests on an outdated
 //! book is void there. What gateways believe of an endpoint may be wrong for a while; room is reckoned
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -1,7 +1,7 @@
-//! The other VMs of a site: who is heard, who speaks for a zone, and to whom.
+//! The other VMs of a site: who is heard, who leads a zone, and to whom.
 //!
 //! Inside a zone all VMs tell each other. One VM of each zone, the first by name of those that are heard,
-//! speaks for it to the other zones by sums, and whoever hears such a word passes it on inside its own
+//! sends sums to the other zones, and whoever hears such a message passes it on inside its own
 //! zone. So bytes between zones grow with the zones, not with the square of the VMs.
 
 use crate::id::ZoneName;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// After how long without a word a VM counts as silent: eight words.
+/// After how long without a message a VM counts as silent: eight messages.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
 /// After how long without a sum a zone counts as silent.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
@@ -21,7 +21,7 @@
     address: SocketAddr,
     zone: ZoneName,
     heard: Option<Instant>,
-    /// The number of its last word; a later start begins higher.
+    /// The number of its last message; a later start begins higher.
     number: u64,
 }
 
@@ -76,15 +76,15 @@
         self.heard_here(now).count() + 1
     }
 
-    /// Tells whether this VM speaks for its zone.
+    /// Tells whether this VM leads its zone.
     #[must_use]
-    pub fn is_speaker(&self, now: Instant) -> bool {
+    pub fn is_zone_leader(&self, now: Instant) -> bool {
         self.heard_here(now).all(|(name, _)| *name > self.me)
     }
 
     /// Gives the VM that speaks for the own zone, unless it is this one.
     #[must_use]
-    pub fn speaker(&self, now: Instant) -> Option<&SmolStr> {
+    pub fn zone_leader(&self, now: Instant) -> Option<&SmolStr> {
         let first = self.heard_here(now).map(|(name, _)| name).next()?;
         (*first < self.me).then_some(first)
     }
@@ -139,8 +139,8 @@
         true
     }
 
-    /// Notes a VM's own word. Gives whether it is newer than the last.
-    pub fn hear(&mut self, now: Instant, name: &str, number: u64) -> bool {
+    /// Notes a VM's own message. Gives whether it is newer than the last.
+    pub fn receive(&mut self, now: Instant, name: &str, number: u64) -> bool {
         let Some(p) = self.rows.get_mut(name) else {
             return false;
         };
@@ -152,8 +152,8 @@
         true
     }
 
-    /// Notes a word that was said for a zone.
-    pub fn hear_zone(&mut self, now: Instant, zone: ZoneName, from: SmolStr, vms: usize) {
+    /// Notes a message for a whole zone.
+    pub fn receive_zone(&mut self, now: Instant, zone: ZoneName, from: SmolStr, vms: usize) {
         let row = OtherZone {
             heard: now,
             from,
@@ -162,9 +162,9 @@
         self.zones.insert(zone, row);
     }
 
-    /// Gives to whom in the other zones a word goes: in each the VM that was heard last for it, and one more
-    /// in turn, so that a zone whose speaker is gone is reached soon.
-    pub fn envoys(&mut self) -> Vec<SocketAddr> {
+    /// Gives to whom in the other zones a message goes: in each the VM that was heard last for it, and one more
+    /// in turn, so that a zone whose leader is gone is reached soon.
+    pub fn zone_targets(&mut self) -> Vec<SocketAddr> {
         self.turn += 1;
         let mut by_zone: BTreeMap<&ZoneName, Vec<(&SmolStr, SocketAddr)>> = BTreeMap::new();
         for (name, p) in self.rows.iter().filter(|(_, p)| p.zone != self.zone) {
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -1,6 +1,6 @@
-//! The endpoints of a site, as far as the platform's list and the order giver's reports tell.
+//! The endpoints of a site, as far as the platform's list and the controller's reports tell.
 //!
-//! The list lags. A report that the order giver read from the endpoint itself is newer than a list
+//! The list lags. A report that the controller read from the endpoint itself is newer than a list
 //! entry that counts fewer orders; where both count the same, the report is preferred for
 //! [`REPORT_PREFERRED`].
 
@@ -73,7 +73,7 @@
     pub orders_taken: u64,
 }
 
-/// What the order giver knows of an endpoint's holdings.
+/// What the controller knows of an endpoint's holdings.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldingsReport {
     /// The endpoint.
@@ -168,7 +168,7 @@
         false
     }
 
-    /// Takes in what the order giver knows. Gives whether it was news.
+    /// Takes in what the controller knows. Gives whether it was news.
     pub fn report(&mut self, now: Instant, r: &HoldingsReport) -> bool {
         let Some(key) = self.key(&r.instance) else {
             return false;
--- a/crates/limehollow/tests/balance.rs
+++ b/crates/limehollow/tests/balance.rs
@@ -2,8 +2,9 @@
 
 mod site;
 
-use limehollow::balance::{Balance, Bounds, Choice, Job, Taken, WORD_LIFE};
+use limehollow::balance::{Balance, Bounds, Choice, MESSAGE_LIFE, Taken};
 use limehollow::id::EndpointKey;
+use limehollow::job::Job;
 use limehollow::load::Ending;
 use limehollow::roster::Roster;
 use limehollow::verdict::Failure;
@@ -97,12 +98,12 @@
         tokens: 6000.0,
         ahead_ms: [200.0, 0.0, 0.0, 0.0],
     };
-    b.hear(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
+    b.receive(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
     assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[1]);
 }
 
 #[tokio::test(start_paused = true)]
-async fn refresh_forgets_old_words() {
+async fn refresh_forgets_old_messages() {
     let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
     let mut b = Balance::new("a".into());
     let taken = Taken {
@@ -110,8 +111,8 @@
         tokens: 0.0,
         ahead_ms: [900.0; 4],
     };
-    b.hear(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
-    advance(WORD_LIFE).await;
+    b.receive(Instant::now(), "vm-2".into(), vec![(keys[0], taken)]);
+    advance(MESSAGE_LIFE).await;
     b.refresh(Instant::now());
     assert_eq!(to(choose(&b, &r, &job(model("big-0"), 100, 0))), keys[0]);
 }
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -1,4 +1,4 @@
-//! Who is heard, who speaks for a zone, and to whom.
+//! Who is heard, who leads a zone, and to whom.
 
 use limehollow::peers::{Peers, SILENT_AFTER};
 use smol_str::{SmolStr, format_smolstr};
@@ -33,36 +33,36 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn speaker_is_the_first_that_is_heard() {
+async fn zone_leader_is_the_first_that_is_heard() {
     let mut p = peers();
     let now = Instant::now();
-    assert!(p.is_speaker(now), "nobody else is heard");
-    p.hear(now, "vm-3", 1);
-    assert!(p.is_speaker(now));
-    p.hear(now, "vm-1", 1);
-    assert!(!p.is_speaker(now));
-    assert_eq!(p.speaker(now).map(SmolStr::as_str), Some("vm-1"));
+    assert!(p.is_zone_leader(now), "nobody else is heard");
+    p.receive(now, "vm-3", 1);
+    assert!(p.is_zone_leader(now));
+    p.receive(now, "vm-1", 1);
+    assert!(!p.is_zone_leader(now));
+    assert_eq!(p.zone_leader(now).map(SmolStr::as_str), Some("vm-1"));
     advance(SILENT_AFTER).await;
-    assert!(p.is_speaker(Instant::now()));
-    assert_eq!(p.speaker(Instant::now()), None);
+    assert!(p.is_zone_leader(Instant::now()));
+    assert_eq!(p.zone_leader(Instant::now()), None);
 }
 
 #[test]
-fn hear_older_words_are_none() {
+fn receive_older_messages_are_none() {
     let mut p = peers();
     let now = Instant::now();
-    assert!(p.hear(now, "vm-3", 7));
-    assert!(!p.hear(now, "vm-3", 7));
-    assert!(!p.hear(now, "vm-3", 6));
-    assert!(!p.hear(now, "vm-9", 1), "nobody knows it");
+    assert!(p.receive(now, "vm-3", 7));
+    assert!(!p.receive(now, "vm-3", 7));
+    assert!(!p.receive(now, "vm-3", 6));
+    assert!(!p.receive(now, "vm-9", 1), "nobody knows it");
 }
 
 #[tokio::test(start_paused = true)]
 async fn alive_by_words_and_sums() {
     let mut p = peers();
     assert_eq!(p.alive(Instant::now()), 1);
-    p.hear(Instant::now(), "vm-3", 1);
-    p.hear_zone(Instant::now(), "b".into(), "vm-4".into(), 3);
+    p.receive(Instant::now(), "vm-3", 1);
+    p.receive_zone(Instant::now(), "b".into(), "vm-4".into(), 3);
     assert_eq!(
         (p.alive(Instant::now()), p.alive_here(Instant::now())),
         (5, 2)
@@ -72,20 +72,20 @@
 }
 
 #[test]
-fn envoys_reach_each_vm_of_a_zone_in_turn() {
+fn zone_targets_reach_each_vm_of_a_zone_in_turn() {
     let mut p = peers();
     let mut reached = BTreeSet::new();
     for _ in 0..3 {
-        reached.extend(p.envoys());
+        reached.extend(p.zone_targets());
     }
     assert_eq!(
         reached,
         BTreeSet::from([address(4), address(5), address(6)])
     );
     // Who spoke for the zone last is told each time.
-    p.hear_zone(Instant::now(), "b".into(), "vm-5".into(), 3);
+    p.receive_zone(Instant::now(), "b".into(), "vm-5".into(), 3);
     for _ in 0..4 {
-        let to = p.envoys();
+        let to = p.zone_targets();
         assert!(to.contains(&address(5)) && to.len() <= 2, "{to:?}");
     }
     assert_eq!(p.neighbours(), [address(1), address(3)]);
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -26,7 +26,7 @@
 fn plan_nothing_asked() {
     let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-1"]]);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &BTreeMap::new());
+    r.observe(Instant::now(), &BTreeMap::new());
     assert_eq!(plan(&mut r, &roster, 2), []);
 }
 
@@ -34,7 +34,7 @@
 fn plan_model_that_is_nowhere() {
     let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-1"]]);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &demand(&[("big-2", 10.0)]));
+    r.observe(Instant::now(), &demand(&[("big-2", 10.0)]));
     let moves = plan(&mut r, &roster, 3);
     assert_eq!(loads(&moves), ["big-2"]);
     assert!(plan(&mut r, &roster, 3).is_empty(), "it is on its way");
@@ -47,7 +47,7 @@
     let cold: &[&str] = &["big-1", "big-2"];
     let (roster, keys) = roster(&[hot, hot, hot, hot, hot, cold, cold, cold]);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &demand(&[("big-0", 3000.0)]));
+    r.observe(Instant::now(), &demand(&[("big-0", 3000.0)]));
     let moves = plan(&mut r, &roster, 3);
     assert!(moves.len() >= 2, "{moves:?}");
     assert!(loads(&moves).iter().all(|m| *m == "big-0"));
@@ -58,7 +58,7 @@
 fn plan_last_replica_never_makes_way() {
     let (roster, _) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-3", "big-4"]]);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &demand(&[("big-0", 5000.0)]));
+    r.observe(Instant::now(), &demand(&[("big-0", 5000.0)]));
     assert_eq!(plan(&mut r, &roster, 5), []);
 }
 
@@ -66,7 +66,7 @@
 fn plan_duplicates_make_way() {
     let (roster, _) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-1", "big-2"]]);
     let mut r = Rebalancer::default();
-    r.hear(
+    r.observe(
         Instant::now(),
         &demand(&[("big-0", 3000.0), ("big-2", 50.0)]),
     );
@@ -84,7 +84,7 @@
     let (roster, _) = roster(&rows);
     let wanted: Vec<(&str, f64)> = names.iter().map(|n| (n.as_str(), 10.0)).collect();
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &demand(&wanted));
+    r.observe(Instant::now(), &demand(&wanted));
     assert_eq!(plan(&mut r, &roster, 40).len(), 11);
     assert_eq!(plan(&mut r, &roster, 40).len(), 0);
 }
@@ -94,7 +94,7 @@
     let rows: Vec<&[&str]> = (0..40).map(|_| &[] as &[&str]).collect();
     let (roster, _) = roster(&rows);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &BTreeMap::new());
+    r.observe(Instant::now(), &BTreeMap::new());
     let first = plan(&mut r, &roster, 40).len();
     advance(CEILING.window / 2).await;
     assert_eq!(plan(&mut r, &roster, 40).len(), 0);
@@ -132,7 +132,7 @@
     let (roster, _) = roster(&[&["big-0"] as &[&str]; 7]);
     let mut r = Rebalancer::default();
     let asked = BTreeMap::from([(adapter("big-0", "a7"), 10.0)]);
-    r.hear(Instant::now(), &asked);
+    r.observe(Instant::now(), &asked);
     let wanted = |moves: &[(EndpointKey, AdapterMove)]| {
         let a7 = moves
             .iter()
@@ -165,10 +165,10 @@
         (adapter("big-0", "a3"), 10.0),
     ]);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &asked);
+    r.observe(Instant::now(), &asked);
     assert_eq!(adapters(&mut r, &roster), []);
     advance(Duration::from_secs(6)).await;
-    r.hear(Instant::now(), &asked);
+    r.observe(Instant::now(), &asked);
     let moves = adapters(&mut r, &roster);
     let expected = AdapterMove {
         load: adapter("big-0", "a3"),
@@ -216,7 +216,7 @@
     // Callers who were told to come back for it find it, however much another is wanted meanwhile.
     let (mut roster, keys) = roster(&[&["big-0"]]);
     let mut r = Rebalancer::default();
-    r.hear(
+    r.observe(
         Instant::now(),
         &BTreeMap::from([(adapter("big-0", "a1"), 5.0)]),
     );
@@ -227,7 +227,7 @@
     roster.list(Instant::now(), site::endpoint(0, "a", full));
     let asked = BTreeMap::from([(adapter("big-0", "a3"), 500.0)]);
     advance(Duration::from_millis(500)).await;
-    r.hear(Instant::now(), &asked);
+    r.observe(Instant::now(), &asked);
     let evicted = |moves: &[(EndpointKey, AdapterMove)]| moves[0].1.evict.clone();
     assert_eq!(
         evicted(&adapters(&mut r, &roster)),
@@ -240,12 +240,12 @@
     // Both endpoints carry the hot model; one that is hardly asked for doesn't take a replica of it.
     let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-2"]]);
     let mut r = Rebalancer::default();
-    r.hear(
+    r.observe(
         Instant::now(),
         &demand(&[("big-0", 2400.0), ("big-3", 5.0)]),
     );
     assert_eq!(plan(&mut r, &roster, 4), []);
     let mut r = Rebalancer::default();
-    r.hear(Instant::now(), &demand(&[("big-0", 200.0), ("big-3", 5.0)]));
+    r.observe(Instant::now(), &demand(&[("big-0", 200.0), ("big-3", 5.0)]));
     assert_eq!(loads(&plan(&mut r, &roster, 4)), ["big-3"]);
 }
--- a/crates/limehollow/tests/roster.rs
+++ b/crates/limehollow/tests/roster.rs
@@ -1,4 +1,4 @@
-//! Which of the list and the order giver's reports is believed.
+//! Which of the list and the controller's reports is believed.
 
 mod site;
 
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -2,9 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use limehollow::balance::{Job, PromptPart};
 use limehollow::catalog::{EngineSpec, ModelSpec, Rule, Share};
 use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::job::{Job, PromptPart};
 use limehollow::rebalance::{EndpointReport, LoadCeiling};
 use limehollow::retry::Repeat;
 use limehollow::roster::{Endpoint, Held, Holdings, ModelRef, Roster};
