--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -91,6 +91,47 @@
     assert_eq!(version(&site), 4);
 }
 
+#[tokio::test(start_paused = true)]
+async fn call_that_is_never_woken() {
+    // A slow store may forget a call that waits: a change is in force in time all the same.
+    let store = Memory::default();
+    store.set_deaf();
+    let site = start(&store);
+    store.add(Feed::Configuration, configuration(3));
+    sleep(SOON).await;
+    store.add(Feed::Configuration, configuration(4));
+    sleep(Duration::from_millis(1700)).await;
+    assert_eq!(version(&site), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_that_is_never_woken_of_many() {
+    // With many VMs each asks seldom; the first that has read on wakes the others.
+    let store = Memory::default();
+    store.set_deaf();
+    let site = start(&store);
+    for i in 0..40 {
+        let vm = format!("vm-{}", i + 2);
+        let mut known = site.known();
+        known.peers.learn(
+            vm.as_str().into(),
+            "a".into(),
+            ([127, 0, 0, 1], 7000).into(),
+        );
+        known.peers.receive(tokio::time::Instant::now(), &vm, 1);
+    }
+    store.add(Feed::Configuration, configuration(3));
+    sleep(SOON).await;
+    store.add(Feed::Configuration, configuration(4));
+    let ahead = limehollow_wire::gossip::Positions {
+        configuration: 99,
+        endpoints: 0,
+    };
+    site.note_peer_positions(&"vm-2".into(), ahead);
+    sleep(Duration::from_millis(800)).await;
+    assert_eq!(version(&site), 4);
+}
+
 #[tokio::test(start_paused = true)]
 async fn endpoint_gone_in_calm_times() {
     let store = Memory::default();
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -321,6 +321,8 @@
     /// Positions below this are gone.
     first: usize,
     is_away: bool,
+    /// Whether calls that wait are never woken, only ended by their own time.
+    is_deaf: bool,
 }
 
 impl Memory {
@@ -334,6 +336,10 @@
         self.1.notify_waiters();
     }
 
+    pub fn set_deaf(&self) {
+        self.0.lock().expect("sound").is_deaf = true;
+    }
+
     /// Drops the history, and sets what a whole read gives from now on.
     pub fn compact(&self, newest: Vec<Change>) {
         let mut kept = self.0.lock().expect("sound");
@@ -385,6 +391,11 @@
         if !now.changes.is_empty() {
             return Ok(now);
         }
+        let is_deaf = self.0.lock().expect("sound").is_deaf;
+        if is_deaf {
+            tokio::time::sleep(wait).await;
+            return Ok(now);
+        }
         // The time-out is an answer without changes.
         let _timed_out = tokio::time::timeout(wait, changed).await;
         self.read(feed, from)
