--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -1,7 +1,7 @@
 //! The controller: holds the lease, and moves models and adapters as demand moves.
 //!
-//! One VM of the site gives all orders: the one that holds the lease ([`crate::lease`]). It weighs demand
-//! several times a second and begins a task for each move ([`crate::order_task`]).
+//! One VM of the site gives all orders: the one that holds the lease (`lease`). It weighs demand
+//! several times a second and begins a task for each move (`order_task`).
 
 use crate::attempt::Target;
 use crate::edge::{Protocol, Store};
