Mending: one small server, one way to the budget for repeats, a query that nobody asked

Cause: read over once more. The loop that accepts and answers stood twice, for the balancer and for other VMs; taking a repeat and asking for one prepared the same call; Rebalancer::moves had no caller. No assertion changed; log lines of the two servers name who asked.

Left: best_place and best_spare weigh alike but by other bounds and prices; weigh and load_adapters both take in demand, some us apart.

Measured: clippy clean, tests of limehollow and limehollow-node pass.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -3,13 +3,13 @@
 use crate::edge::Protocol;
 use crate::request;
 use crate::site::Site;
+use crate::small_server::{self, ACCEPT_PAUSE};
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,8 +28,6 @@
 pub const TURN_AWAY: Duration = Duration::from_millis(2800);
 /// How much before the end of the grace what is left is cut, so that the process ends by itself.
 const CUT_BEFORE: Duration = Duration::from_millis(300);
-/// The pause after a connection could not be accepted, for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves callers until the process is told to end and what it has is done.
 pub async fn serve<P>(site: Arc<Site<P>>, listener: TcpListener, mut stop: watch::Receiver<bool>)
@@ -102,36 +100,17 @@
 /// Answers the balancer's question until the process ends.
 pub async fn answer_balancer<P>(site: Arc<Site<P>>, listener: TcpListener)
 where
-    P: Protocol + Unpin,
+    P: Protocol,
 {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!(error = %e, "the balancer's connection could not be accepted");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
+    let answer = move || {
+        let status = if site.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
         };
-        let site = Arc::clone(&site);
-        tokio::spawn(async move {
-            let service = service_fn(|_req| {
-                let status = if site.is_ready() {
-                    StatusCode::OK
-                } else {
-                    StatusCode::SERVICE_UNAVAILABLE
-                };
-                let mut res = Response::new(Full::<Bytes>::default());
-                *res.status_mut() = status;
-                std::future::ready(Ok::<_, Infallible>(res))
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(DEFAULT_IDLE)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = served.await {
-                tracing::debug!(error = %e, "the balancer's connection ended");
-            }
-        });
-    }
+        let mut res = Response::new(Full::<Bytes>::default());
+        *res.status_mut() = status;
+        res
+    };
+    small_server::serve(listener, "balancer", DEFAULT_IDLE, answer).await;
 }
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod run;
 pub mod settings;
 pub mod site;
+mod small_server;
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -5,20 +5,18 @@
 
 use crate::edge::Protocol;
 use crate::site::Site;
+use crate::small_server;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1 as client;
-use hyper::server::conn::http1 as server;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use limehollow_wire::gossip::{State, decode_state, encode_state};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// How long a VM may take to hand over its state.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -26,35 +24,13 @@
 const MAX_STATE: usize = 8 << 20;
 /// How long a connection of another VM may be at rest.
 const IDLE: Duration = Duration::from_secs(5);
-/// The pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands this VM's state to others until the process ends.
 pub async fn serve<P>(site: Arc<Site<P>>, listener: TcpListener)
 where
     P: Protocol,
 {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!(error = %e, "another VM's connection could not be accepted");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let site = Arc::clone(&site);
-        tokio::spawn(async move {
-            let service = service_fn(|_req| std::future::ready(Ok::<_, Infallible>(answer(&site))));
-            let served = server::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = served.await {
-                tracing::debug!(error = %e, "another VM's connection ended");
-            }
-        });
-    }
+    small_server::serve(listener, "another VM", IDLE, move || answer(&site)).await;
 }
 
 fn answer<P>(site: &Site<P>) -> Response<Full<Bytes>>
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -19,6 +19,7 @@
 use limehollow::job::Job;
 use limehollow::load::Ending;
 use limehollow::retry::Repeat;
+use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
 use limehollow::verdict::{Failure, Verdict};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -351,7 +352,7 @@
             let f = Failed::broken(smol_str::format_smolstr!("status {}", head.status.as_u16()));
             let again =
                 self.rule.repeat == Repeat::Allowed && self.reached + 1 < self.rule.max_attempts;
-            if again && self.site_has_repeat() {
+            if again && self.with_budget(RepeatWindow::has) {
                 return Err(f);
             }
         } else {
@@ -407,26 +408,25 @@
         self.reached < self.rule.max_attempts && self.site_takes_repeat()
     }
 
+    /// Takes a repeat from the budget, if it has one.
     fn site_takes_repeat(&self) -> bool {
-        let rules = self.site.settings.load().repeats();
-        let mut known = self.site.known();
-        let gateways = known.peers.known();
-        let window = known.repeats.entry(self.job.service.clone()).or_default();
-        let taken = window.take(Instant::now(), rules, gateways);
-        drop(known);
+        let taken = self.with_budget(RepeatWindow::take);
         if taken {
             self.site.metrics.repeats.inc();
         }
         taken
     }
 
-    /// Tells whether a repeat could be had, without taking it.
-    fn site_has_repeat(&self) -> bool {
+    /// Asks the service's budget for repeats with what it needs to answer.
+    fn with_budget<F>(&self, f: F) -> bool
+    where
+        F: FnOnce(&mut RepeatWindow, Instant, RepeatAllowance, usize) -> bool,
+    {
         let rules = self.site.settings.load().repeats();
         let mut known = self.site.known();
         let gateways = known.peers.known();
         let window = known.repeats.entry(self.job.service.clone()).or_default();
-        window.has(Instant::now(), rules, gateways)
+        f(window, Instant::now(), rules, gateways)
     }
 
     fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
--- /dev/null
+++ b/crates/limehollow-node/src/small_server.rs
@@ -0,0 +1,46 @@
+//! A server whose every answer is the same question's: whether this VM is ready, or what it has read.
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// The pause after a connection could not be accepted, for want of descriptors.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers whatever is asked until the process ends. `who` asks, for log lines; a connection may rest for
+/// `idle`.
+pub(crate) async fn serve<F>(listener: TcpListener, who: &'static str, idle: Duration, answer: F)
+where
+    F: Fn() -> Response<Full<Bytes>> + Send + Sync + 'static,
+{
+    let answer = Arc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(who, error = %e, "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = Arc::clone(&answer);
+        tokio::spawn(async move {
+            let service = service_fn(|_req| std::future::ready(Ok::<_, Infallible>(answer())));
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(idle)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                tracing::debug!(who, error = %e, "a connection ended");
+            }
+        });
+    }
+}
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -165,12 +165,6 @@
 
 /// Queries.
 impl Rebalancer {
-    /// Gives the moves that are under way.
-    #[must_use]
-    pub fn moves(&self) -> &BTreeMap<EndpointKey, ModelMove> {
-        &self.moves
-    }
-
     /// Gives what a plan would start from, for a log line.
     #[must_use]
     pub fn loads(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> LoadsSeen {
