An endpoint where no adapter could be loaded rests; the longest pause of a stream in its log line

The list showed a free place that the endpoint's own report didn't, so the move ended without an order, and its end began the next plan. All other adapters waited meanwhile, and the VM burned its processor time.

Ruled out: what other VMs wait for not reaching the controller (it was there in each plan); an outdated belief that the adapter is loaded somewhere (it was nowhere).

Change: a move of an adapter that ends without an order drops what was known of the endpoint, and the endpoint gets no other for 250 ms, since a report is as of some hundred ms ago.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -91,7 +91,7 @@
         if let Some(r) = self.rebalancers.get_mut(&e.service) {
             match e.what {
                 Moved::Model => r.model_ended(Instant::now(), e.key, e.book.is_some()),
-                Moved::Adapter => r.adapter_ended(e.key),
+                Moved::Adapter => r.adapter_ended(Instant::now(), e.key, e.book.is_some()),
             }
         }
         self.load_adapters();
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -164,7 +164,8 @@
         None
     }
 
-    /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then.
+    /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then; nothing if no
+    /// order was given, since then the plan rested on something else than the book.
     pub(crate) async fn move_adapter(
         &self,
         m: &AdapterMove,
@@ -174,13 +175,14 @@
             Some(b) => b,
             None => self.read_book().await?,
         };
+        let mut ordered = false;
         for _ in 0..MAX_ADAPTER_STEPS {
             let (action, subject) = match book.adapter_step(m, &self.spec) {
                 AdapterStep::Unload(r) => (Action::Unload, r),
                 AdapterStep::Load => (Action::Load, m.load.clone()),
                 AdapterStep::Done | AdapterStep::Impossible => {
                     self.tell(book.holdings.clone(), book.orders_taken);
-                    return Some(book);
+                    return ordered.then_some(book);
                 }
             };
             if action == Action::Unload {
@@ -188,6 +190,7 @@
                 self.tell(book.holdings.clone(), book.orders_taken);
                 sleep(WITHDRAW).await;
             }
+            ordered = true;
             let counted = match self.order(action, &subject, book.orders_taken).await? {
                 OrderReply::Taken if action == Action::Unload => {
                     // It waits for its runs; until it is gone, the endpoint takes no other order.
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -45,6 +45,9 @@
     instance: SmolStr,
     began: Instant,
     arrived: Instant,
+    /// When the last part of a streamed answer came, and the longest pause before one.
+    last_part: Option<Instant>,
+    longest_pause: Duration,
 }
 
 impl<P> Running<P>
@@ -66,6 +69,17 @@
             instance,
             began: Instant::now(),
             arrived,
+            last_part: None,
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    /// Notes that a part of a streamed answer came.
+    pub fn part(&mut self) {
+        self.first();
+        let now = Instant::now();
+        if let Some(last) = self.last_part.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.duration_since(last));
         }
     }
 
@@ -103,6 +117,7 @@
                 endpoint = %self.instance,
                 outcome = what,
                 first_ms,
+                longest_pause_ms = self.last_part.map(|_| millis(self.longest_pause)),
                 ms = millis(self.began.elapsed()),
                 "try ended"
             );
@@ -194,7 +209,7 @@
         match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
             Some(Ok(frame)) => {
                 if frame.is_data() {
-                    self.running.first();
+                    self.running.part();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -22,6 +22,8 @@
 const MIN_STAY: Duration = Duration::from_secs(5);
 /// How long an endpoint whose move failed gets no other.
 const FAILED_REST: Duration = Duration::from_secs(3);
+/// The same for a move of an adapter: a report is as of some hundred ms ago.
+const ADAPTER_FAILED_REST: Duration = Duration::from_millis(250);
 /// How far demand is foreseen from its present trend, in units of the smoothing's time constant.
 const FORESIGHT: f64 = 1.0;
 /// The time constant of the slower rates, which adapters go by: a few requests a minute say little in
@@ -160,6 +162,8 @@
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
     /// Endpoints whose last move failed, and when.
     failed: BTreeMap<EndpointKey, Instant>,
+    /// Endpoints whose last move of an adapter found nothing that could be done, and when.
+    adapter_failed: BTreeMap<EndpointKey, Instant>,
     loads: VecDeque<Instant>,
 }
 
@@ -304,8 +308,16 @@
     }
 
     /// Notes that an adapter's move has ended, well or not.
-    pub fn adapter_ended(&mut self, key: EndpointKey) {
+    ///
+    /// An endpoint where it could not be done gets no other for a moment: the plan rests on the list, and
+    /// would choose the same move again and again until the list has caught up.
+    pub fn adapter_ended(&mut self, now: Instant, key: EndpointKey, is_done: bool) {
         self.coming.remove(&key);
+        if is_done {
+            self.adapter_failed.remove(&key);
+        } else {
+            self.adapter_failed.insert(key, now);
+        }
     }
 
     fn places(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> Vec<Place> {
--- a/crates/limehollow/src/rebalance/adapters.rs
+++ b/crates/limehollow/src/rebalance/adapters.rs
@@ -4,7 +4,7 @@
 //! much and how long they have been asked for; then those whose replicas carry much; then free places are
 //! filled before anybody asks.
 
-use super::{AdapterMove, HIGH_LOAD, Rebalancer, used};
+use super::{ADAPTER_FAILED_REST, AdapterMove, HIGH_LOAD, Rebalancer, used};
 use crate::catalog::{EngineSpec, ModelSpec};
 use crate::id::{EndpointKey, ServiceName};
 use crate::roster::{ModelRef, Roster, holds};
@@ -65,6 +65,8 @@
         let replicas = adapter_replicas(roster, service);
         self.fresh
             .retain(|_, t| now.duration_since(*t) < ADAPTER_STAY);
+        self.adapter_failed
+            .retain(|_, t| now.duration_since(*t) < ADAPTER_FAILED_REST);
         self.note_missing(now, &replicas);
         let mut wanted: Vec<(f64, &ModelRef, bool)> = Vec::new();
         for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
@@ -90,6 +92,8 @@
             spec,
             replicas: &replicas,
         };
+        let failed = &self.adapter_failed;
+        let resting = |k: EndpointKey| resting(k) && !failed.contains_key(&k);
         let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
         for (weight, m, may_evict) in wanted {
             let free = |k: EndpointKey| resting(k) && out.iter().all(|(o, _)| *o != k);
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -221,7 +221,7 @@
         &BTreeMap::from([(adapter("big-0", "a1"), 5.0)]),
     );
     assert_eq!(adapters(&mut r, &roster).len(), 1);
-    r.adapter_ended(keys[0]);
+    r.adapter_ended(Instant::now(), keys[0], true);
     let mut full = holding(&["big-0"]);
     full.get_mut("big-0").expect("there").adapters = ["a1".into(), "a2".into()].into();
     roster.list(Instant::now(), site::endpoint(0, "a", full));
@@ -235,6 +235,23 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn plan_adapters_endpoint_where_none_could_be_loaded_rests() {
+    // The list shows a free place that the endpoint's own report doesn't: the same move would be chosen without
+    // end, and hold up all others.
+    let (roster, keys) = roster(&[&["big-0"]]);
+    let mut r = Rebalancer::default();
+    r.observe(
+        Instant::now(),
+        &BTreeMap::from([(adapter("big-0", "a1"), 5.0)]),
+    );
+    assert_eq!(adapters(&mut r, &roster).len(), 1);
+    r.adapter_ended(Instant::now(), keys[0], false);
+    assert_eq!(adapters(&mut r, &roster), []);
+    advance(Duration::from_millis(300)).await;
+    assert_eq!(adapters(&mut r, &roster).len(), 1);
+}
+
 #[test]
 fn plan_missing_model_spares_a_hot_one() {
     // Both endpoints carry the hot model; one that is hardly asked for doesn't take a replica of it.
