A read of a large configuration isn't begun anew while it is under way

A VM that hears that others have read on gives up its waiting call after 300 ms and calls anew; on a link of 10 Mbit/s the answer takes longer than that, the others say it again with each message, and so the read began anew without end. It also hid a silent store: the call never got to its time-out, so no other VM was asked.

Ruled out: the store's rate of reads (the first 32 VMs had it within 0.5 s); a slow parse (processor 0.1 of a core).

Change: who is behind calls without a wait, and that call is not given up for news of the same kind. If it takes more than 0.7 s, the VM that is furthest is asked as well, and the first answer counts. A state may take 2 s to come.

Test large_configuration_on_a_slow_link failed before.

--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -9,7 +9,7 @@
 use crate::peer_state;
 use crate::site::Site;
 use limehollow::roster::Roster;
-use limehollow_wire::gossip::{ListChange, ListChanges, Positions};
+use limehollow_wire::gossip::{ListChange, ListChanges, Positions, State};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -27,6 +27,10 @@
 /// How long this VM takes to hear of a change by itself, at most, where the store is sound: a pause
 /// between reads and a call.
 const OWN_TIME: Duration = Duration::from_millis(300);
+/// How long a VM that is behind others waits for the store before it asks one of them as well: a large
+/// configuration takes that long on a slow link, and one that has to be in force in two seconds can't wait for
+/// the end of a call that the store leaves unanswered.
+const ASK_PEER_AFTER: Duration = Duration::from_millis(700);
 /// The least time between two reads of a feed: what changes in between comes in one answer, and calls
 /// are priced.
 const PAUSE: Duration = Duration::from_millis(350);
@@ -66,8 +70,10 @@
     };
     let mut next = None;
     let mut pause = FIRST_PAUSE;
+    let mut is_behind = false;
     loop {
-        let mut wait = f.wait();
+        // What other VMs have read is there: a call that doesn't wait gets it.
+        let mut wait = if is_behind { Duration::ZERO } else { f.wait() };
         if let (Some(at), Some(offers)) = (next, &mut offers)
             && f.may_listen()
         {
@@ -85,11 +91,22 @@
                 Some(from) => store.changes(feed, from, wait).await,
             }
         };
-        // A call that waits may miss a change; another VM that has read further shows it.
+        // A call that waits may miss a change; another VM that has read further shows it. A call that doesn't
+        // wait is under way for as long as its answer takes on a slow link, and isn't begun anew.
+        let may_miss = !whole && !wait.is_zero();
         let read = tokio::select! {
             read = read => read,
-            () = f.behind(), if !whole => continue,
+            () = f.behind(), if may_miss => {
+                is_behind = true;
+                continue;
+            }
+            state = f.fetch_late(), if is_behind => {
+                next = f.take_state(state).or(next);
+                is_behind = false;
+                continue;
+            }
         };
+        is_behind = false;
         match read {
             Ok(changes) => {
                 f.regained();
@@ -107,8 +124,8 @@
             }
             Err(e) => {
                 f.lose(&e);
-                if let Some(position) = f.ask_peer().await {
-                    next = Some(position);
+                if let Some(state) = f.fetch_ahead().await {
+                    next = f.take_state(state).or(next);
                 }
                 sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -118,6 +135,12 @@
     }
 }
 
+/// What another VM has read of the store.
+struct PeerState {
+    vm: SmolStr,
+    state: State,
+}
+
 struct Follower<P> {
     site: Arc<Site<P>>,
     feed: Feed,
@@ -242,9 +265,19 @@
         }
     }
 
-    /// Asks the VM that has read furthest for what it has read, if it is further than this one. Gives the
-    /// new position.
-    async fn ask_peer(&mut self) -> Option<u64> {
+    /// Gives what another VM has read, once the store has not answered for [`ASK_PEER_AFTER`]; waits for as
+    /// long as no VM is further.
+    async fn fetch_late(&self) -> PeerState {
+        loop {
+            sleep(ASK_PEER_AFTER).await;
+            if let Some(state) = self.fetch_ahead().await {
+                return state;
+            }
+        }
+    }
+
+    /// Asks the VM that has read furthest for what it has read, if it is further than this one.
+    async fn fetch_ahead(&self) -> Option<PeerState> {
         let (vm, address) = {
             let known = self.site.known();
             let (vm, at) = known.ahead.get(&self.feed)?;
@@ -253,14 +286,18 @@
             }
             (vm.clone(), known.peers.address(vm)?)
         };
-        let state = match peer_state::fetch(address).await {
-            Ok(s) => s,
+        match peer_state::fetch(address).await {
+            Ok(state) => Some(PeerState { vm, state }),
             Err(why) => {
                 tracing::info!(%vm, why, "no state from another VM");
                 self.site.known().ahead.remove(&self.feed);
-                return None;
+                None
             }
-        };
+        }
+    }
+
+    /// Takes in what another VM has read. Gives the new position, if it is further than this VM.
+    fn take_state(&mut self, PeerState { vm, state }: PeerState) -> Option<u64> {
         let at = position(state.positions, self.feed);
         if at <= position(self.site.positions(), self.feed) {
             return None;
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -18,8 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-/// How long a VM may take to hand over its state.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How long a VM may take to hand over its state: some MB on the slowest links.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The largest state that is read: several times that of the largest deployment.
 const MAX_STATE: usize = 8 << 20;
 /// How long a connection of another VM may be at rest.
--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -132,6 +132,28 @@
     assert_eq!(version(&site), 4);
 }
 
+#[tokio::test(start_paused = true)]
+async fn large_configuration_on_a_slow_link() {
+    // The answer takes longer than a VM waits when it hears that others have read on, and they say it
+    // again and again: the read that is under way goes on.
+    let store = Memory::default();
+    let site = start(&store);
+    store.add(Feed::Configuration, configuration(3));
+    sleep(SOON).await;
+    store.set_deaf();
+    store.set_transfer(Duration::from_millis(900));
+    store.add(Feed::Configuration, configuration(4));
+    let ahead = limehollow_wire::gossip::Positions {
+        configuration: 99,
+        endpoints: 0,
+    };
+    for _ in 0..20 {
+        site.note_peer_positions(&"vm-2".into(), ahead);
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(version(&site), 4);
+}
+
 #[tokio::test(start_paused = true)]
 async fn endpoint_gone_in_calm_times() {
     let store = Memory::default();
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -323,6 +323,8 @@
     is_away: bool,
     /// Whether calls that wait are never woken, only ended by their own time.
     is_deaf: bool,
+    /// How long an answer with changes is on its way.
+    transfer: Duration,
 }
 
 impl Memory {
@@ -340,6 +342,10 @@
         self.0.lock().expect("sound").is_deaf = true;
     }
 
+    pub fn set_transfer(&self, transfer: Duration) {
+        self.0.lock().expect("sound").transfer = transfer;
+    }
+
     /// Drops the history, and sets what a whole read gives from now on.
     pub fn compact(&self, newest: Vec<Change>) {
         let mut kept = self.0.lock().expect("sound");
@@ -352,6 +358,15 @@
         self.1.notify_waiters();
     }
 
+    /// Gives an answer once it has come over the link.
+    async fn transferred(&self, c: Changes) -> Changes {
+        let transfer = self.0.lock().expect("sound").transfer;
+        if !c.changes.is_empty() {
+            tokio::time::sleep(transfer).await;
+        }
+        c
+    }
+
     fn read(&self, feed: Feed, from: usize) -> Result<Changes, StoreError> {
         let kept = self.0.lock().expect("sound");
         if kept.is_away {
@@ -389,7 +404,7 @@
         let changed = self.1.notified();
         let now = self.read(feed, from)?;
         if !now.changes.is_empty() {
-            return Ok(now);
+            return Ok(self.transferred(now).await);
         }
         let is_deaf = self.0.lock().expect("sound").is_deaf;
         if is_deaf {
@@ -398,7 +413,8 @@
         }
         // The time-out is an answer without changes.
         let _timed_out = tokio::time::timeout(wait, changed).await;
-        self.read(feed, from)
+        let later = self.read(feed, from)?;
+        Ok(self.transferred(later).await)
     }
 
     async fn announce(&self, _: &Vm) -> Result<(), StoreError> {
