Two VMs of each zone stand for the lease, the strongest first; the list is asked for less often in large zones

Traced by `lease taken` and `lease lost`: 71 VMs were members of the group, each change among them moved the lease, which then rests for three seconds; it moved every four.

Change: a VM joins only while it is one of the first two of its zone, by processor and then by name, among those that are heard and say that they reach the store, or while it holds the lease. A process that has just started takes those that it hasn't heard for alive. `cores` is a new setting. VMs that hear of the list from their zone's leader ask the store in proportion to the VMs of the zone.

--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -35,6 +35,8 @@
     pub zone: ZoneName,
     /// Where its datagrams arrive.
     pub address: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// A change of a feed.
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -42,8 +42,10 @@
 /// How long after this VM lost the store another has to have read on, so that the outage counts as this
 /// VM's own: others may have read a little further before an outage of the whole store.
 const ALONE_AFTER: Duration = Duration::from_millis(1500);
-/// How long a VM goes without reading the list itself while it hears nothing new of it.
+/// How long a VM goes without reading the list itself while it hears nothing new of it, in a zone of so many
+/// VMs; with more of them it is longer in proportion, since each such read is a call to the store.
 const LISTEN_FOR: Duration = Duration::from_secs(5);
+const LISTENERS: u32 = 3;
 /// Changes of the list that go into one message at most; beyond, each VM reads them itself.
 const MAX_PASSED_ON: usize = 40;
 /// How long entries that vanished around an outage may take to come back: the platform says about two
@@ -178,7 +180,7 @@
         let offer = tokio::select! {
             offer = offers.recv() => offer?,
             () = self.behind() => return None,
-            () = sleep(LISTEN_FOR) => return None,
+            () = sleep(self.listen_for()) => return None,
         };
         if offer.to <= at {
             return Some(at);
@@ -195,6 +197,12 @@
         Some(offer.to)
     }
 
+    fn listen_for(&self) -> Duration {
+        let here = self.site.known().peers.alive_here(Instant::now());
+        let here = u32::try_from(here).unwrap_or(u32::MAX);
+        LISTEN_FOR * here.max(LISTENERS) / LISTENERS
+    }
+
     /// Puts changes of the list that were read into the messages for the VMs of the zone.
     fn pass_on(&self, from: Option<u64>, read: &Changes) {
         let (Feed::Endpoints, Some(from)) = (self.feed, from) else {
@@ -365,7 +373,9 @@
                 }
                 Change::Vm(vm) => {
                     let mut known = self.site.known();
-                    known.peers.learn(vm.name, vm.zone, vm.address);
+                    known
+                        .peers
+                        .learn(vm.name, vm.zone, vm.address, vm.millicores);
                 }
                 Change::Malformed { key, why } => {
                     tracing::warn!(feed = ?self.feed, %key, why, "a record can't be read; the last good one stays");
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -174,6 +174,8 @@
             zone: SmolStr::new(self.site.zone.as_str()),
             vms: 1,
             address: format_smolstr!("{}", self.site.settings.load().peer_address()),
+            millicores: self.site.settings.load().millicores(),
+            reaches_store: !known.lease_failing,
             number: self.number,
             taken: known.balance.own().filter_map(named).collect(),
             demand: rates(known.arrivals.rates(now)),
@@ -298,7 +300,9 @@
         let mut known = site.known();
         let known = &mut *known;
         if let Ok(address) = w.address.parse()
-            && known.peers.learn(w.from.clone(), zone.clone(), address)
+            && known
+                .peers
+                .learn(w.from.clone(), zone.clone(), address, w.millicores)
         {
             tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
         }
@@ -308,6 +312,7 @@
             Scope::Vm => {
                 let is_new = known.peers.receive(now, &w.from, w.number);
                 if is_new && zone == site.zone {
+                    known.peers.note_store(&w.from, w.reaches_store);
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
                     known.taken.insert(from.clone(), (now, w.taken));
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -19,7 +19,8 @@
     f(&mut lease.lock().unwrap_or_else(PoisonError::into_inner))
 }
 
-/// Joins the group again and again; leaves it when the process ends.
+/// Joins the group again and again while this VM stands for the lease or holds it; leaves it when the process
+/// ends, or when others stand.
 pub(crate) async fn keep_lease<P, S>(
     site: Arc<Site<P>>,
     store: S,
@@ -31,15 +32,28 @@
 {
     let member = format!("{}@{}", site.me, site.settings.load().ip);
     let mut failing = false;
+    let mut joined = false;
     loop {
-        if *stop.borrow() {
+        let stopping = *stop.borrow();
+        let sent = Instant::now();
+        let stands = with_lease(&lease, |l| l.is_held()) || site.known().peers.is_candidate(sent);
+        if joined && (stopping || !stands) {
             if let Err(e) = store.leave(&member).await {
                 tracing::info!(error = %e, "the group could not be left");
             }
+            joined = false;
+        }
+        if stopping {
             with_lease(&lease, GroupLease::drop_it);
             return;
         }
-        let sent = Instant::now();
+        if !stands {
+            failing = false;
+            site.known().lease_failing = false;
+            pause(sent, &mut stop).await;
+            continue;
+        }
+        joined = true;
         let generation = with_lease(&lease, |l| l.generation());
         match store.join(&member, generation).await {
             Ok(dealt) => {
@@ -66,11 +80,17 @@
                 failing = true;
             }
         }
-        let next = sleep((sent + JOIN_EVERY).saturating_duration_since(Instant::now()));
-        tokio::select! {
-            () = next => {}
-            // An error says that the process is ending, which the next round sees as well.
-            _told = stop.changed() => {}
-        }
+        site.known().lease_failing = failing;
+        pause(sent, &mut stop).await;
+    }
+}
+
+/// Waits until the next call is due, or the process is told to end.
+async fn pause(since: Instant, stop: &mut watch::Receiver<bool>) {
+    let next = sleep((since + JOIN_EVERY).saturating_duration_since(Instant::now()));
+    tokio::select! {
+        () = next => {}
+        // An error says that the process is ending, which the next round sees as well.
+        _told = stop.changed() => {}
     }
 }
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -160,6 +160,7 @@
         name: SmolStr::new(site.me.as_str()),
         zone: site.zone.clone(),
         address: site.settings.load().peer_address(),
+        millicores: site.settings.load().millicores(),
     };
     while let Err(e) = store.announce(&vm).await {
         tracing::info!(error = %e, "this VM could not be made known yet");
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -27,6 +27,9 @@
     /// Some VMs to begin with when the store is away, as `IP:PORT`; the port is of no matter.
     #[serde(default)]
     pub seeds: Vec<String>,
+    /// The part of a processor core that this VM has.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
     /// The platform's store, as `IP:PORT`.
     pub store_address: String,
     /// How long the process has to end after it was told to, in ms.
@@ -48,6 +51,11 @@
     pub load_slack: f64,
 }
 
+/// What an entry VM of today's sites has.
+fn default_cores() -> f64 {
+    0.25
+}
+
 /// What the site's rules allow on top of the weight store's rate.
 fn default_load_slack() -> f64 {
     3.0
@@ -60,6 +68,18 @@
         SocketAddr::new(self.ip, self.peer_port)
     }
 
+    /// Gives the processor in thousandths of a core.
+    #[must_use]
+    pub fn millicores(&self) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the settings are checked; a cast saturates"
+        )]
+        let millicores = (self.cores * 1000.0).round() as u32;
+        millicores
+    }
+
     /// Gives the budget for repeats.
     #[must_use]
     pub fn repeats(&self) -> RepeatAllowance {
@@ -96,6 +116,7 @@
         check_range("repeat_window_ms", self.repeat_window_ms, 100..=600_000)?;
         check_range("load_window_ms", self.load_window_ms, 100..=600_000)?;
         let ratios = [
+            ("cores", self.cores),
             ("repeat_ratio", self.repeat_ratio),
             ("repeat_slack", self.repeat_slack),
             ("load_over", self.load_over),
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -52,6 +52,8 @@
     pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
     /// What the controller on this VM found out lately, for the other VMs.
     pub reports: BTreeMap<SmolStr, (Instant, HoldingsReport)>,
+    /// Whether this VM's last call for the lease failed.
+    pub lease_failing: bool,
     /// The other VMs.
     pub peers: Peers,
 }
@@ -114,7 +116,12 @@
             positions: Positions::default(),
             ahead: BTreeMap::new(),
             reports: BTreeMap::new(),
-            peers: Peers::new(SmolStr::new(settings.name.as_str()), zone.clone()),
+            lease_failing: false,
+            peers: Peers::new(
+                SmolStr::new(settings.name.as_str()),
+                zone.clone(),
+                settings.millicores(),
+            ),
         };
         let (list_tx, list_rx) = mpsc::unbounded_channel();
         Arc::new(Self {
--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -117,6 +117,7 @@
             vm.as_str().into(),
             "a".into(),
             ([127, 0, 0, 1], 7000).into(),
+            250,
         );
         known.peers.receive(tokio::time::Instant::now(), &vm, 1);
     }
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -58,6 +58,10 @@
     pub vms: u16,
     /// Where its datagrams arrive, as `IP:PORT`.
     pub address: SmolStr,
+    /// Its processor, in thousandths of a core.
+    pub millicores: u32,
+    /// Whether it reaches the platform's store.
+    pub reaches_store: bool,
     /// Rises with each message of one start of the process; a later start begins higher.
     pub number: u64,
     /// What its requests take at each endpoint, by instance.
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::id::ZoneName;
 use smol_str::SmolStr;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +14,13 @@
 
 /// After how long without a message a VM counts as silent: eight messages.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
+/// For how long after its start a VM takes those that it hasn't heard yet for alive: a message each
+/// [`SILENT_AFTER`] eighth, with some room for slow starts.
+const INTRODUCTION: Duration = Duration::from_millis(1500);
+/// How many VMs of each zone stand for the lease: one, and one for when it is lost. Each change among those who
+/// stand may move the lease, and with it comes a pause in which no orders are given: with all 71 VMs
+/// of a site it moved each four seconds.
+const CANDIDATES: usize = 2;
 /// After how long without a sum a zone counts as silent.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
 
@@ -20,6 +28,10 @@
 struct Peer {
     address: SocketAddr,
     zone: ZoneName,
+    /// Its processor, in thousandths of a core.
+    millicores: u32,
+    /// Whether it reaches the platform's store, as far as it said.
+    reaches_store: bool,
     heard: Option<Instant>,
     /// The number of its last message; a later start begins higher.
     number: u64,
@@ -37,6 +49,9 @@
 pub struct Peers {
     me: SmolStr,
     zone: ZoneName,
+    /// This VM's processor, in thousandths of a core.
+    millicores: u32,
+    started: Instant,
     rows: BTreeMap<SmolStr, Peer>,
     zones: BTreeMap<ZoneName, OtherZone>,
     turn: usize,
@@ -46,10 +61,12 @@
 impl Peers {
     /// Makes the peers of a VM that knows none.
     #[must_use]
-    pub fn new(me: SmolStr, zone: ZoneName) -> Self {
+    pub fn new(me: SmolStr, zone: ZoneName, millicores: u32) -> Self {
         Self {
             me,
             zone,
+            millicores,
+            started: Instant::now(),
             rows: BTreeMap::new(),
             zones: BTreeMap::new(),
             turn: 0,
@@ -89,6 +106,22 @@
         (*first < self.me).then_some(first)
     }
 
+    /// Tells whether this VM stands for the lease: few of each zone do, the strongest first.
+    #[must_use]
+    pub fn is_candidate(&self, now: Instant) -> bool {
+        let is_new = now.duration_since(self.started) < INTRODUCTION;
+        let mine = (Reverse(self.millicores), &self.me);
+        let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
+        let before = here.filter(|(name, p)| {
+            let is_alive = match p.heard {
+                Some(t) => now.duration_since(t) < SILENT_AFTER,
+                None => is_new,
+            };
+            is_alive && p.reaches_store && (Reverse(p.millicores), *name) < mine
+        });
+        before.count() < CANDIDATES
+    }
+
     /// Gives where a VM's datagrams arrive.
     #[must_use]
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
@@ -119,19 +152,28 @@
 
 /// Commands.
 impl Peers {
-    /// Takes in where a VM is. Gives whether it is a new one.
-    pub fn learn(&mut self, name: SmolStr, zone: ZoneName, address: SocketAddr) -> bool {
+    /// Takes in where a VM is, and its processor in thousandths of a core. Gives whether it is a new one.
+    pub fn learn(
+        &mut self,
+        name: SmolStr,
+        zone: ZoneName,
+        address: SocketAddr,
+        millicores: u32,
+    ) -> bool {
         if name == self.me {
             return false;
         }
         if let Some(p) = self.rows.get_mut(&name) {
             p.address = address;
             p.zone = zone;
+            p.millicores = millicores;
             return false;
         }
         let peer = Peer {
             address,
             zone,
+            millicores,
+            reaches_store: true,
             heard: None,
             number: 0,
         };
@@ -152,6 +194,13 @@
         true
     }
 
+    /// Notes whether a VM says that it reaches the platform's store.
+    pub fn note_store(&mut self, name: &str, reaches_store: bool) {
+        if let Some(p) = self.rows.get_mut(name) {
+            p.reaches_store = reaches_store;
+        }
+    }
+
     /// Notes a message for a whole zone.
     pub fn receive_zone(&mut self, now: Instant, zone: ZoneName, from: SmolStr, vms: usize) {
         let row = OtherZone {
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -4,6 +4,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::time::{Instant, advance};
 
 fn address(port: u16) -> SocketAddr {
@@ -12,10 +13,10 @@
 
 /// The peers of vm-2: vm-1 and vm-3 in its zone, vm-4 to vm-6 in another.
 fn peers() -> Peers {
-    let mut p = Peers::new("vm-2".into(), "a".into());
+    let mut p = Peers::new("vm-2".into(), "a".into(), 250);
     for i in [1_u16, 3, 4, 5, 6] {
         let zone = if i < 4 { "a" } else { "b" };
-        assert!(p.learn(format_smolstr!("vm-{i}"), zone.into(), address(i)));
+        assert!(p.learn(format_smolstr!("vm-{i}"), zone.into(), address(i), 250));
     }
     p
 }
@@ -23,15 +24,51 @@
 #[test]
 fn learn_itself_and_again() {
     let mut p = peers();
-    assert!(!p.learn("vm-2".into(), "a".into(), address(2)));
+    assert!(!p.learn("vm-2".into(), "a".into(), address(2), 250));
     assert!(
-        !p.learn("vm-3".into(), "a".into(), address(33)),
+        !p.learn("vm-3".into(), "a".into(), address(33), 250),
         "it has moved"
     );
     assert_eq!(p.address("vm-3"), Some(address(33)));
     assert_eq!(p.known(), 6);
 }
 
+#[tokio::test(start_paused = true)]
+async fn candidate_is_one_of_the_first_two() {
+    // At its start vm-2 takes vm-1 and vm-3 for alive, though it has heard neither: vm-1 goes before it.
+    let mut p = peers();
+    assert!(p.is_candidate(Instant::now()));
+    p.learn("vm-0".into(), "a".into(), address(9), 250);
+    assert!(!p.is_candidate(Instant::now()), "vm-0 and vm-1 stand");
+    advance(Duration::from_millis(1600)).await;
+    assert!(p.is_candidate(Instant::now()), "neither was ever heard");
+}
+
+#[tokio::test(start_paused = true)]
+async fn candidate_steps_up_for_one_that_is_lost() {
+    let mut p = peers();
+    advance(Duration::from_secs(2)).await;
+    let now = Instant::now();
+    p.learn("vm-0".into(), "a".into(), address(9), 250);
+    p.receive(now, "vm-0", 1);
+    p.receive(now, "vm-1", 1);
+    assert!(!p.is_candidate(now));
+    // One that says that it can't reach the store leaves its place, and so does one that falls silent.
+    p.note_store("vm-0", false);
+    assert!(p.is_candidate(now));
+    p.note_store("vm-0", true);
+    assert!(!p.is_candidate(now));
+    assert!(p.is_candidate(now + SILENT_AFTER));
+}
+
+#[tokio::test(start_paused = true)]
+async fn candidate_is_the_stronger_one() {
+    let mut p = peers();
+    p.learn("vm-3".into(), "a".into(), address(3), 500);
+    p.learn("vm-9".into(), "a".into(), address(9), 500);
+    assert!(!p.is_candidate(Instant::now()), "both have more processor");
+}
+
 #[tokio::test(start_paused = true)]
 async fn zone_leader_is_the_first_that_is_heard() {
     let mut p = peers();
