Models are weighed in arenas and at a bounded pace; the strongest VM of a zone reads the list for it

Weighing a move compared names for every model at every endpoint against every endpoint, again for each chosen move, so one weighing took seconds of a VM with half a core, and the lease lapsed meanwhile.

Change: `rebalance::table` gives names indices once and knows each model's holders; the worth of a move is reckoned from the endpoints that it changes. A plan begins 16 moves at most. The controller rests four times as long as a weighing took, and weighs adapters once for all news that came meanwhile. The zone's leader is the VM with most processor, so is the first candidate; what it reads of the list is passed on with one change for each instance, up to 100.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -18,10 +18,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep_until};
 
-/// How often demand is weighed.
+/// How often demand is weighed for models, and at most for adapters.
 const WEIGH_EVERY: Duration = Duration::from_millis(200);
+const WEIGH_ADAPTERS_EVERY: Duration = Duration::from_millis(5);
+/// How many times as long as a weighing took this VM does other things after it: it has callers, and a lease
+/// to renew. At 112 endpoints and 155 models a weighing took so long that the lease lapsed.
+const REST_AFTER: u32 = 4;
 /// How often demand and load are put into a log line.
 const LOG_DEMAND_EVERY: Duration = Duration::from_secs(1);
 /// The demand that a request stands for that waits for something not loaded, in ms of work a second.
@@ -50,18 +54,39 @@
         ended: ended_tx,
     };
     tokio::spawn(keep_lease(site, store, lease, stop));
-    // One clock for all rounds: a sleep in the loop would begin anew with each other event.
-    let mut ticks = interval(WEIGH_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut models_due = Instant::now();
+    let mut adapters_due = Instant::now();
+    let mut asked = false;
     loop {
         tokio::select! {
-            _ = ticks.tick() => g.weigh(),
-            () = wanted.notified() => g.load_adapters(),
-            Some(e) = ended.recv() => g.note_end(&e),
+            () = sleep_until(models_due) => {
+                models_due = next_after(WEIGH_EVERY, || g.weigh());
+                asked = true;
+            }
+            () = sleep_until(adapters_due), if asked => {
+                adapters_due = next_after(WEIGH_ADAPTERS_EVERY, || g.load_adapters());
+                asked = false;
+            }
+            () = wanted.notified() => asked = true,
+            Some(e) = ended.recv() => {
+                g.note_end(&e);
+                asked = true;
+            }
         }
     }
 }
 
+/// Weighs, and gives when to weigh again.
+fn next_after<F>(every: Duration, weigh: F) -> Instant
+where
+    F: FnOnce(),
+{
+    let began = Instant::now();
+    weigh();
+    let now = Instant::now();
+    (began + every).max(now + now.duration_since(began) * REST_AFTER)
+}
+
 struct Controller<P>
 where
     P: Protocol,
@@ -94,7 +119,6 @@
                 Moved::Adapter => r.adapter_ended(Instant::now(), e.key, e.book.is_some()),
             }
         }
-        self.load_adapters();
     }
 
     /// Weighs demand anew, and begins the moves that it asks for.
@@ -135,7 +159,6 @@
                 }
             }
         }
-        self.load_adapters();
     }
 
     /// Begins to load adapters that are asked for and not there.
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -46,8 +46,9 @@
 /// VMs; with more of them it is longer in proportion, since each such read is a call to the store.
 const LISTEN_FOR: Duration = Duration::from_secs(5);
 const LISTENERS: u32 = 3;
-/// Changes of the list that go into one message at most; beyond, each VM reads them itself.
-const MAX_PASSED_ON: usize = 40;
+/// Changes of the list that go into one message at most; beyond, each VM reads them itself. With a few hundred
+/// bytes each they fit in a datagram beside the rest.
+const MAX_PASSED_ON: usize = 100;
 /// How long entries that vanished around an outage may take to come back: the platform says about two
 /// seconds.
 pub const SETTLE: Duration = Duration::from_millis(2500);
@@ -216,7 +217,7 @@
         let news = ListChanges {
             from,
             to: read.next,
-            changes: changes.collect(),
+            changes: newest(changes),
         };
         if news.to > news.from && news.changes.len() <= MAX_PASSED_ON {
             self.site
@@ -430,6 +431,22 @@
     }
 }
 
+/// Leaves the last change of each instance.
+fn newest<I>(changes: I) -> Vec<ListChange>
+where
+    I: Iterator<Item = ListChange>,
+{
+    let mut by_instance: BTreeMap<SmolStr, ListChange> = BTreeMap::new();
+    for c in changes {
+        let instance = match &c {
+            ListChange::Listed(e) => e.instance.clone(),
+            ListChange::Gone(i) => i.clone(),
+        };
+        by_instance.insert(instance, c);
+    }
+    by_instance.into_values().collect()
+}
+
 fn position(p: Positions, feed: Feed) -> u64 {
     match feed {
         Feed::Configuration => p.configuration,
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -1,7 +1,7 @@
 //! The other VMs of a site: who is heard, who leads a zone, and to whom.
 //!
-//! Inside a zone all VMs tell each other. One VM of each zone, the first by name of those that are heard,
-//! sends sums to the other zones, and whoever hears such a message passes it on inside its own
+//! Inside a zone all VMs tell each other. One VM of each zone, the one with most processor of those that are
+//! heard and the first by name among equals, sends sums to the other zones, and whoever hears such a message passes it on inside its own
 //! zone. So bytes between zones grow with the zones, not with the square of the VMs.
 
 use crate::id::ZoneName;
@@ -96,14 +96,16 @@
     /// Tells whether this VM leads its zone.
     #[must_use]
     pub fn is_zone_leader(&self, now: Instant) -> bool {
-        self.heard_here(now).all(|(name, _)| *name > self.me)
+        self.zone_leader(now).is_none()
     }
 
     /// Gives the VM that speaks for the own zone, unless it is this one.
     #[must_use]
     pub fn zone_leader(&self, now: Instant) -> Option<&SmolStr> {
-        let first = self.heard_here(now).map(|(name, _)| name).next()?;
-        (*first < self.me).then_some(first)
+        let rank = |(name, p): &(&SmolStr, &Peer)| (Reverse(p.millicores), (*name).clone());
+        let (name, p) = self.heard_here(now).min_by_key(rank)?;
+        let leads = (Reverse(p.millicores), name) < (Reverse(self.millicores), &self.me);
+        leads.then_some(name)
     }
 
     /// Tells whether this VM stands for the lease: few of each zone do, the strongest first.
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -6,15 +6,19 @@
 //! (`docs/design/system.md`).
 
 use crate::catalog::EngineSpec;
-use crate::id::{EndpointKey, ServiceName, ZoneName};
-use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
+use crate::id::{EndpointKey, ServiceName};
+use crate::roster::{Holdings, ModelRef, Roster};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
 mod adapters;
 mod models;
+mod table;
+
+use models::Weighing;
+use table::{ModelIx, Table};
 
 /// The load above which a model's replicas are too few, in ms of work a second.
 pub const HIGH_LOAD: f64 = 350.0;
@@ -29,6 +33,8 @@
 /// The time constant of the slower rates, which adapters go by: a few requests a minute say little in
 /// a second.
 const SLOW_S: f64 = 5.0;
+/// Moves that one plan begins at most; the next plan is a fraction of a second later, and sees what these change.
+const MAX_MOVES: usize = 16;
 /// Loads that are left out of what the weight store allows, for orders that are carried out late.
 const CEILING_MARGIN: f64 = 2.0;
 
@@ -124,18 +130,6 @@
     holdings.iter().map(size).sum()
 }
 
-/// An endpoint as a plan sees it: what it will hold once all moves under way are done.
-#[derive(Clone, Debug)]
-struct Place {
-    key: EndpointKey,
-    zone: ZoneName,
-    models: BTreeSet<SmolStr>,
-    copies: BTreeSet<SmolStr>,
-    free: f64,
-    moving: bool,
-    load: f64,
-}
-
 /// What a plan starts from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadsSeen {
@@ -172,13 +166,11 @@
     /// Gives what a plan would start from, for a log line.
     #[must_use]
     pub fn loads(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> LoadsSeen {
-        let mut places = self.places(roster, service, spec);
-        let replicas = self.spread(&mut places);
-        let models = spec.models.keys().map(|m| {
-            let n = replicas.get(m).copied().unwrap_or(0.0);
-            (m.clone(), self.demand(m).round(), n)
-        });
-        let mut endpoints: Vec<f64> = places.iter().map(|p| p.load.round()).collect();
+        let t = Table::new(self, roster, service, spec);
+        let models = t
+            .models()
+            .map(|m| (t.name(m).clone(), t.demand(m).round(), t.replicas(m)));
+        let mut endpoints: Vec<f64> = t.places().map(|(_, p)| p.load.round()).collect();
         endpoints.sort_by(f64::total_cmp);
         LoadsSeen {
             models: models.filter(|(_, d, _)| *d >= 1.0).collect(),
@@ -186,19 +178,6 @@
         }
     }
 
-    /// Spreads each model's demand over its replicas. Gives how many it has.
-    fn spread(&self, places: &mut [Place]) -> BTreeMap<SmolStr, f64> {
-        let mut replicas: BTreeMap<SmolStr, f64> = BTreeMap::new();
-        for m in places.iter().flat_map(|p| &p.models) {
-            *replicas.entry(m.clone()).or_default() += 1.0;
-        }
-        let share = |m: &SmolStr| self.demand(m) / replicas.get(m).copied().unwrap_or(1.0);
-        for p in places.iter_mut() {
-            p.load = p.models.iter().map(share).sum();
-        }
-        replicas
-    }
-
     /// Gives a model's demand as it is foreseen, in ms of work a second.
     fn demand(&self, model: &str) -> f64 {
         let now = self.fast.get(model).copied().unwrap_or(0.0);
@@ -239,13 +218,12 @@
         }
         self.slow.retain(|_, v| *v > 0.01);
         // The difference to a slower rate is the trend over about the slower one's time constant.
+        let mut slow: BTreeMap<&SmolStr, f64> = BTreeMap::new();
+        for (m, d) in &self.slow {
+            *slow.entry(&m.model).or_default() += d;
+        }
         for (m, d) in &models {
-            let slow: f64 = self
-                .slow
-                .iter()
-                .filter(|(r, _)| r.model == *m)
-                .map(|(_, v)| v)
-                .sum();
+            let slow = slow.get(m).copied().unwrap_or(0.0);
             self.trend.insert(m.clone(), (d - slow) / SLOW_S);
         }
         self.trend.retain(|m, _| models.contains_key(m));
@@ -271,27 +249,33 @@
         self.loaded.retain(|_, t| now.duration_since(*t) < MIN_STAY);
         self.failed
             .retain(|_, t| now.duration_since(*t) < FAILED_REST);
-        let mut places = self.places(roster, service, spec);
+        let mut table = Table::new(self, roster, service, spec);
         let mut out = Vec::new();
-        while self.ceiling(spec, ceiling) > 0 {
-            let best = self.best_move(&mut places, spec);
-            let best = best.or_else(|| self.spare_move(&mut places, spec, ceiling));
-            let Some((key, m)) = best else {
+        while out.len() < MAX_MOVES {
+            let left = self.ceiling(spec, ceiling);
+            let w = Weighing {
+                rebalancer: self,
+                table: &table,
+            };
+            if left == 0 {
+                break;
+            }
+            let Some(best) = w.best_move().or_else(|| w.spare_move(left)) else {
                 break;
             };
-            let cold = places
-                .iter()
-                .any(|p| p.key == key && !p.copies.contains(&m.load));
-            if cold {
+            let p = table.place(best.at);
+            let key = p.key;
+            if !p.has_copy(best.load) {
                 self.loads.push_back(now);
             }
+            let name = |m: &ModelIx| table.name(*m).clone();
+            let m = ModelMove {
+                load: name(&best.load),
+                evict: best.evict.iter().map(name).collect(),
+            };
+            table.begin(best.at, best.load, &best.evict);
             self.loaded.insert((key, m.load.clone()), now);
             self.moves.insert(key, m.clone());
-            if let Some(p) = places.iter_mut().find(|p| p.key == key) {
-                p.moving = true;
-                p.models.retain(|x| !m.evict.contains(x));
-                p.models.insert(m.load.clone());
-            }
             out.push((key, m));
         }
         out
@@ -319,27 +303,4 @@
             self.adapter_failed.insert(key, now);
         }
     }
-
-    fn places(&self, roster: &Roster, service: &ServiceName, spec: &EngineSpec) -> Vec<Place> {
-        let place = |(key, e): (EndpointKey, &Endpoint)| {
-            let mut models: BTreeSet<SmolStr> = e.holdings.keys().cloned().collect();
-            let m = self.moves.get(&key);
-            if let Some(m) = m {
-                models.retain(|x| !m.evict.contains(x));
-                models.insert(m.load.clone());
-            }
-            Place {
-                key,
-                zone: e.zone.clone(),
-                models,
-                copies: e.copies.clone(),
-                free: spec.megabytes - used(&e.holdings, spec),
-                moving: m.is_some()
-                    || self.coming.contains_key(&key)
-                    || self.failed.contains_key(&key),
-                load: 0.0,
-            }
-        };
-        roster.open(service).map(place).collect()
-    }
 }
--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -5,11 +5,9 @@
 //! once the least wanted duplicates have made way; the last replica of a model never does. In quiet times
 //! models get second replicas and copies.
 
-use super::{HIGH_LOAD, LoadCeiling, ModelMove, Place, Rebalancer};
-use crate::catalog::EngineSpec;
-use crate::id::{EndpointKey, ZoneName};
-use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet};
+use super::table::{ModelIx, Place, PlaceIx, Table};
+use super::{HIGH_LOAD, Rebalancer};
+use crate::id::ZoneName;
 
 /// What a move has to be worth, in units of an endpoint at [`HIGH_LOAD`]: it costs an order or two, and
 /// the endpoint's prompts that were kept.
@@ -48,178 +46,163 @@
     (load.max(0.0) / HIGH_LOAD).powi(3)
 }
 
-impl Rebalancer {
+/// A move of a model that was weighed.
+#[derive(Debug)]
+pub(super) struct Weighed {
+    worth: f64,
+    pub(super) at: PlaceIx,
+    pub(super) load: ModelIx,
+    pub(super) evict: Vec<ModelIx>,
+}
+
+/// Gives the one that is worth more; the first one if both are worth as much.
+fn better(a: Option<Weighed>, b: Option<Weighed>) -> Option<Weighed> {
+    match (a, b) {
+        (Some(a), Some(b)) if b.worth > a.worth => Some(b),
+        (None, b) => b,
+        (a, _) => a,
+    }
+}
+
+/// One weighing of all endpoints.
+pub(super) struct Weighing<'a> {
+    pub(super) rebalancer: &'a Rebalancer,
+    pub(super) table: &'a Table,
+}
+
+impl Weighing<'_> {
     /// Finds the move that is worth most, if any is worth making.
-    pub(super) fn best_move(
-        &self,
-        places: &mut [Place],
-        spec: &EngineSpec,
-    ) -> Option<(EndpointKey, ModelMove)> {
-        let replicas = self.spread(places);
-        let mut best: Option<(f64, EndpointKey, ModelMove)> = None;
-        for model in spec.models.keys() {
-            let held = places.iter().filter(|p| p.models.contains(model));
-            let hottest = held.map(|p| p.load).max_by(f64::total_cmp);
-            let is_short = hottest.is_none_or(|l| l > HIGH_LOAD && self.demand(model) > 0.0);
-            if !is_short {
-                continue;
-            }
-            let w = Weighing {
-                rebalancer: self,
-                places,
-                replicas: &replicas,
-                spec,
-            };
-            let found = w.best_place(model);
-            if let Some((gain, key, m)) = found
-                && best.as_ref().is_none_or(|(g, ..)| gain > *g)
-            {
-                best = Some((gain, key, m));
-            }
-        }
-        best.map(|(_, key, m)| (key, m))
+    pub(super) fn best_move(&self) -> Option<Weighed> {
+        let short = self.table.models().filter(|m| self.is_short(*m));
+        short.map(|m| self.best_place(m)).fold(None, better)
     }
 
     /// Finds a place for a second replica of a model that has one only: an endpoint that is lost takes its
     /// models with it, and a load from the weight store takes seconds.
     ///
     /// This is done while little else is, so that a shift of demand finds the weight store and the
-    /// endpoints free.
-    pub(super) fn spare_move(
-        &self,
-        places: &mut [Place],
-        spec: &EngineSpec,
-        ceiling: LoadCeiling,
-    ) -> Option<(EndpointKey, ModelMove)> {
-        let places_count = places.len();
-        let moving = places.iter().filter(|p| p.moving).count();
-        let left = self.ceiling(spec, ceiling);
-        let is_quiet = moving < places_count / SPARE_MOVES_PART && left > self.loads.len();
-        if !is_quiet {
+    /// endpoints free. `left` is how many loads from the weight store may begin.
+    pub(super) fn spare_move(&self, left: usize) -> Option<Weighed> {
+        let places = self.table.places().count();
+        let moving = self.table.moving();
+        let begun = self.rebalancer.loads.len();
+        if moving >= places / SPARE_MOVES_PART || left <= begun {
             return None;
         }
-        let replicas = self.spread(places);
-        let w = Weighing {
-            rebalancer: self,
-            places,
-            replicas: &replicas,
-            spec,
-        };
-        let single = spec.models.keys().filter(|m| w.replicas(m) < 2.0);
-        let found = single.filter_map(|m| w.best_spare(m));
-        let best = found.max_by(|a, b| a.0.total_cmp(&b.0));
+        let single = self
+            .table
+            .models()
+            .filter(|m| self.table.replicas(*m) < 2.0);
+        let best = single.map(|m| self.best_spare(m)).fold(None, better);
         // Copies are for later: they leave most of the weight store and of the endpoints free.
-        let is_idle =
-            moving * COPY_MOVES_PART < places_count && left > COPY_CEILING_PART * self.loads.len();
-        let best = best.or_else(|| is_idle.then(|| w.best_copy()).flatten())?;
-        Some((best.1, best.2))
+        let is_idle = moving * COPY_MOVES_PART < places && left > COPY_CEILING_PART * begun;
+        best.or_else(|| is_idle.then(|| self.best_copy()).flatten())
     }
-}
 
-/// One weighing of all places for a model.
-struct Weighing<'a> {
-    rebalancer: &'a Rebalancer,
-    places: &'a [Place],
-    replicas: &'a BTreeMap<SmolStr, f64>,
-    spec: &'a EngineSpec,
-}
-
-impl Weighing<'_> {
-    fn replicas(&self, model: &SmolStr) -> f64 {
-        self.replicas.get(model).copied().unwrap_or(0.0)
+    /// Tells whether a model is nowhere, or loaded above [`HIGH_LOAD`] somewhere.
+    fn is_short(&self, m: ModelIx) -> bool {
+        let loads = self.table.holders(m).map(|(_, p)| p.load);
+        let hottest = loads.max_by(f64::total_cmp);
+        hottest.is_none_or(|l| l > HIGH_LOAD && self.table.demand(m) > 0.0)
     }
 
-    /// Gives what a replica of a model carries when there are so many more of them.
-    fn share(&self, model: &SmolStr, more: f64) -> f64 {
-        self.rebalancer.demand(model) / (self.replicas(model) + more).max(1.0)
-    }
-
-    /// Finds where another replica of a model is worth most. Gives what it is worth, too.
-    fn best_place(&self, model: &SmolStr) -> Option<(f64, EndpointKey, ModelMove)> {
-        let size = self.spec.models.get(model)?.megabytes;
-        let is_missing = self.replicas(model) < 1.0;
-        let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        let may_take = |p: &&Place| self.may_move(p, model, MOVING_PART);
-        for p in self.places.iter().filter(may_take) {
-            let Some(evict) = self.make_room(p, size, 1.0) else {
+    /// Finds where another replica of a model is worth most.
+    fn best_place(&self, load: ModelIx) -> Option<Weighed> {
+        let t = self.table;
+        let is_missing = t.replicas(load) < 1.0;
+        let mut best = None;
+        for (at, p) in t.places() {
+            if !self.may_move(p, load, MOVING_PART) {
+                continue;
+            }
+            let Some(evict) = self.make_room(p, t.megabytes(load), 1.0) else {
                 continue;
             };
-            let mut gain = self.gain(p, model, &evict);
-            gain -= evict.iter().map(|m| self.share(m, 0.0)).sum::<f64>() / HIGH_LOAD * BUSY_COST;
-            if !p.copies.contains(model) {
-                gain -= COLD_COST;
+            let mut worth = self.gain(at, load, &evict);
+            worth -= evict.iter().map(|m| t.share(*m, 0.0)).sum::<f64>() / HIGH_LOAD * BUSY_COST;
+            if !p.has_copy(load) {
+                worth -= COLD_COST;
             }
             if is_missing {
-                gain += MISSING_COST * (1.0 + self.rebalancer.demand(model) / MISSING_DEMAND);
-            }
-            if gain > MOVE_COST && best.as_ref().is_none_or(|(g, ..)| gain > *g) {
-                best = Some((gain, p.key, evict));
+                worth += MISSING_COST * (1.0 + t.demand(load) / MISSING_DEMAND);
             }
+            let weighed = Weighed {
+                worth,
+                at,
+                load,
+                evict,
+            };
+            best = better(best, (worth > MOVE_COST).then_some(weighed));
         }
-        let (gain, key, evict) = best?;
-        let load = model.clone();
-        Some((gain, key, ModelMove { load, evict }))
+        best
     }
 
-    /// Finds where a second replica of a model costs least. Gives what it is worth, too.
-    fn best_spare(&self, model: &SmolStr) -> Option<(f64, EndpointKey, ModelMove)> {
-        let size = self.spec.models.get(model)?.megabytes;
-        let held = self.places.iter().filter(|p| p.models.contains(model));
-        let zones: BTreeSet<&ZoneName> = held.map(|p| &p.zone).collect();
-        let mut best: Option<(f64, EndpointKey, Vec<SmolStr>)> = None;
-        let may_take = |p: &&Place| self.may_move(p, model, SPARE_MOVING_PART);
-        for p in self.places.iter().filter(may_take) {
+    /// Finds where a second replica of a model costs least.
+    fn best_spare(&self, load: ModelIx) -> Option<Weighed> {
+        let t = self.table;
+        let zones: Vec<&ZoneName> = t.holders(load).map(|(_, p)| &p.zone).collect();
+        let mut best = None;
+        for (at, p) in t.places() {
+            if !self.may_move(p, load, SPARE_MOVING_PART) {
+                continue;
+            }
             // What makes way has to leave two replicas behind.
-            let Some(evict) = self.make_room(p, size, 2.0) else {
+            let Some(evict) = self.make_room(p, t.megabytes(load), 2.0) else {
                 continue;
             };
-            let mut worth = self.gain(p, model, &evict);
+            let mut worth = self.gain(at, load, &evict);
             if worth < -SPARE_COST {
                 continue;
             }
-            if zones.contains(&p.zone) {
+            if zones.contains(&&p.zone) {
                 worth -= SPARE_COST;
             }
-            if !p.copies.contains(model) {
+            if !p.has_copy(load) {
                 worth -= COLD_COST;
             }
-            if best.as_ref().is_none_or(|(w, ..)| worth > *w) {
-                best = Some((worth, p.key, evict));
-            }
+            let weighed = Weighed {
+                worth,
+                at,
+                load,
+                evict,
+            };
+            best = better(best, Some(weighed));
         }
-        let (worth, key, evict) = best?;
-        let load = model.clone();
-        Some((worth, key, ModelMove { load, evict }))
+        best
     }
 
     /// Finds an endpoint at rest for the model of which the fewest endpoints have a copy: when its demand
     /// rises, a load from a copy takes a second or two, not eight.
-    fn best_copy(&self) -> Option<(f64, EndpointKey, ModelMove)> {
-        let has_copy = |p: &&Place, m: &SmolStr| p.models.contains(m) || p.copies.contains(m);
-        let copies = |m: &SmolStr| self.places.iter().filter(|p| has_copy(p, m)).count();
-        let mut models: Vec<(usize, &SmolStr)> =
-            self.spec.models.keys().map(|m| (copies(m), m)).collect();
+    fn best_copy(&self) -> Option<Weighed> {
+        let t = self.table;
+        let has_copy = |p: &Place, m: ModelIx| p.holds(m) || p.has_copy(m);
+        let copies = |m: ModelIx| t.places().filter(|(_, p)| has_copy(p, m)).count();
+        let mut models: Vec<(usize, ModelIx)> = t.models().map(|m| (copies(m), m)).collect();
         models.sort_by_key(|(n, _)| *n);
-        for (n, model) in models {
-            if n * COPIES_PART >= self.places.len() {
+        let mut at_rest: Vec<(PlaceIx, &Place)> = t
+            .places()
+            .filter(|(_, p)| p.load < HIGH_LOAD * REST_PART && !p.moving)
+            .collect();
+        at_rest.sort_by(|a, b| a.1.load.total_cmp(&b.1.load));
+        for (n, load) in models {
+            if n * COPIES_PART >= t.places().count() {
                 return None;
             }
-            let size = self.spec.models.get(model)?.megabytes;
-            let at_rest = |p: &&Place| {
-                p.load < HIGH_LOAD * REST_PART
-                    && !has_copy(p, model)
-                    && self.may_move(p, model, SPARE_MOVING_PART)
-            };
-            let mut places: Vec<&Place> = self.places.iter().filter(at_rest).collect();
-            places.sort_by(|a, b| a.load.total_cmp(&b.load));
-            let found = places.into_iter().find_map(|p| {
-                let evict = self.make_room(p, size, 1.0)?;
-                let asleep = evict.iter().all(|m| self.rebalancer.demand(m) < ASLEEP);
-                asleep.then_some((p.key, evict))
+            let found = at_rest.iter().find_map(|(at, p)| {
+                if has_copy(p, load) || !self.may_move(p, load, SPARE_MOVING_PART) {
+                    return None;
+                }
+                let evict = self.make_room(p, t.megabytes(load), 1.0)?;
+                let asleep = evict.iter().all(|m| t.demand(*m) < ASLEEP);
+                asleep.then_some((*at, evict))
             });
-            if let Some((key, evict)) = found {
-                let load = model.clone();
-                return Some((0.0, key, ModelMove { load, evict }));
+            if let Some((at, evict)) = found {
+                return Some(Weighed {
+                    worth: 0.0,
+                    at,
+                    load,
+                    evict,
+                });
             }
         }
         None
@@ -227,66 +210,63 @@
 
     /// Tells whether an endpoint may be ordered to load a model: it isn't being ordered, and enough replicas
     /// of the models with adapters that it holds stay at rest.
-    fn may_move(&self, p: &Place, model: &SmolStr, part: f64) -> bool {
-        if p.moving || p.models.contains(model) {
+    fn may_move(&self, p: &Place, load: ModelIx, part: f64) -> bool {
+        if p.moving || p.holds(load) {
             return false;
         }
         p.models.iter().all(|m| {
-            let has_adapters = self
-                .spec
-                .models
-                .get(m)
-                .is_some_and(|s| !s.adapters.is_empty());
-            let held = self.places.iter().filter(|o| o.models.contains(m));
-            let moving = held.filter(|o| o.moving).count();
+            let moving = self.table.holders(*m).filter(|(_, o)| o.moving).count();
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
             let moving = moving as f64 + 1.0;
-            !has_adapters || moving <= self.replicas(m) * part
+            !self.table.has_adapters(*m) || moving <= self.table.replicas(*m) * part
         })
     }
 
-    /// Gives how much the endpoints' costs fall when a model takes the place of others.
-    fn gain(&self, target: &Place, model: &SmolStr, evict: &[SmolStr]) -> f64 {
-        let (alone, before) = (self.share(model, 1.0), self.share(model, 0.0));
-        let mut gain = 0.0;
-        for p in self.places {
-            let mut after = p.load;
-            if p.key == target.key {
-                after += alone;
-                after -= evict.iter().map(|m| self.share(m, 0.0)).sum::<f64>();
-            } else {
-                if p.models.contains(model) {
-                    after += alone - before;
-                }
-                let gone = evict.iter().filter(|m| p.models.contains(*m));
-                after += gone
-                    .map(|m| self.share(m, -1.0) - self.share(m, 0.0))
-                    .sum::<f64>();
+    /// Gives how much the endpoints' costs fall when a model takes the place of others: at the target, at the
+    /// model's other replicas, and at those of what makes way.
+    fn gain(&self, target: PlaceIx, load: ModelIx, evict: &[ModelIx]) -> f64 {
+        let t = self.table;
+        let mut changes: Vec<(PlaceIx, f64)> = Vec::new();
+        let mut add = |at: PlaceIx, change: f64| match changes.iter_mut().find(|(p, _)| *p == at) {
+            Some((_, sum)) => *sum += change,
+            None => changes.push((at, change)),
+        };
+        let (alone, before) = (t.share(load, 1.0), t.share(load, 0.0));
+        add(target, alone);
+        for (at, _) in t.holders(load) {
+            add(at, alone - before);
+        }
+        for m in evict {
+            let (now, then) = (t.share(*m, 0.0), t.share(*m, -1.0));
+            for (at, _) in t.holders(*m) {
+                add(at, if at == target { -now } else { then - now });
             }
-            gain += load_cost(p.load) - load_cost(after);
         }
-        gain
+        let cost = |(at, change): &(PlaceIx, f64)| {
+            let before = t.place(*at).load;
+            load_cost(before) - load_cost(before + change)
+        };
+        changes.iter().map(cost).sum()
     }
 
     /// Names what has to make way on an endpoint for a model of this size, the least wanted first. Only
     /// models with more than so many replicas make way.
-    fn make_room(&self, p: &Place, size: f64, left: f64) -> Option<Vec<SmolStr>> {
+    fn make_room(&self, p: &Place, size: f64, left: f64) -> Option<Vec<ModelIx>> {
+        let t = self.table;
         let mut free = p.free;
-        let mut may_go: Vec<(f64, &SmolStr)> = Vec::new();
-        for m in &p.models {
-            let stays = self.rebalancer.loaded.contains_key(&(p.key, m.clone()));
-            if self.replicas(m) > left && !stays {
-                may_go.push((self.share(m, -1.0), m));
-            }
-        }
-        may_go.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let loaded = &self.rebalancer.loaded;
+        let stays = |m: ModelIx| loaded.contains_key(&(p.key, t.name(m).clone()));
+        let may_go = p.models.iter().copied();
+        let may_go = may_go.filter(|m| t.replicas(*m) > left && !stays(*m));
+        let mut may_go: Vec<ModelIx> = may_go.collect();
+        may_go.sort_by(|a, b| t.share(*a, -1.0).total_cmp(&t.share(*b, -1.0)));
         let mut evict = Vec::new();
-        for (_, m) in may_go {
+        for m in may_go {
             if free >= size {
                 break;
             }
-            free += self.spec.models.get(m).map_or(0.0, |s| s.megabytes);
-            evict.push(m.clone());
+            free += t.megabytes(m);
+            evict.push(m);
         }
         (free >= size).then_some(evict)
     }
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -69,6 +69,17 @@
     assert!(!p.is_candidate(Instant::now()), "both have more processor");
 }
 
+#[tokio::test(start_paused = true)]
+async fn zone_leader_is_the_strongest_that_is_heard() {
+    let mut p = peers();
+    let now = Instant::now();
+    p.learn("vm-3".into(), "a".into(), address(3), 500);
+    p.receive(now, "vm-1", 1);
+    assert_eq!(p.zone_leader(now).map(SmolStr::as_str), Some("vm-1"));
+    p.receive(now, "vm-3", 1);
+    assert_eq!(p.zone_leader(now).map(SmolStr::as_str), Some("vm-3"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn zone_leader_is_the_first_that_is_heard() {
     let mut p = peers();
