What the controller finds out is said as often for each endpoint; a zone that is cut off doesn't stand for the lease as a whole

A message carried the eight newest reports; with dozens of orders a second an unload's report was pushed out by reports of adapters before other VMs heard it.

At most four VMs of a zone stand. Tests: outbox.rs take_all_are_said_as_often; peers.rs candidates_of_a_zone_that_is_cut_off.

--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -10,7 +10,7 @@
 use crate::site::{Known, Site};
 use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::id::{EndpointKey, VmName, ZoneName};
-use limehollow::roster::{HoldingsReport, ModelRef};
+use limehollow::roster::ModelRef;
 use limehollow_wire::gossip::{Message, Scope, decode, encode};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
@@ -32,12 +32,8 @@
 const SLOWEST: Duration = Duration::from_millis(240);
 /// How often at most a VM sends between its times, when a request waits for something.
 const URGENT_EVERY: Duration = Duration::from_millis(15);
-/// For how long the controller repeats a report: some datagrams in a row may be lost.
-const REPEATED_FOR: Duration = Duration::from_millis(1500);
 /// For how long changes of the list are repeated inside the zone; who misses them reads the store.
 const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
-/// Reports in one message at most, so that it fits in few packets.
-const MAX_REPORTS: usize = 8;
 /// The largest datagram that is read.
 const MAX_MESSAGE: usize = 60 << 10;
 /// After how long what a VM's callers asked for, or waited for, counts no more.
@@ -156,13 +152,9 @@
 
     fn own(&self, now: Instant, known: &mut Known) -> Message {
         let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
-        known.reports.retain(|_, (at, _)| fresh(at, REPEATED_FOR));
         known
             .list_news
             .retain(|(at, _)| fresh(at, LIST_REPEATED_FOR));
-        let mut reports: Vec<&(Instant, HoldingsReport)> = known.reports.values().collect();
-        reports.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
-        let reports = reports.into_iter().take(MAX_REPORTS);
         let named = |(k, t): (EndpointKey, Taken)| {
             let e = known.roster.get(k)?;
             Some((e.instance.clone(), t))
@@ -180,7 +172,7 @@
             taken: known.balance.own().filter_map(named).collect(),
             demand: rates(known.arrivals.rates(now)),
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
-            reports: reports.map(|(_, r)| r.clone()).collect(),
+            reports: known.reports.take(),
             list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
             controller: known.controller.clone().filter(|g| *g == me),
             positions: known.positions,
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -10,7 +10,7 @@
 //!   endpoint over a connection of [`pool`], [`relay`] a streamed answer.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say, [`peer_state`]
 //!   what one has read that another can't.
-//! * [`controller`] moves models and adapters while this VM holds the lease.
+//! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
 //! * [`site`] is the state that they share, [`run`] puts all together.
 //!
 //! The design and what was weighed are in `docs/design/system.md`.
@@ -26,6 +26,7 @@
 pub mod logbook;
 pub mod metrics;
 mod order_task;
+pub mod outbox;
 pub mod peer_state;
 pub mod pool;
 pub mod relay;
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -248,10 +248,7 @@
         };
         let now = Instant::now();
         self.site.report(now, &r);
-        self.site
-            .known()
-            .reports
-            .insert(self.to.instance.clone(), (now, r));
+        self.site.known().reports.add(r);
         self.site.urgent.notify_one();
     }
 
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -4,6 +4,7 @@
 
 use crate::edge::{Feed, Protocol};
 use crate::metrics::Metrics;
+use crate::outbox::Outbox;
 use crate::pool::Pool;
 use crate::settings::NodeSettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -51,7 +52,7 @@
     /// The VM that has read each feed furthest, and how far.
     pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
     /// What the controller on this VM found out lately, for the other VMs.
-    pub reports: BTreeMap<SmolStr, (Instant, HoldingsReport)>,
+    pub reports: Outbox,
     /// Whether this VM's last call for the lease failed.
     pub lease_failing: bool,
     /// The other VMs.
@@ -115,7 +116,7 @@
             list_news: VecDeque::new(),
             positions: Positions::default(),
             ahead: BTreeMap::new(),
-            reports: BTreeMap::new(),
+            reports: Outbox::default(),
             lease_failing: false,
             peers: Peers::new(
                 SmolStr::new(settings.name.as_str()),
--- /dev/null
+++ b/crates/limehollow-node/tests/outbox.rs
@@ -0,0 +1,49 @@
+//! Which reports of the controller go into a message.
+
+use limehollow::roster::{Holdings, HoldingsReport};
+use limehollow_node::outbox::Outbox;
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeMap;
+
+fn report(i: usize, orders_taken: u64) -> HoldingsReport {
+    HoldingsReport {
+        instance: format_smolstr!("i-{i}"),
+        holdings: Holdings::new(),
+        orders_taken,
+    }
+}
+
+#[test]
+fn take_all_are_said_as_often() {
+    // A hundred endpoints change at once: none of them is pushed out by the others.
+    let mut outbox = Outbox::default();
+    for i in 0..100 {
+        outbox.add(report(i, 1));
+    }
+    let mut said: BTreeMap<SmolStr, usize> = BTreeMap::new();
+    loop {
+        let reports = outbox.take();
+        if reports.is_empty() {
+            break;
+        }
+        for r in reports {
+            *said.entry(r.instance).or_default() += 1;
+        }
+    }
+    assert_eq!(said.len(), 100);
+    assert!(said.values().all(|n| *n == 5), "{said:?}");
+}
+
+#[test]
+fn take_new_report_replaces_the_old() {
+    let mut outbox = Outbox::default();
+    outbox.add(report(1, 1));
+    assert_eq!(outbox.take(), [report(1, 1)]);
+    outbox.add(report(1, 2));
+    assert_eq!(outbox.take(), [report(1, 2)]);
+}
+
+#[test]
+fn take_nothing() {
+    assert_eq!(Outbox::default().take(), []);
+}
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -21,6 +21,9 @@
 /// stand may move the lease, and with it comes a pause in which no orders are given: with all 71 VMs
 /// of a site it moved each four seconds.
 const CANDIDATES: usize = 2;
+/// How many there are at most when the first say that they can't reach the store: if the whole zone can't, more
+/// of them would only move the lease when it comes back.
+const MOST_CANDIDATES: usize = 4;
 /// After how long without a sum a zone counts as silent.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
 
@@ -119,9 +122,10 @@
                 Some(t) => now.duration_since(t) < SILENT_AFTER,
                 None => is_new,
             };
-            is_alive && p.reaches_store && (Reverse(p.millicores), *name) < mine
+            is_alive && (Reverse(p.millicores), *name) < mine
         });
-        before.count() < CANDIDATES
+        let (reaching, cut): (Vec<_>, Vec<_>) = before.partition(|(_, p)| p.reaches_store);
+        reaching.len() < CANDIDATES && reaching.len() + cut.len() < MOST_CANDIDATES
     }
 
     /// Gives where a VM's datagrams arrive.
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -61,6 +61,21 @@
     assert!(p.is_candidate(now + SILENT_AFTER));
 }
 
+#[tokio::test(start_paused = true)]
+async fn candidates_of_a_zone_that_is_cut_off() {
+    // All say that they can't reach the store: the first four go on trying, not the whole zone.
+    let mut p = Peers::new("vm-5".into(), "a".into(), 250);
+    let now = Instant::now();
+    for i in 1..5 {
+        let name = format_smolstr!("vm-{i}");
+        assert!(p.is_candidate(now));
+        p.learn(name.clone(), "a".into(), address(i), 250);
+        p.receive(now, &name, 1);
+        p.note_store(&name, false);
+    }
+    assert!(!p.is_candidate(now));
+}
+
 #[tokio::test(start_paused = true)]
 async fn candidate_is_the_stronger_one() {
     let mut p = peers();
