An entry of the list counts heartbeats, not orders: reports go before it by time alone

Traced by lines of each entry and report that the controller's VM took in: the list said 15, 16, 22, 30 where the endpoint's reports said 7, 8, 9, 10. The field `sequence` of the list counts heartbeats; the translation took it for the number of orders, so a report counted as older than the list from the first seconds on, and no VM believed what the controller told. It held on all sites.

Change: an endpoint in the list has no number of orders any more. A report goes before entries that come within 3 s after it, and before reports that count fewer orders. What an entry said meanwhile is taken in later if it was written after the report, since the list doesn't repeat it.

Tests: list_older_than_the_last_order and report_older_than_the_list rested on the wrong reading; in their place list_older_than_the_report, list_that_was_held_back, report_older_than_the_last_one, report_of_few_orders_after_many_entries, which fails without the change.

--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -348,6 +348,9 @@
             let mut known = site.known();
             let known: &mut Known = &mut known;
             known.balance.refresh(now);
+            if known.roster.settle(now) {
+                site.changed.notify_waiters();
+            }
             known
                 .demand
                 .retain(|_, (at, _)| now.duration_since(*at) < DEMAND_LIFE);
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -256,7 +256,6 @@
                 "zone": e.zone,
                 "leaving": e.leaving,
                 "ejected": known.balance.is_ejected(now, k),
-                "orders_taken": e.orders_taken,
                 "holdings": e.holdings,
                 "copies": e.copies,
             })
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -241,7 +241,6 @@
         leaving: false,
         holdings: BTreeMap::new(),
         copies: BTreeSet::new(),
-        orders_taken: 0,
     }
 }
 
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -1,8 +1,8 @@
 //! The endpoints of a site, as far as the platform's list and the controller's reports tell.
 //!
-//! The list lags. A report that the controller read from the endpoint itself is newer than a list
-//! entry that counts fewer orders; where both count the same, the report is preferred for
-//! [`REPORT_PREFERRED`].
+//! The list lags, and doesn't say how old an entry is. A report that the controller read from the endpoint itself
+//! goes before entries that come within [`REPORT_PREFERRED`] after it. Reports count the endpoint's orders, so of
+//! two reports the newer one is known.
 
 use crate::id::{EndpointKey, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -13,9 +13,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long a report goes before a list entry that counts as many orders: the list's own lag, two
-/// heartbeats and some.
+/// For how long a report goes before what the list says: the list's own lag, two heartbeats and some.
 pub const REPORT_PREFERRED: Duration = Duration::from_millis(3000);
+/// An entry that came so long after the last report was written after it: a heartbeat and the time that a change of
+/// the list takes to be read.
+const WRITTEN_AFTER: Duration = Duration::from_millis(2000);
 
 /// A model with, perhaps, one of its adapters.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -69,8 +71,6 @@
     pub holdings: Holdings,
     /// The models whose weights it has a copy of in its memory or on its disk, and can load soon.
     pub copies: BTreeSet<SmolStr>,
-    /// How many orders it has taken since it started.
-    pub orders_taken: u64,
 }
 
 /// What the controller knows of an endpoint's holdings.
@@ -87,7 +87,17 @@
 #[derive(Debug)]
 struct Row {
     endpoint: Endpoint,
+    /// When the last report came, and how many orders it counted.
     reported: Option<(Instant, u64)>,
+    /// What the list said while the report went before it, and when.
+    held_back: Option<(Instant, Holdings)>,
+}
+
+impl Row {
+    fn is_report_preferred(&self, now: Instant) -> bool {
+        let preferred = |at: Instant| now.duration_since(at) < REPORT_PREFERRED;
+        self.reported.is_some_and(|(at, _)| preferred(at))
+    }
 }
 
 /// All endpoints.
@@ -147,19 +157,17 @@
             let row = Row {
                 endpoint: entry,
                 reported: None,
+                held_back: None,
             };
             let key = self.rows.insert(row);
             self.keys.insert(instance, key);
             return true;
         };
         let row = &mut self.rows[key];
-        let newer = row.reported.is_some_and(|(at, taken)| {
-            let preferred = now.duration_since(at) < REPORT_PREFERRED;
-            taken > entry.orders_taken || (taken == entry.orders_taken && preferred)
-        });
-        if newer {
-            entry.holdings = std::mem::take(&mut row.endpoint.holdings);
-            entry.orders_taken = row.endpoint.orders_taken;
+        row.held_back = None;
+        if row.is_report_preferred(now) {
+            let reported = std::mem::take(&mut row.endpoint.holdings);
+            row.held_back = Some((now, std::mem::replace(&mut entry.holdings, reported)));
         }
         // An endpoint that began to leave doesn't come back under the same name, whatever an entry
         // that was read late says.
@@ -174,18 +182,46 @@
             return false;
         };
         let row = &mut self.rows[key];
-        if r.orders_taken < row.endpoint.orders_taken {
+        if row
+            .reported
+            .is_some_and(|(_, taken)| r.orders_taken < taken)
+        {
             return false;
         }
         row.reported = Some((now, r.orders_taken));
+        row.held_back = None;
         let news = row.endpoint.holdings != r.holdings;
-        row.endpoint.orders_taken = r.orders_taken;
         if news {
             row.endpoint.holdings = r.holdings.clone();
         }
         news
     }
 
+    /// Takes in what the list said while a report went before it, once the report is old. Gives whether anything
+    /// changed.
+    ///
+    /// The list doesn't repeat an entry that hasn't changed: without this a report that came to nothing, such as
+    /// that of an unload whose order was lost, would stand for good.
+    pub fn settle(&mut self, now: Instant) -> bool {
+        let mut news = false;
+        for row in self.rows.values_mut() {
+            if row.is_report_preferred(now) {
+                continue;
+            }
+            let (Some((reported, _)), Some((listed, holdings))) =
+                (row.reported, row.held_back.take())
+            else {
+                continue;
+            };
+            if listed.duration_since(reported) >= WRITTEN_AFTER && row.endpoint.holdings != holdings
+            {
+                row.endpoint.holdings = holdings;
+                news = true;
+            }
+        }
+        news
+    }
+
     /// Notes that an endpoint said itself that it leaves.
     pub fn leave(&mut self, key: EndpointKey) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/crates/limehollow/tests/roster.rs
+++ b/crates/limehollow/tests/roster.rs
@@ -15,24 +15,30 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn list_older_than_the_last_order() {
-    // The list lags: an entry that counts fewer orders than the report is outdated, whenever it comes.
+async fn list_older_than_the_report() {
+    // The list lags and counts no orders: an entry that comes soon after a report is outdated.
     let (mut r, keys) = roster(&[&["big-0"]]);
     assert!(r.report(Instant::now(), &report(2, &["big-1"])));
-    advance(REPORT_PREFERRED * 2).await;
-    let mut entry = endpoint(0, "a", holding(&["big-0"]));
-    entry.orders_taken = 1;
-    r.list(Instant::now(), entry);
-    let e = r.get(keys[0]).expect("it is listed");
-    assert_eq!((e.orders_taken, &e.holdings), (2, &holding(&["big-1"])));
+    advance(REPORT_PREFERRED / 2).await;
+    r.list(Instant::now(), endpoint(0, "a", holding(&["big-0"])));
+    assert_eq!(
+        r.get(keys[0]).expect("listed").holdings,
+        holding(&["big-1"])
+    );
+    // Nor does it come to be believed later: it was written before the report.
+    advance(REPORT_PREFERRED).await;
+    assert!(!r.settle(Instant::now()));
+    assert_eq!(
+        r.get(keys[0]).expect("listed").holdings,
+        holding(&["big-1"])
+    );
 }
 
 #[tokio::test(start_paused = true)]
-async fn list_as_new_as_the_report() {
+async fn list_after_the_report() {
     let (mut r, keys) = roster(&[&["big-0"]]);
     r.report(Instant::now(), &report(1, &[]));
-    let mut entry = endpoint(0, "a", holding(&["big-0"]));
-    entry.orders_taken = 1;
+    let entry = endpoint(0, "a", holding(&["big-0"]));
     // What is about to go is still listed: the report holds for a while.
     r.list(Instant::now(), entry.clone());
     assert!(r.get(keys[0]).expect("listed").holdings.is_empty());
@@ -44,12 +50,27 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn list_that_was_held_back() {
+    // An unload was told and its order lost. The list says late that the model is there, and only once.
+    let (mut r, keys) = roster(&[&["big-0"]]);
+    r.report(Instant::now(), &report(1, &[]));
+    advance(REPORT_PREFERRED.mul_f64(0.8)).await;
+    r.list(Instant::now(), endpoint(0, "a", holding(&["big-0"])));
+    assert!(!r.settle(Instant::now()), "the report is preferred");
+    advance(REPORT_PREFERRED.mul_f64(0.3)).await;
+    assert!(r.settle(Instant::now()));
+    assert_eq!(
+        r.get(keys[0]).expect("listed").holdings,
+        holding(&["big-0"])
+    );
+    assert!(!r.settle(Instant::now()), "once");
+}
+
 #[test]
-fn report_older_than_the_list() {
+fn report_older_than_the_last_one() {
     let (mut r, keys) = roster(&[&["big-0"]]);
-    let mut entry = endpoint(0, "a", holding(&["big-2"]));
-    entry.orders_taken = 3;
-    r.list(Instant::now(), entry);
+    assert!(r.report(Instant::now(), &report(3, &["big-2"])));
     assert!(!r.report(Instant::now(), &report(2, &["big-1"])));
     assert_eq!(
         r.get(keys[0]).expect("listed").holdings,
@@ -57,6 +78,20 @@
     );
 }
 
+#[test]
+fn report_of_few_orders_after_many_entries() {
+    // However often the endpoint was listed, its first order is news.
+    let (mut r, keys) = roster(&[&["big-0"]]);
+    for _ in 0..50 {
+        r.list(Instant::now(), endpoint(0, "a", holding(&["big-0"])));
+    }
+    assert!(r.report(Instant::now(), &report(1, &["big-1"])));
+    assert_eq!(
+        r.get(keys[0]).expect("listed").holdings,
+        holding(&["big-1"])
+    );
+}
+
 #[test]
 fn list_never_takes_leaving_back() {
     let (mut r, keys) = roster(&[&["big-0"]]);
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -72,7 +72,6 @@
         leaving: false,
         holdings,
         copies: std::collections::BTreeSet::new(),
-        orders_taken: 0,
     }
 }
 
