--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -25,7 +25,9 @@
 const DEFAULT_HEAD: usize = 16 << 10;
 /// How long a process that was told to end goes on taking connections: the balancer asks every second
 /// and turns away after two misses. Requests that come later can't be sure to end in the grace.
-pub const TURN_AWAY: Duration = Duration::from_millis(2800);
+const TURN_AWAY: Duration = Duration::from_millis(2800);
+/// The part of a short grace that this takes at most: what was taken last has to end in the rest.
+const TURN_AWAY_SHARE: f64 = 0.35;
 /// How much before the end of the grace what is left is cut, so that the process ends by itself.
 const CUT_BEFORE: Duration = Duration::from_millis(300);
 
@@ -34,12 +36,14 @@
 where
     P: Protocol + Unpin,
 {
+    let grace = Duration::from_millis(site.settings.load().grace_ms);
+    let turn_away = turn_away(grace);
     let (closing_tx, closing) = watch::channel(false);
     let mut connections = JoinSet::new();
     let stopped = async move {
         // The sender lives as long as the process.
         drop(stop.wait_for(|s| *s).await);
-        sleep(TURN_AWAY).await;
+        sleep(turn_away).await;
     };
     tokio::pin!(stopped);
     loop {
@@ -59,12 +63,17 @@
     }
     drop(listener);
     let _nobody = closing_tx.send(true);
-    let grace = Duration::from_millis(site.settings.load().grace_ms);
-    let end = Instant::now() + grace.saturating_sub(TURN_AWAY + CUT_BEFORE);
+    let end = Instant::now() + grace.saturating_sub(turn_away + CUT_BEFORE);
     while let Ok(Some(_ended)) = timeout_at(end, connections.join_next()).await {}
     tracing::info!(left = connections.len(), "callers served");
 }
 
+/// Gives how long a process with this grace goes on taking connections after it was told to end.
+#[must_use]
+pub fn turn_away(grace: Duration) -> Duration {
+    TURN_AWAY.min(grace.mul_f64(TURN_AWAY_SHARE))
+}
+
 async fn connection<P>(site: Arc<Site<P>>, stream: TcpStream, mut closing: watch::Receiver<bool>)
 where
     P: Protocol + Unpin,
