--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -45,10 +45,11 @@
 /// How long after this VM lost the store another has to have read on, so that the outage counts as this
 /// VM's own: others may have read a little further before an outage of the whole store.
 const ALONE_AFTER: Duration = Duration::from_millis(1500);
-/// How long a VM goes without reading the list itself while it hears nothing new of it, in a zone of so many
-/// VMs; with more of them it is longer in proportion, since each such read is a call to the store.
+/// How long a VM goes without reading the list itself while it hears nothing new of it, in a zone of
+/// [`SMALL_ZONE`] VMs; with more of them it is longer in proportion, since each such read is a call to the store.
 const LISTEN_FOR: Duration = Duration::from_secs(5);
-const LISTENERS: u32 = 3;
+/// The VMs of a zone of today's small sites.
+const SMALL_ZONE: u32 = 3;
 /// Changes of the list that go into one message at most; beyond, each VM reads them itself. With a few hundred
 /// bytes each they fit in a datagram beside the rest.
 const MAX_PASSED_ON: usize = 100;
@@ -204,7 +205,7 @@
     fn listen_for(&self) -> Duration {
         let here = self.site.known().peers.alive_here(Instant::now());
         let here = u32::try_from(here).unwrap_or(u32::MAX);
-        LISTEN_FOR * here.max(LISTENERS) / LISTENERS
+        LISTEN_FOR * here.max(SMALL_ZONE) / SMALL_ZONE
     }
 
     /// Puts changes of the list that were read into the messages for the VMs of the zone.
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -1,8 +1,8 @@
 //! The other VMs of a site: who is heard, who leads a zone, and to whom.
 //!
-//! Inside a zone all VMs tell each other. One VM of each zone, the one with most processor of those that are
-//! heard and the first by name among equals, sends sums to the other zones, and whoever hears such a message passes it on inside its own
-//! zone. So bytes between zones grow with the zones, not with the square of the VMs.
+//! Inside a zone all VMs tell each other. One VM of each zone leads it: of those that are heard the one with most
+//! processor, the first by name among equals. It sends sums to the other zones, and whoever hears such a message
+//! passes it on inside its own zone. So bytes between zones grow with the zones, not with the square of the VMs.
 
 use crate::id::ZoneName;
 use smol_str::SmolStr;
@@ -14,8 +14,8 @@
 
 /// After how long without a message a VM counts as silent: eight messages.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
-/// For how long after its start a VM takes those that it hasn't heard yet for alive: a message each
-/// [`SILENT_AFTER`] eighth, with some room for slow starts.
+/// For how long after its start a VM takes those that it hasn't heard yet for alive: as long as makes a VM silent,
+/// with some room for slow starts.
 const INTRODUCTION: Duration = Duration::from_millis(1500);
 /// How many VMs of each zone stand for the lease: one, and one for when it is lost. Each change among those who
 /// stand may move the lease, and with it comes a pause in which no orders are given: with all 71 VMs
