--- a/crates/limehollow-node/tests/outbox.rs
+++ b/crates/limehollow-node/tests/outbox.rs
@@ -34,6 +34,21 @@
     assert!(said.values().all(|n| *n == 5), "{said:?}");
 }
 
+#[test]
+fn take_new_ones_do_not_push_out_an_old_one() {
+    // As many come before each message as fit in one.
+    let mut outbox = Outbox::default();
+    outbox.add(report(0, 1));
+    let mut was_said = false;
+    for round in 0..4 {
+        for i in 1..=24 {
+            outbox.add(report(round * 24 + i, 1));
+        }
+        was_said |= outbox.take().contains(&report(0, 1));
+    }
+    assert!(was_said);
+}
+
 #[test]
 fn take_new_report_replaces_the_old() {
     let mut outbox = Outbox::default();
