What is the gateway's to say isn't taken from a caller

Cause: headers of callers went on to endpoints unless they concerned one connection, so a caller set memory aside, pinned prompts and named backups; an endpoint obeys whoever says it. Ruled out: a list of four names at one place, since the next such header would be missed and the way back had none.

--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -1,4 +1,4 @@
-//! Answers of the gateway's own, and what is taken off an endpoint's.
+//! Answers of the gateway's own.
 
 use crate::edge::Protocol;
 use crate::logbook::may_log;
@@ -6,7 +6,7 @@
 use crate::relay::{Relay, millis};
 use crate::site::Site;
 use bytes::Bytes;
-use http::header::{self, HeaderMap, HeaderValue};
+use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use http_body_util::{Either, Full};
 use std::time::Duration;
@@ -40,34 +40,6 @@
     }
 }
 
-/// Takes out the headers that concern one connection only.
-pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|w| w.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    let always = [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::CONTENT_LENGTH,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::EXPECT,
-        header::HeaderName::from_static("keep-alive"),
-        header::HeaderName::from_static("proxy-connection"),
-    ];
-    for name in always {
-        headers.remove(name);
-    }
-}
-
 /// Refuses a request that did not run.
 pub(crate) fn refuse<P>(
     site: &Site<P>,
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::request::Parts as RequestParts;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderName, Request, StatusCode};
 use http_body_util::Full;
 use limehollow::catalog::Catalog;
 use limehollow::group_lease::Dealt;
@@ -199,6 +199,17 @@
     pub rank: u8,
 }
 
+/// What becomes of a header on its way through the gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// It goes on even where `Connection` names it: a request or an answer without it would be another one.
+    Kept,
+    /// It goes on, unless it concerns one connection only.
+    Passes,
+    /// It is the gateway's to say: what the other side sent is taken out.
+    Ours,
+}
+
 /// What the head of an endpoint's answer says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judgement {
@@ -265,6 +276,12 @@
     /// The header that can't be understood.
     fn ask(&self, head: &RequestParts) -> Result<Ask, BadAsk>;
 
+    /// Says what becomes of a caller's header on its way to an endpoint.
+    fn from_caller(&self, name: &HeaderName) -> Passage;
+
+    /// Says what becomes of an endpoint's header on its way to the caller.
+    fn from_endpoint(&self, name: &HeaderName) -> Passage;
+
     /// Puts what an endpoint is told into a request's headers.
     fn address(&self, headers: &mut HeaderMap, s: &Sending<'_>);
 
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -7,7 +7,7 @@
 //! # A short tour
 //!
 //! * [`caller`] accepts connections, [`request`] is the life of one request, [`attempt`] one try at an
-//!   endpoint over a connection of [`pool`], [`relay`] a streamed answer.
+//!   endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say, [`peer_state`]
 //!   what one has read that another can't.
 //! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
@@ -27,6 +27,7 @@
 pub mod metrics;
 mod order_task;
 pub mod outbox;
+pub mod passage;
 pub mod peer_state;
 pub mod pool;
 pub mod relay;
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -1,10 +1,11 @@
 //! The life of one request: from its head to its final answer.
 
-use crate::answer::{Outgoing, Reason, plain, refuse, strip_hop_headers};
+use crate::answer::{Outgoing, Reason, plain, refuse};
 use crate::attempt::{self, Failed, Target};
 use crate::edge::{Ask, Protocol, Sending};
 use crate::logbook::may_log;
 use crate::metrics::Metrics;
+use crate::passage;
 use crate::relay::{Relay, Running, millis};
 use crate::site::Site;
 use bytes::Bytes;
@@ -134,7 +135,7 @@
             );
         }
     };
-    strip_hop_headers(&mut head.headers);
+    passage::clean(&mut head.headers, |n| site.protocol.from_caller(n));
     let d = Dispatch {
         job: job(service, rule, &ask),
         site: &site,
@@ -430,7 +431,8 @@
     }
 
     fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
-        strip_hop_headers(&mut head.headers);
+        let protocol = &self.site.protocol;
+        passage::clean(&mut head.headers, |n| protocol.from_endpoint(n));
         if may_log() {
             tracing::info!(
                 id = %self.ask.id,
--- a/crates/limehollow-node/tests/requests.rs
+++ b/crates/limehollow-node/tests/requests.rs
@@ -63,6 +63,31 @@
     assert_eq!((status(&got), got.ends_with("oops")), (500, true));
 }
 
+#[tokio::test]
+async fn answer_what_is_the_gateways_to_say_stays_with_it() {
+    let s = Server::start(vec![Does::Writes(answer(
+        200,
+        "1",
+        "x-mark: m\r\nx-not-run: 1\r\n",
+        "body",
+    ))])
+    .await;
+    let g = Gateway::start(rule("/a/", Repeat::Never, 1), &[s.address]).await;
+    let mut c = g.connect().await;
+    let more = "X-Reserve: 7\r\nx-instance: other\r\nx-reserve: 8\r\nconnection: close, x-id\r\n";
+    c.write_all(request("/a/", "1", more, "").as_bytes())
+        .await
+        .expect("it is written");
+    let mut got = String::new();
+    // A connection that is reset ends the answer too.
+    let _reset = c.read_to_string(&mut got).await;
+    let came = s.came.lock().expect("no test panics with it").concat();
+    assert!(!came.to_lowercase().contains("x-reserve"), "{came}");
+    assert!(came.contains("x-instance: i-0"), "{came}");
+    assert!(came.contains("x-id: 1"), "{came}");
+    assert!(!got.contains("x-not-run"), "{got}");
+}
+
 #[tokio::test]
 async fn answer_without_configuration_or_rule() {
     let g = Gateway::with(Site::new(settings(), Plain)).await;
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -15,8 +15,8 @@
 use limehollow_edge::settings::parse;
 use limehollow_node::caller;
 use limehollow_node::edge::{
-    Ask, BadAsk, BadAskSnafu, Change, Changes, Feed, Judgement, Order, OrderReply, Protocol,
-    Sending, Store, StoreError, Vm,
+    Ask, BadAsk, BadAskSnafu, Change, Changes, Feed, Judgement, Order, OrderReply, Passage,
+    Protocol, Sending, Store, StoreError, Vm,
 };
 use limehollow_node::settings::NodeSettings;
 use limehollow_node::site::Site;
@@ -57,6 +57,22 @@
         })
     }
 
+    fn from_caller(&self, name: &HeaderName) -> Passage {
+        match name.as_str() {
+            "x-id" | "host" => Passage::Kept,
+            "x-instance" | "x-reserve" => Passage::Ours,
+            _ => Passage::Passes,
+        }
+    }
+
+    fn from_endpoint(&self, name: &HeaderName) -> Passage {
+        match name.as_str() {
+            "x-id" | "x-mark" => Passage::Kept,
+            "x-not-run" => Passage::Ours,
+            _ => Passage::Passes,
+        }
+    }
+
     fn address(&self, headers: &mut HeaderMap, s: &Sending<'_>) {
         let instance = HeaderValue::from_str(s.instance).expect("valid");
         headers.insert("x-instance", instance);
@@ -119,6 +135,8 @@
 pub struct Server {
     pub address: SocketAddr,
     pub requests: Arc<AtomicUsize>,
+    /// What came, one entry a read.
+    pub came: Arc<Mutex<Vec<String>>>,
     /// How many connections their other side has closed.
     pub left: Arc<AtomicUsize>,
 }
@@ -132,7 +150,8 @@
         let address = listener.local_addr().expect("it is bound");
         let (requests, left) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
         let does = Arc::new(Mutex::new(VecDeque::from(does)));
-        let (r, l) = (Arc::clone(&requests), Arc::clone(&left));
+        let came = Arc::new(Mutex::new(Vec::new()));
+        let (r, l, c) = (Arc::clone(&requests), Arc::clone(&left), Arc::clone(&came));
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("it accepts");
@@ -140,6 +159,7 @@
                     stream,
                     Arc::clone(&does),
                     Arc::clone(&r),
+                    Arc::clone(&c),
                     Arc::clone(&l),
                 ));
             }
@@ -147,6 +167,7 @@
         Self {
             address,
             requests,
+            came,
             left,
         }
     }
@@ -160,12 +181,16 @@
     mut stream: TcpStream,
     does: Arc<Mutex<VecDeque<Does>>>,
     requests: Arc<AtomicUsize>,
+    came: Arc<Mutex<Vec<String>>>,
     left: Arc<AtomicUsize>,
 ) {
     let mut buf = vec![0; 65_536];
     loop {
         match stream.read(&mut buf).await {
-            Ok(n) if n > 0 => {}
+            Ok(n) if n > 0 => {
+                let text = String::from_utf8_lossy(&buf[..n]).into_owned();
+                came.lock().expect("no test panics with it").push(text);
+            }
             _ => {
                 left.fetch_add(1, Ordering::Relaxed);
                 return;
