--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -277,10 +277,10 @@
     fn ask(&self, head: &RequestParts) -> Result<Ask, BadAsk>;
 
     /// Says what becomes of a caller's header on its way to an endpoint.
-    fn from_caller(&self, name: &HeaderName) -> Passage;
+    fn request_header(&self, name: &HeaderName) -> Passage;
 
     /// Says what becomes of an endpoint's header on its way to the caller.
-    fn from_endpoint(&self, name: &HeaderName) -> Passage;
+    fn answer_header(&self, name: &HeaderName) -> Passage;
 
     /// Puts what an endpoint is told into a request's headers.
     fn address(&self, headers: &mut HeaderMap, s: &Sending<'_>);
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -135,7 +135,7 @@
             );
         }
     };
-    passage::clean(&mut head.headers, |n| site.protocol.from_caller(n));
+    passage::clean(&mut head.headers, |n| site.protocol.request_header(n));
     let d = Dispatch {
         job: job(service, rule, &ask),
         site: &site,
@@ -432,7 +432,7 @@
 
     fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
         let protocol = &self.site.protocol;
-        passage::clean(&mut head.headers, |n| protocol.from_endpoint(n));
+        passage::clean(&mut head.headers, |n| protocol.answer_header(n));
         if may_log() {
             tracing::info!(
                 id = %self.ask.id,
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -57,7 +57,7 @@
         })
     }
 
-    fn from_caller(&self, name: &HeaderName) -> Passage {
+    fn request_header(&self, name: &HeaderName) -> Passage {
         match name.as_str() {
             "x-id" | "host" => Passage::Kept,
             "x-instance" | "x-reserve" => Passage::Ours,
@@ -65,7 +65,7 @@
         }
     }
 
-    fn from_endpoint(&self, name: &HeaderName) -> Passage {
+    fn answer_header(&self, name: &HeaderName) -> Passage {
         match name.as_str() {
             "x-id" | "x-mark" => Passage::Kept,
             "x-not-run" => Passage::Ours,
