--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Makes the failure of a try at an endpoint that went off the list before the request left.
+    #[must_use]
+    pub fn gone() -> Self {
+        Self::connect(SmolStr::new_static("off the list"))
+    }
+
     /// Makes the failure of a try whose request left and whose answer can't be had.
     #[must_use]
     pub fn broken(why: SmolStr) -> Self {
--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -7,7 +7,7 @@
 use crate::edge::{Protocol, Store};
 use crate::lease::{SharedLease, keep_lease, with_lease};
 use crate::order_task::{Ended, Moved, OrderTask};
-use crate::site::Site;
+use crate::site::{Known, Site};
 use limehollow::catalog::EngineSpec;
 use limehollow::group_lease::GroupLease;
 use limehollow::id::{EndpointKey, ServiceName};
@@ -76,6 +76,12 @@
     }
 }
 
+/// Gives the endpoints that are listed but out of reach.
+fn lost(known: &Known, now: Instant) -> BTreeSet<EndpointKey> {
+    let keys = known.roster.iter().map(|(k, _)| k);
+    keys.filter(|k| known.balance.is_lost(now, *k)).collect()
+}
+
 /// Weighs, and gives when to weigh again.
 fn next_after<F>(every: Duration, weigh: F) -> Instant
 where
@@ -140,10 +146,13 @@
             let Some(engine) = &spec.engine else { continue };
             let r = self.rebalancers.entry(service.clone()).or_default();
             r.observe(now, &demand);
+            r.observe_lost(lost(&self.site.known(), now));
             if now.duration_since(self.logged) >= LOG_DEMAND_EVERY {
                 self.logged = now;
-                let seen = r.loads(&self.site.known().roster, service, engine);
-                tracing::info!(%service, models = ?seen.models, endpoints = ?seen.endpoints, "demand");
+                let known = self.site.known();
+                let seen = r.loads(&known.roster, service, engine);
+                let token_us: Vec<_> = known.balance.token_us().collect();
+                tracing::info!(%service, models = ?seen.models, endpoints = ?seen.endpoints, ?token_us, "demand");
             }
             let moves = r.plan(now, &self.site.known().roster, service, engine, ceiling);
             for (key, m) in moves {
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -169,6 +169,7 @@
             reaches_store: !known.lease_failing,
             number: self.number,
             taken: known.balance.own().filter_map(named).collect(),
+            unreached: unreached(now, known),
             demand: rates(known.arrivals.rates(now)),
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
             reports: known.reports.take(),
@@ -180,6 +181,12 @@
     }
 }
 
+fn unreached(now: Instant, known: &Known) -> Vec<SmolStr> {
+    let keys = known.balance.unreached(now);
+    keys.filter_map(|k| Some(known.roster.get(k)?.instance.clone()))
+        .collect()
+}
+
 fn rates(rates: Vec<(ModelRef, f64)>) -> Vec<(ModelRef, f32)> {
     #[expect(clippy::cast_possible_truncation, reason = "rounding is harmless")]
     let narrow = |(m, r)| (m, r as f32);
@@ -193,6 +200,7 @@
         forward: true,
         vms: 0,
         taken: Vec::new(),
+        unreached: Vec::new(),
         demand: Vec::new(),
         wants: Vec::new(),
         list: Vec::new(),
@@ -344,6 +352,9 @@
                     known.peers.note_store(&w.from, w.reaches_store);
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
+                    for key in w.unreached.iter().filter_map(|i| known.roster.key(i)) {
+                        known.balance.told_unreached(now, key);
+                    }
                     known.taken.insert(from.clone(), (now, w.taken));
                     known.demand.insert(from, (now, w.demand));
                 }
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -112,11 +112,9 @@
     with_lease(lease, |l| {
         match l.dealt(sent, now, dealt) {
             Some(LeaseChange::Taken(fence)) => {
-                let predecessor = known.candidacy.predecessor(now, fence);
-                if let Some(last_order) = predecessor {
-                    l.follows(last_order);
-                }
-                tracing::info!(fence, resigned = predecessor.is_some(), "lease taken");
+                let before = known.candidacy.predecessor(now, fence);
+                l.follows(before);
+                tracing::info!(fence, ?before, "lease taken");
             }
             Some(LeaseChange::Lost) => {
                 known.lease_word = None;
--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -19,8 +19,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-/// How long a new connection may take: a hundred times the way there and back within a region.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a new connection may take: some dozen times the way there and back within a region, and half of the tightest
+/// objective, so that a second endpoint can still answer in time.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// After how long unacknowledged bytes mean that the way is cut: well above a lost packet's
 /// retransmission, well below what callers wait.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -234,7 +234,9 @@
         let now = Instant::now();
         let mut known = self.site.known();
         if let Some(m) = &self.job.model {
-            let work = known.balance.demand_ms(&self.job);
+            let engine = self.catalog.engine(&self.job.service);
+            let places = engine.map_or(1, |e| e.slots);
+            let work = known.balance.demand_ms(&self.job, places);
             known.arrivals.note(now, m, work);
         }
         let window = known.repeats.entry(self.job.service.clone()).or_default();
@@ -316,11 +318,15 @@
 
     async fn attempt(&mut self, c: &Chosen) -> Result<Response<Outgoing<P>>, Failed> {
         let now = Instant::now();
-        let sent = self
-            .site
-            .known()
-            .balance
-            .start(now, c.to.key, &self.job, c.expected_ms);
+        let sent = {
+            let mut known = self.site.known();
+            let known = &mut *known;
+            let Some(e) = known.roster.get(c.to.key) else {
+                return Err(Failed::gone());
+            };
+            let to = (c.to.key, e);
+            known.balance.start(now, to, &self.job, c.expected_ms)
+        };
         let (id, instance) = (self.ask.id.clone(), c.to.instance.clone());
         let mut running = Running::new(Arc::clone(self.site), sent, id, instance, self.arrived);
         self.log_sent(c);
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -79,6 +79,8 @@
     pub number: u64,
     /// What its requests take at each endpoint, by instance.
     pub taken: Vec<(SmolStr, Taken)>,
+    /// The endpoints that it could not reach lately, by instance; only for the VMs of its zone.
+    pub unreached: Vec<SmolStr>,
     /// What its callers ask of each model, in ms of work a second.
     pub demand: Vec<(ModelRef, f32)>,
     /// What requests wait for that isn't loaded.
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -5,9 +5,11 @@
 //! it, at the pace that was measured, and the places that are taken. The endpoint that is soonest gets
 //! the request; another zone, failures and recent refusals count as time (`docs/design/system.md`).
 
+use crate::health::{Health, ZoneWays};
 use crate::id::{EndpointKey, ServiceName, VmName, ZoneName};
 use crate::job::{Job, RANKS};
 use crate::load::Ending;
+use crate::pace::Pace;
 use crate::roster::{Endpoint, Roster, holds};
 use crate::verdict::Failure;
 use serde::{Deserialize, Serialize};
@@ -19,9 +21,6 @@
 
 /// Time to a first result of an endpoint at rest, in ms: the network there and back and one step.
 const BASE_MS: f64 = 25.0;
-/// What a token of a prompt costs as long as nothing was measured, in ms: a large model on the
-/// accelerators of both users.
-const DEFAULT_TOKEN_MS: f64 = 0.055;
 /// How long a request is held on average, in ms, as long as nothing was measured.
 const DEFAULT_HELD_MS: f64 = 500.0;
 /// What another zone costs, in ms. Its bytes are priced at some hundredths of a request's worth, which
@@ -29,25 +28,24 @@
 const ZONE_MS: f64 = 40.0;
 /// What a full batch costs, in ms: tokens come slower and pauses get longer.
 const CROWD_MS: f64 = 60.0;
+/// The part of the bound on prompts that one prompt counts for at most. Without it 0.29 of the longest tenth of a kind
+/// were served on a day on which 0.64 of all of that kind were.
+const LONGEST_OWN_PART: f64 = 0.5;
 /// What an endpoint that fails all it is sent costs, in ms: more than any objective.
 const ERROR_MS: f64 = 3000.0;
 /// How much longer a first result is expected to take at an endpoint that just refused, in ms: it has
 /// no place left, whatever is known of it. It fades with this time constant.
 const REFUSED_MS: f64 = 2500.0;
 const REFUSED_MEMORY_S: f64 = 0.5;
+/// The weight of a new sample in the time for which requests are held, which differs much between requests.
+const HELD_SMOOTHING: f64 = 0.05;
 /// The weight of a new sample in the smoothed figures.
 const SMOOTHING: f64 = 0.2;
-/// The weight of a sample of a token's time that is above the smoothed figure.
-const HIGH_SAMPLE: f64 = 0.002;
-/// An endpoint whose smoothed share of failures is above this is ejected: two failures in a row.
-const EJECT_ABOVE: f64 = 0.35;
-/// The share of failures that an endpoint comes back with, so that one more ejects it again.
-const PROBATION: f64 = 0.25;
-const FIRST_EJECTION: Duration = Duration::from_millis(1500);
-const LONGEST_EJECTION: Duration = Duration::from_secs(8);
 /// The time constant with which a measured slowness is forgotten while nothing is sent there.
 const SLOW_MEMORY_S: f64 = 4.0;
 const MAX_SLOWNESS: f64 = 20.0;
+/// For how long the VMs of the zone are told that an endpoint can't be reached: some messages.
+const UNREACHED_SAID_FOR: Duration = Duration::from_millis(400);
 /// For how long what another gateway said counts.
 pub const MESSAGE_LIFE: Duration = Duration::from_millis(1500);
 /// Prompt beginnings that are remembered for an endpoint; the older half is dropped beyond.
@@ -86,10 +84,7 @@
     others: Taken,
     /// How much longer first results take than expected, and when that was last measured.
     slowness: (f64, Instant),
-    /// The smoothed share of failures.
-    errors: f64,
-    ejections: u32,
-    ejected_until: Option<Instant>,
+    health: Health,
     refused_at: Option<Instant>,
     remembered: HashMap<u64, Instant>,
 }
@@ -100,9 +95,7 @@
             own: Taken::default(),
             others: Taken::default(),
             slowness: (1.0, now),
-            errors: 0.0,
-            ejections: 0,
-            ejected_until: None,
+            health: Health::default(),
             refused_at: None,
             remembered: HashMap::new(),
         }
@@ -121,28 +114,6 @@
         self.refused_at.map_or(0.0, |t| REFUSED_MS * fade(t))
     }
 
-    fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|t| now < t)
-    }
-
-    fn fail(&mut self, now: Instant, at_once: bool) {
-        self.errors += (1.0 - self.errors) * SMOOTHING;
-        if (self.errors <= EJECT_ABOVE && !at_once) || self.is_ejected(now) {
-            return;
-        }
-        let time = FIRST_EJECTION * 2_u32.saturating_pow(self.ejections.min(4));
-        self.ejected_until = Some(now + time.min(LONGEST_EJECTION));
-        self.ejections += 1;
-        self.errors = PROBATION;
-    }
-
-    fn succeed(&mut self) {
-        self.errors -= self.errors * SMOOTHING;
-        if self.errors < PROBATION / 4.0 {
-            self.ejections = 0;
-        }
-    }
-
     /// Gives the tokens of a prompt that have to be read at this endpoint.
     fn unread(&self, job: &Job) -> u32 {
         let known = job
@@ -179,7 +150,9 @@
     expected_ms: f64,
     first: Option<Duration>,
     job_model: Option<SmolStr>,
+    max_output: u32,
     service: ServiceName,
+    zone: ZoneName,
 }
 
 impl Sent {
@@ -243,9 +216,10 @@
 pub struct Balance {
     zone: ZoneName,
     rows: SecondaryMap<EndpointKey, Row>,
+    ways: ZoneWays,
     messages: BTreeMap<VmName, (Instant, Vec<(EndpointKey, Taken)>)>,
-    /// Time that a token of a prompt takes, in ms, by model.
-    token_ms: BTreeMap<SmolStr, f64>,
+    /// How fast the models are served.
+    paces: BTreeMap<SmolStr, Pace>,
     /// Time that a request is held, in ms, by service.
     held_ms: BTreeMap<ServiceName, f64>,
 }
@@ -258,8 +232,9 @@
         Self {
             zone,
             rows: SecondaryMap::new(),
+            ways: ZoneWays::default(),
             messages: BTreeMap::new(),
-            token_ms: BTreeMap::new(),
+            paces: BTreeMap::new(),
             held_ms: BTreeMap::new(),
         }
     }
@@ -292,9 +267,9 @@
             }
             let expected_ms = self.expected_ms(now, key, e, bounds.kv_tokens, job);
             let c = Candidate {
-                is_ejected: self.rows.get(key).is_some_and(|r| r.is_ejected(now)),
-                is_crowded: self.reading_ms(now, key, job) > bounds.reading_ms,
-                cost: expected_ms + self.extra_ms(key, e),
+                is_ejected: !self.takes(now, key, e),
+                is_crowded: self.reading_ms(now, key, job, bounds.reading_ms) > bounds.reading_ms,
+                cost: expected_ms + self.extra_ms(now, key, e),
                 key,
                 expected_ms,
             };
@@ -311,7 +286,7 @@
 
     /// Estimates how long an endpoint would read prompts if it got this one as well, in ms; zero if it has
     /// none other, since then no smaller amount can be had.
-    fn reading_ms(&self, now: Instant, key: EndpointKey, job: &Job) -> f64 {
+    fn reading_ms(&self, now: Instant, key: EndpointKey, job: &Job, bound_ms: f64) -> f64 {
         let Some(row) = self.rows.get(key) else {
             return 0.0;
         };
@@ -321,7 +296,10 @@
         if ahead <= 0.0 {
             return 0.0;
         }
-        row.slowness(now) * (ahead + self.work_ms(key, job))
+        // A long prompt counts for a part of the bound at most: it is read in pieces like those of others, and would
+        // otherwise find no endpoint but one at rest.
+        let own_ms = self.work_ms(key, job).min(bound_ms * LONGEST_OWN_PART);
+        row.slowness(now) * (ahead + own_ms)
     }
 
     /// Estimates the time to a job's first result at an endpoint, in ms.
@@ -356,13 +334,13 @@
     }
 
     /// Gives what counts against an endpoint beside the time to the first result, as ms.
-    fn extra_ms(&self, key: EndpointKey, e: &Endpoint) -> f64 {
+    fn extra_ms(&self, now: Instant, key: EndpointKey, e: &Endpoint) -> f64 {
         let zone = if e.zone == self.zone { 0.0 } else { ZONE_MS };
         let Some(row) = self.rows.get(key) else {
             return zone;
         };
         let requests = f64::from(row.own.requests + row.others.requests);
-        zone + row.errors * ERROR_MS + requests / f64::from(e.slots.max(1)) * CROWD_MS
+        zone + row.health.errors(now) * ERROR_MS + requests / f64::from(e.slots.max(1)) * CROWD_MS
     }
 
     /// Gives the work that a job is for an endpoint until its first result, in ms.
@@ -375,21 +353,54 @@
     }
 
     fn token_ms(&self, job: &Job) -> f64 {
-        let model = job.model.as_ref().and_then(|m| self.token_ms.get(&m.model));
-        model.copied().unwrap_or(DEFAULT_TOKEN_MS)
+        let pace = job.model.as_ref().and_then(|m| self.paces.get(&m.model));
+        pace.copied().unwrap_or_default().token_ms()
     }
 
-    /// Gives the work that a job is for an endpoint that knows nothing of its prompt, in ms: the unit
-    /// in which demand is told.
+    /// Gives how much of an endpoint a job takes, in ms of the whole endpoint: the unit in which demand is told.
+    ///
+    /// It is the larger of the time for which its prompt is read and of its part of the time for which it holds one
+    /// of the endpoint's places. Streams hold places long after their prompts are read: with prompts alone a model
+    /// stayed on endpoints at which 50 to 70 requests stood for 48 places.
     #[must_use]
-    pub fn demand_ms(&self, job: &Job) -> f64 {
-        f64::from(job.prompt_tokens) * self.token_ms(job)
+    pub fn demand_ms(&self, job: &Job, places: u32) -> f64 {
+        let prompt = f64::from(job.prompt_tokens) * self.token_ms(job);
+        let pace = job.model.as_ref().and_then(|m| self.paces.get(&m.model));
+        let held = pace.map_or(0.0, |p| p.held_ms(job.max_output));
+        prompt.max(held / f64::from(places.max(1)))
+    }
+
+    /// Gives what a token of a prompt was measured to take, in microseconds, by model: for a log line.
+    pub fn token_us(&self) -> impl Iterator<Item = (&SmolStr, f64)> {
+        let rows = self.paces.iter();
+        rows.map(|(m, p)| (m, (p.token_ms() * 1000.0).round()))
     }
 
     /// Tells whether an endpoint is ejected for its failures.
     #[must_use]
     pub fn is_ejected(&self, now: Instant, key: EndpointKey) -> bool {
-        self.rows.get(key).is_some_and(|r| r.is_ejected(now))
+        self.rows.get(key).is_some_and(|r| r.health.is_ejected(now))
+    }
+
+    /// Tells whether an endpoint has been out of reach for so long that its models have to be elsewhere.
+    #[must_use]
+    pub fn is_lost(&self, now: Instant, key: EndpointKey) -> bool {
+        self.rows.get(key).is_some_and(|r| r.health.is_lost(now))
+    }
+
+    /// Gives the endpoints that could not be reached lately, for the VMs of the zone.
+    pub fn unreached(&self, now: Instant) -> impl Iterator<Item = EndpointKey> {
+        let fresh = move |t: Instant| now.duration_since(t) < UNREACHED_SAID_FOR;
+        let rows = self.rows.iter();
+        rows.filter(move |(_, r)| r.health.unreached().is_some_and(fresh))
+            .map(|(k, _)| k)
+    }
+
+    /// Tells whether an endpoint may get a request now, as far as its failures and its zone go.
+    fn takes(&self, now: Instant, key: EndpointKey, e: &Endpoint) -> bool {
+        let row = self.rows.get(key);
+        let alone = row.is_none_or(|r| r.health.takes(now, r.own.requests));
+        alone && !self.ways.is_cut(now, &e.zone)
     }
 
     /// Gives what this gateway has at each endpoint, for the others.
@@ -402,7 +413,13 @@
 /// Commands.
 impl Balance {
     /// Notes that a job is sent to an endpoint.
-    pub fn start(&mut self, now: Instant, key: EndpointKey, job: &Job, expected_ms: f64) -> Sent {
+    pub fn start(
+        &mut self,
+        now: Instant,
+        (key, e): (EndpointKey, &Endpoint),
+        job: &Job,
+        expected_ms: f64,
+    ) -> Sent {
         let work_ms = self.work_ms(key, job);
         let level = job.level();
         #[expect(clippy::cast_possible_truncation, reason = "rounding is harmless")]
@@ -428,7 +445,9 @@
             expected_ms,
             first: None,
             job_model: job.model.as_ref().map(|m| m.model.clone()),
+            max_output: job.max_output,
             service: job.service.clone(),
+            zone: e.zone.clone(),
         }
     }
 
@@ -441,10 +460,13 @@
         sent.first = Some(took);
         self.read(sent);
         let took_ms = took.as_secs_f64() * 1000.0;
-        if sent.alone && sent.unread > 0 {
-            self.learn_token(sent, (took_ms - BASE_MS).max(1.0) / f64::from(sent.unread));
+        if let (true, Some(model)) = (sent.alone, &sent.job_model) {
+            let pace = self.paces.entry(model.clone()).or_default();
+            pace.first(sent.unread, took_ms);
         }
+        self.ways.answer(&sent.zone);
         if let Some(row) = self.rows.get_mut(sent.key) {
+            row.health.answer(now);
             let sample = took_ms / sent.expected_ms.max(1.0);
             let before = row.slowness(now);
             // The estimate that was beaten or missed had the slowness in it already.
@@ -453,19 +475,6 @@
         }
     }
 
-    fn learn_token(&mut self, sent: &Sent, sample: f64) {
-        let Some(model) = &sent.job_model else {
-            return;
-        };
-        let v = self
-            .token_ms
-            .entry(model.clone())
-            .or_insert(DEFAULT_TOKEN_MS);
-        // Samples hold waits that aren't the prompt's, so the low ones say more than the high ones.
-        let weight = if sample < *v { SMOOTHING } else { HIGH_SAMPLE };
-        *v += (sample - *v) * weight;
-    }
-
     /// Takes a request's prompt off what is ahead.
     fn read(&mut self, sent: &mut Sent) {
         if let Some(row) = self.rows.get_mut(sent.key) {
@@ -483,7 +492,11 @@
         if matches!(ending, Ending::Whole { .. }) {
             let held = now.duration_since(sent.at).as_secs_f64() * 1000.0;
             let v = self.held_ms.entry(sent.service.clone()).or_insert(held);
-            *v += (held - *v) * 0.05;
+            *v += (held - *v) * HELD_SMOOTHING;
+            if let Some(model) = &sent.job_model {
+                let pace = self.paces.entry(model.clone()).or_default();
+                pace.whole(sent.max_output, held);
+            }
         }
         let Some(row) = self.rows.get_mut(sent.key) else {
             return;
@@ -491,12 +504,21 @@
         row.own.requests = (row.own.requests - 1.0).max(0.0);
         row.own.tokens = (row.own.tokens - sent.tokens).max(0.0);
         match ending {
-            Ending::Whole { .. } => row.succeed(),
+            Ending::Whole { .. } => {
+                row.health.answer(now);
+                row.health.succeed();
+            }
             Ending::Cancelled => {}
-            Ending::Failed(Failure::Refused) => row.refused_at = Some(now),
-            Ending::Failed(Failure::Connect) => row.fail(now, true),
+            Ending::Failed(Failure::Refused) => {
+                row.health.answer(now);
+                row.refused_at = Some(now);
+            }
+            Ending::Failed(Failure::Connect) => {
+                row.health.fail(now, true);
+                self.ways.fail(now, &sent.zone, sent.key);
+            }
             Ending::Failed(Failure::Broken | Failure::ServerError | Failure::Deadline) => {
-                row.fail(now, false);
+                row.health.fail(now, false);
             }
         }
     }
@@ -523,6 +545,13 @@
         self.messages = messages;
     }
 
+    /// Takes in that a VM of this zone can't reach an endpoint.
+    pub fn told_unreached(&mut self, now: Instant, key: EndpointKey) {
+        if let Some(row) = self.row(now, key) {
+            row.health.told_unreached(now);
+        }
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, key: EndpointKey) {
         self.rows.remove(key);
--- a/crates/limehollow/src/candidacy.rs
+++ b/crates/limehollow/src/candidacy.rs
@@ -8,6 +8,7 @@
 //! eleven times between seconds 18 and 45, and orders were given in five of these seconds
 //! (`docs/design/worst-seconds.md`).
 
+use crate::group_lease::Predecessor;
 use smol_str::SmolStr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -20,6 +21,9 @@
 /// The time between one candidate and the next: a call to the store and a message between zones.
 pub const NEXT_CANDIDATE: Duration = Duration::from_millis(300);
 
+/// By how much the fencing number rises from a holder that resigns to the next: it leaves, the next joins.
+const DIRECT: u64 = 2;
+
 /// What a VM says of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Word {
@@ -110,17 +114,14 @@
         resigns
     }
 
-    /// Gives when the predecessor of a holder that was dealt the lease with this fencing number gave its last order,
-    /// if that is certain: it resigned, and nobody else can have held the lease in between.
-    ///
-    /// `None` says that nothing is known; `Some(None)` that it gave no order at all.
+    /// Gives what is known of the holder before the one that was dealt the lease with this fencing number: something
+    /// only if it resigned, and nobody else can have held the lease in between.
     #[must_use]
-    pub fn predecessor(&self, now: Instant, fence: u64) -> Option<Option<Instant>> {
-        let word = self.fresh(now)?;
-        let direct = fence > word.fence && fence <= word.fence + DIRECT;
-        (!word.holds && direct).then_some(word.last_order)
+    pub fn predecessor(&self, now: Instant, fence: u64) -> Predecessor {
+        let direct = |w: &Word| fence > w.fence && fence <= w.fence + DIRECT;
+        let resigned = self.fresh(now).filter(|w| !w.holds && direct(w));
+        resigned.map_or(Predecessor::Unknown, |w| {
+            w.last_order.map_or(Predecessor::Idle, Predecessor::Ordered)
+        })
     }
 }
-
-/// By how much the fencing number rises from a holder that resigns to the next: it leaves, the next joins.
-const DIRECT: u64 = 2;
--- a/crates/limehollow/src/group_lease.rs
+++ b/crates/limehollow/src/group_lease.rs
@@ -36,6 +36,18 @@
     Lost,
 }
 
+/// What is known of the holder before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Predecessor {
+    /// Nothing: it may have given orders until just now.
+    #[default]
+    Unknown,
+    /// It resigned, and had given no order.
+    Idle,
+    /// It resigned, and gave its last order then.
+    Ordered(Instant),
+}
+
 /// What one process knows of the lease.
 #[derive(Debug)]
 pub struct GroupLease {
@@ -44,8 +56,7 @@
     /// Since when the lease has been held without a break, as far as this process knows.
     held_since: Option<Instant>,
     renewed: Option<Instant>,
-    /// When the holder before gave its last order, where it resigned and said so; `Some(None)` if it gave none.
-    predecessor: Option<Option<Instant>>,
+    predecessor: Predecessor,
     last_order: Option<Instant>,
 }
 
@@ -59,7 +70,7 @@
             generation: 0,
             held_since: None,
             renewed: None,
-            predecessor: None,
+            predecessor: Predecessor::Unknown,
             last_order: None,
         }
     }
@@ -77,11 +88,12 @@
         let fresh = self
             .renewed
             .is_some_and(|t| now.duration_since(t) < ORDER_WITHIN);
-        let before = match self.predecessor {
-            None => Some(since),
-            Some(last_order) => last_order,
+        let free_for = |t: Instant| now.duration_since(t) >= self.handover;
+        let is_free = match self.predecessor {
+            Predecessor::Unknown => free_for(since),
+            Predecessor::Ordered(last) => free_for(last),
+            Predecessor::Idle => true,
         };
-        let is_free = before.is_none_or(|t| now.duration_since(t) >= self.handover);
         (fresh && is_free).then_some(self.generation)
     }
 
@@ -112,8 +124,8 @@
     /// Notes that the holder before resigned, and when it gave its last order, so that this one waits from then on.
     ///
     /// A rolling restart of a site passes through each holder; without this each cost three seconds without orders.
-    pub fn follows(&mut self, last_order: Option<Instant>) {
-        self.predecessor = Some(last_order);
+    pub fn follows(&mut self, before: Predecessor) {
+        self.predecessor = before;
     }
 
     /// Gives the lease up: the process ends.
@@ -134,7 +146,7 @@
         if self.held_since.is_none() || lapsed {
             // After a lapse another may have held it in between.
             self.held_since = Some(now);
-            self.predecessor = None;
+            self.predecessor = Predecessor::Unknown;
             self.last_order = None;
             return Some(LeaseChange::Taken(self.generation));
         }
--- a/crates/limehollow/src/pace.rs
+++ b/crates/limehollow/src/pace.rs
@@ -1,88 +1,81 @@
-//! How long a model's prompts take to read, learnt from the times to first results.
+//! How fast an endpoint serves a model, learnt from the requests that it served.
 //!
-//! The time to a first result is a part that every request has and a part that grows with the prompt. A line is
-//! fitted through both by least squares, older samples counting less. What a sample holds beside (waits for other
-//! prompts, for a place) doesn't depend on its own prompt, so it moves the line but hardly tilts it; a share of the
-//! lowest samples, tried before, came out at a half to a tenth of the real pace where prompts were partly kept.
+//! Two figures go into what a request takes of an endpoint: the time for which its prompt is read, and the time for
+//! which it holds a place. Both differ eightfold between the models of one service.
 
 /// What a token of a prompt takes as long as nothing was measured, in ms: a large model on the accelerators of the
 /// first users, so that an unknown model is rather held for too slow.
 const DEFAULT_TOKEN_MS: f64 = 0.055;
-/// The part of the time to a first result that every request has, as long as nothing was measured, in ms.
-const DEFAULT_BASE_MS: f64 = 25.0;
-/// Prompts of this length stand for the defaults, in tokens: the usual ones of all users are about as long.
-const TYPICAL_TOKENS: f64 = 1000.0;
-/// How many samples the defaults count for at each end of the line.
-const PRIOR_SAMPLES: f64 = 2.0;
-/// The weight that earlier samples keep when another comes: 50 samples are remembered, which a busy model has in
-/// seconds.
+/// The part of the time to a first result that every request has, in ms: the network there and back and one step. It
+/// was 17 to 22 ms in samples of prompts under 300 tokens.
+const FIRST_MS: f64 = 20.0;
+/// Shorter prompts say little of a token's time: what else is in the sample is as long as they take.
+const MIN_TOKENS: u32 = 300;
+/// The part by which a sample moves the figure: half of it at first, a tenth later.
+const FIRST_STEP: f64 = 0.5;
+const LAST_STEP: f64 = 0.1;
+/// The bounds of a token's time, in ms.
+const FASTEST_MS: f64 = 0.001;
+const SLOWEST_MS: f64 = 1.0;
+/// The weight that earlier requests keep in the time for which places are held, when another ends.
 const KEEP: f64 = 0.98;
-/// A sample counts at most so many times the time that was expected of it, and so many ms more: one that waited
-/// for something else says nothing of its prompt.
-const CLIP_TIMES: f64 = 2.0;
-const CLIP_MS: f64 = 30.0;
-/// The least that a token takes, in ms.
-const MIN_TOKEN_MS: f64 = 0.001;
 
-/// The line through the times to first results of one model.
+/// How fast one model is served.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Pace {
-    n: f64,
-    x: f64,
-    y: f64,
-    xx: f64,
-    xy: f64,
+    token_ms: f64,
+    samples: u32,
+    held_ms: f64,
+    output: f64,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        let mut p = Self {
-            n: 0.0,
-            x: 0.0,
-            y: 0.0,
-            xx: 0.0,
-            xy: 0.0,
-        };
-        p.add(0.0, DEFAULT_BASE_MS, PRIOR_SAMPLES);
-        let whole = DEFAULT_BASE_MS + TYPICAL_TOKENS * DEFAULT_TOKEN_MS;
-        p.add(TYPICAL_TOKENS, whole, PRIOR_SAMPLES);
-        p
+        Self {
+            token_ms: DEFAULT_TOKEN_MS,
+            samples: 0,
+            held_ms: 0.0,
+            output: 0.0,
+        }
     }
 }
 
 impl Pace {
-    /// Gives what a token takes, in ms.
+    /// Gives what a token of a prompt takes to read, in ms.
     pub(crate) fn token_ms(&self) -> f64 {
-        let spread = self.xx - self.x * self.x / self.n;
-        if spread <= 0.0 {
-            return DEFAULT_TOKEN_MS;
+        self.token_ms
+    }
+
+    /// Gives how long a request that may generate so many tokens holds a place, in ms; zero if none has ended yet.
+    pub(crate) fn held_ms(&self, max_output: u32) -> f64 {
+        if self.output <= 0.0 {
+            return 0.0;
         }
-        ((self.xy - self.x * self.y / self.n) / spread).max(MIN_TOKEN_MS)
+        self.held_ms / self.output * f64::from(max_output)
     }
 
-    /// Takes in that a prompt with so many unread tokens had its first result after so many ms.
-    pub(crate) fn learn(&mut self, unread: u32, took_ms: f64) {
-        let x = f64::from(unread);
-        let slope = self.token_ms();
-        let base = ((self.y - slope * self.x) / self.n).max(0.0);
-        let most = (base + slope * x) * CLIP_TIMES + CLIP_MS;
-        for v in [
-            &mut self.n,
-            &mut self.x,
-            &mut self.y,
-            &mut self.xx,
-            &mut self.xy,
-        ] {
-            *v *= KEEP;
+    /// Takes in the time to the first result of a prompt that no other was read before.
+    ///
+    /// The figure goes towards the middle one of the samples, each of which moves it by the same part: some hold
+    /// long waits for what isn't known here, and some prompts are kept at the endpoint without this being known.
+    pub(crate) fn first(&mut self, unread: u32, took_ms: f64) {
+        if unread < MIN_TOKENS {
+            return;
         }
-        self.add(x, took_ms.min(most), 1.0);
+        let sample = (took_ms - FIRST_MS) / f64::from(unread);
+        self.samples = self.samples.saturating_add(1);
+        let step = (FIRST_STEP / f64::from(self.samples).sqrt()).max(LAST_STEP);
+        let factor = if sample < self.token_ms {
+            1.0 - step
+        } else {
+            1.0 + step
+        };
+        self.token_ms = (self.token_ms * factor).clamp(FASTEST_MS, SLOWEST_MS);
     }
 
-    fn add(&mut self, x: f64, y: f64, weight: f64) {
-        self.n += weight;
-        self.x += weight * x;
-        self.y += weight * y;
-        self.xx += weight * x * x;
-        self.xy += weight * x * y;
+    /// Takes in for how long a whole request held a place that might have generated so many tokens.
+    pub(crate) fn whole(&mut self, max_output: u32, held_ms: f64) {
+        self.held_ms = self.held_ms * KEEP + held_ms;
+        self.output = self.output * KEEP + f64::from(max_output);
     }
 }
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -7,9 +7,9 @@
 
 use crate::catalog::EngineSpec;
 use crate::id::{EndpointKey, ServiceName};
-use crate::roster::{Holdings, ModelRef, Roster};
+use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -159,6 +159,8 @@
     /// Endpoints whose last move of an adapter found nothing that could be done, and when.
     adapter_failed: BTreeMap<EndpointKey, Instant>,
     loads: VecDeque<Instant>,
+    /// Endpoints that are listed but out of reach.
+    lost: BTreeSet<EndpointKey>,
 }
 
 /// Queries.
@@ -185,6 +187,16 @@
         now + trend.max(0.0) * FORESIGHT
     }
 
+    /// Gives the endpoints that can be reached and take work.
+    fn open<'r>(
+        &'r self,
+        roster: &'r Roster,
+        service: &'r ServiceName,
+    ) -> impl Iterator<Item = (EndpointKey, &'r Endpoint)> {
+        let open = roster.open(service);
+        open.filter(|(k, _)| !self.lost.contains(k))
+    }
+
     /// Gives how many loads from the weight store may begin now.
     fn ceiling(&self, spec: &EngineSpec, ceiling: LoadCeiling) -> usize {
         let per_window = spec.loads_per_second * ceiling.window.as_secs_f64() * ceiling.over;
@@ -230,6 +242,12 @@
         self.fast = models;
     }
 
+    /// Takes in which endpoints are listed but out of reach: what they hold has to be elsewhere, and they take no
+    /// orders. The list drops an endpoint that crashed three to five seconds later.
+    pub fn observe_lost(&mut self, lost: BTreeSet<EndpointKey>) {
+        self.lost = lost;
+    }
+
     /// Chooses the moves that begin now, and counts them as under way.
     pub fn plan(
         &mut self,
--- a/crates/limehollow/src/rebalance/adapters.rs
+++ b/crates/limehollow/src/rebalance/adapters.rs
@@ -29,24 +29,28 @@
 /// some ms, so one that is rarely asked for may take turns with others like it.
 const PATIENCE_S: f64 = 1.0;
 
-/// Counts the replicas of each adapter that is somewhere.
-fn adapter_replicas(roster: &Roster, service: &ServiceName) -> BTreeMap<ModelRef, usize> {
-    let mut out: BTreeMap<ModelRef, usize> = BTreeMap::new();
-    for (_, e) in roster.open(service) {
-        for (model, held) in &e.holdings {
-            for a in &held.adapters {
-                let m = ModelRef {
-                    model: model.clone(),
-                    adapter: Some(a.clone()),
-                };
-                *out.entry(m).or_default() += 1;
+impl Rebalancer {
+    /// Counts the replicas of each adapter that is somewhere.
+    fn adapter_replicas(
+        &self,
+        roster: &Roster,
+        service: &ServiceName,
+    ) -> BTreeMap<ModelRef, usize> {
+        let mut out: BTreeMap<ModelRef, usize> = BTreeMap::new();
+        for (_, e) in self.open(roster, service) {
+            for (model, held) in &e.holdings {
+                for a in &held.adapters {
+                    let m = ModelRef {
+                        model: model.clone(),
+                        adapter: Some(a.clone()),
+                    };
+                    *out.entry(m).or_default() += 1;
+                }
             }
         }
+        out
     }
-    out
-}
 
-impl Rebalancer {
     /// Chooses where adapters are loaded that are asked for and not there, or not often enough, and
     /// counts them as on their way.
     ///
@@ -62,7 +66,7 @@
     where
         F: Fn(EndpointKey) -> bool,
     {
-        let replicas = adapter_replicas(roster, service);
+        let replicas = self.adapter_replicas(roster, service);
         self.fresh
             .retain(|_, t| now.duration_since(*t) < ADAPTER_STAY);
         self.adapter_failed
@@ -138,7 +142,11 @@
     {
         let size = self.spec.models.get(&m.model)?.adapter_megabytes;
         let mut best: Option<(f64, EndpointKey, Option<ModelRef>)> = None;
-        for (key, e) in self.roster.open(self.service).filter(|(k, _)| free(*k)) {
+        for (key, e) in self
+            .rebalancer
+            .open(self.roster, self.service)
+            .filter(|(k, _)| free(*k))
+        {
             let has_model = e.holdings.contains_key(&m.model);
             if !has_model || holds(&e.holdings, m) {
                 continue;
@@ -179,7 +187,11 @@
     {
         let coming: BTreeSet<&ModelRef> = self.rebalancer.coming.values().collect();
         let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
-        for (key, e) in self.roster.open(self.service).filter(|(k, _)| free(*k)) {
+        for (key, e) in self
+            .rebalancer
+            .open(self.roster, self.service)
+            .filter(|(k, _)| free(*k))
+        {
             let there: usize = e.holdings.values().map(|h| h.adapters.len()).sum();
             if there >= self.spec.adapter_places {
                 continue;
--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -1,6 +1,6 @@
 //! Where another replica of a model is worth most.
 //!
-//! What an endpoint's load costs callers grows with its cube ([`load_cost`]); a move is worth how much the sum
+//! What an endpoint's load costs callers grows with its cube until it is full ([`load_cost`]); a move is worth how much the sum
 //! over all endpoints falls. A model that is loaded above [`HIGH_LOAD`] somewhere may get another replica,
 //! once the least wanted duplicates have made way; the last replica of a model never does. In quiet times
 //! models get second replicas and copies.
@@ -14,6 +14,12 @@
 const MOVE_COST: f64 = 0.3;
 /// What a load from the weight store costs more than one from a copy at hand: seconds of its use.
 const COLD_COST: f64 = 0.3;
+/// For how long a move is expected to be of use, in s: demand moves on about as often.
+const HORIZON_S: f64 = 10.0;
+/// What a load from a copy takes, in s: 0.6 from an endpoint's memory, 1.2 to 1.6 from its disk.
+const COPY_LOAD_S: f64 = 1.3;
+/// The least part of its worth that a move keeps, however long the load takes.
+const LEAST_TIMELY: f64 = 0.1;
 /// What a second replica may cost at most, and what it costs more in the zone of the first.
 const SPARE_COST: f64 = 0.1;
 /// The part of the replicas of a model with adapters that may be carrying out orders on models at once,
@@ -41,9 +47,18 @@
 const MISSING_COST: f64 = 24.0;
 const MISSING_DEMAND: f64 = 240.0;
 
-/// What a load costs callers: little while it is low, steeply more above [`HIGH_LOAD`].
+/// The load of an endpoint that has no time left, in ms of work a second.
+const FULL_LOAD: f64 = 1000.0;
+
+/// What a load costs callers: little while it is low, steeply more above [`HIGH_LOAD`]. What is above [`FULL_LOAD`] is
+/// refused, so each ms of it costs as much as the last.
+///
+/// With the cube for all loads a model that was nowhere, and asked for six times over what an endpoint bears, made every
+/// endpoint look worse than none: it was not loaded for fourteen seconds, and 2,000 requests were refused.
 fn load_cost(load: f64) -> f64 {
-    (load.max(0.0) / HIGH_LOAD).powi(3)
+    let cube = (load.clamp(0.0, FULL_LOAD) / HIGH_LOAD).powi(3);
+    let slope = 3.0 * (FULL_LOAD / HIGH_LOAD).powi(2) / HIGH_LOAD;
+    cube + slope * (load - FULL_LOAD).max(0.0)
 }
 
 /// A move of a model that was weighed.
@@ -112,20 +127,28 @@
         let is_missing = t.replicas(load) < 1.0;
         let mut best = None;
         for (at, p) in t.places() {
-            if !self.may_move(p, load, MOVING_PART) {
+            // A model that is nowhere waits for no adapters: with the bound a hot one stayed away for thirty seconds,
+            // while each endpoint held some model with adapters that was nowhere else.
+            let part = if is_missing {
+                f64::INFINITY
+            } else {
+                MOVING_PART
+            };
+            if !self.may_move(p, load, part) {
                 continue;
             }
             let Some(evict) = self.make_room(p, t.megabytes(load), 1.0) else {
                 continue;
             };
             let mut worth = self.gain(at, load, &evict);
+            if is_missing {
+                worth += MISSING_COST * (1.0 + t.demand(load) / MISSING_DEMAND);
+            }
+            worth *= self.timely_part(p, load);
             worth -= evict.iter().map(|m| t.share(*m, 0.0)).sum::<f64>() / HIGH_LOAD * BUSY_COST;
             if !p.has_copy(load) {
                 worth -= COLD_COST;
             }
-            if is_missing {
-                worth += MISSING_COST * (1.0 + t.demand(load) / MISSING_DEMAND);
-            }
             let weighed = Weighed {
                 worth,
                 at,
@@ -137,6 +160,16 @@
         best
     }
 
+    /// Gives the part of [`HORIZON_S`] for which a replica would be there.
+    fn timely_part(&self, p: &Place, load: ModelIx) -> f64 {
+        let ready_s = if p.has_copy(load) {
+            COPY_LOAD_S
+        } else {
+            self.table.cold_load_s(load)
+        };
+        (1.0 - ready_s / HORIZON_S).max(LEAST_TIMELY)
+    }
+
     /// Finds where a second replica of a model costs least.
     fn best_spare(&self, load: ModelIx) -> Option<Weighed> {
         let t = self.table;
--- a/crates/limehollow/src/rebalance/table.rs
+++ b/crates/limehollow/src/rebalance/table.rs
@@ -47,6 +47,8 @@
     name: SmolStr,
     megabytes: f64,
     has_adapters: bool,
+    /// What a load from the weight store takes, in s.
+    cold_load_s: f64,
     /// Whether the configuration names it; what it doesn't name may only go.
     is_served: bool,
     demand: f64,
@@ -85,6 +87,11 @@
         self.rows[m.0].megabytes
     }
 
+    /// Gives what a load from the weight store takes, in s.
+    pub(super) fn cold_load_s(&self, m: ModelIx) -> f64 {
+        self.rows[m.0].cold_load_s
+    }
+
     pub(super) fn has_adapters(&self, m: ModelIx) -> bool {
         self.rows[m.0].has_adapters
     }
@@ -128,6 +135,7 @@
             name: s.name.clone(),
             megabytes: s.megabytes,
             has_adapters: !s.adapters.is_empty(),
+            cold_load_s: s.cold_load.as_secs_f64(),
             is_served: true,
             demand: rebalancer.demand(&s.name),
             holders: Vec::new(),
@@ -161,7 +169,7 @@
                 load: 0.0,
             }
         };
-        let places: Vec<Place> = roster.open(service).map(&mut place).collect();
+        let places: Vec<Place> = rebalancer.open(roster, service).map(&mut place).collect();
         let mut t = Self {
             places,
             rows: names.rows,
@@ -216,6 +224,7 @@
             name: name.clone(),
             megabytes: 0.0,
             has_adapters: false,
+            cold_load_s: 0.0,
             is_served: false,
             demand: 0.0,
             holders: Vec::new(),
--- a/crates/limehollow/tests/balance.rs
+++ b/crates/limehollow/tests/balance.rs
@@ -6,7 +6,7 @@
 use limehollow::id::EndpointKey;
 use limehollow::job::Job;
 use limehollow::load::Ending;
-use limehollow::roster::Roster;
+use limehollow::roster::{Endpoint, Roster};
 use limehollow::verdict::Failure;
 use site::{adapter, holding, job, model, roster};
 use std::time::Duration;
@@ -37,9 +37,18 @@
     }
 }
 
+fn listed(r: &Roster, key: EndpointKey) -> (EndpointKey, &Endpoint) {
+    (key, r.get(key).expect("it is listed"))
+}
+
 /// Ends a request as soon as it is sent.
-fn send(b: &mut Balance, key: EndpointKey, ending: Ending) {
-    let sent = b.start(Instant::now(), key, &job(model("big-0"), 100, 0), 30.0);
+fn send(b: &mut Balance, r: &Roster, key: EndpointKey, ending: Ending) {
+    let sent = b.start(
+        Instant::now(),
+        listed(r, key),
+        &job(model("big-0"), 100, 0),
+        30.0,
+    );
     b.finish(Instant::now(), sent, ending);
 }
 
@@ -85,7 +94,7 @@
     let j = job(model("big-0"), 2000, 0);
     let first = to(choose(&b, &r, &j));
     assert_eq!(first, keys[0]);
-    let _sent = b.start(Instant::now(), first, &j, 100.0);
+    let _sent = b.start(Instant::now(), listed(&r, first), &j, 100.0);
     assert_eq!(to(choose(&b, &r, &job(model("big-0"), 1999, 0))), keys[1]);
 }
 
@@ -122,7 +131,12 @@
     // What is less urgent stands behind; what is as urgent stands before.
     let (r, keys) = roster(&[&["big-0"]]);
     let mut b = Balance::new("a".into());
-    let _sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 9000, 1), 0.0);
+    let _sent = b.start(
+        Instant::now(),
+        listed(&r, keys[0]),
+        &job(model("big-0"), 9000, 1),
+        0.0,
+    );
     let urgent = expected(choose(&b, &r, &job(model("big-0"), 100, 0)));
     let equal = expected(choose(&b, &r, &job(model("big-0"), 100, 1)));
     assert!(urgent + 300.0 < equal, "{urgent} {equal}");
@@ -134,19 +148,19 @@
     let mut b = Balance::new("a".into());
     let j = job(model("big-0"), 5000, 0);
     let before = expected(choose(&b, &r, &j));
-    let sent = b.start(Instant::now(), keys[0], &j, before);
+    let sent = b.start(Instant::now(), listed(&r, keys[0]), &j, before);
     b.finish(Instant::now(), sent, Ending::Cancelled);
     let after = expected(choose(&b, &r, &j));
     assert!(after + 200.0 < before, "{before} {after}");
     let other = Job::generation(site::llm(), adapter("big-0", "a1"), 0, (5000, 100), &[]);
-    assert!(b.demand_ms(&other) > 200.0);
+    assert!(b.demand_ms(&other, 8) > 200.0);
 }
 
 #[tokio::test(start_paused = true)]
 async fn refused_counts_as_time_and_fades() {
     let (r, keys) = roster(&[&["big-0"]]);
     let mut b = Balance::new("a".into());
-    send(&mut b, keys[0], Ending::Failed(Failure::Refused));
+    send(&mut b, &r, keys[0], Ending::Failed(Failure::Refused));
     let j = job(model("big-0"), 100, 0);
     assert!(expected(choose(&b, &r, &j)) > 1000.0);
     advance(Duration::from_secs(3)).await;
@@ -158,19 +172,19 @@
     let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
     let mut b = Balance::new("a".into());
     let j = job(model("big-0"), 100, 0);
-    send(&mut b, keys[0], Ending::Failed(Failure::Broken));
+    send(&mut b, &r, keys[0], Ending::Failed(Failure::Broken));
     assert!(
         !b.is_ejected(Instant::now(), keys[0]),
         "one failure is none"
     );
-    send(&mut b, keys[0], Ending::Failed(Failure::ServerError));
+    send(&mut b, &r, keys[0], Ending::Failed(Failure::ServerError));
     assert!(b.is_ejected(Instant::now(), keys[0]));
     assert_eq!(to(choose(&b, &r, &j)), keys[1]);
     advance(Duration::from_secs(2)).await;
     assert!(!b.is_ejected(Instant::now(), keys[0]));
     let first = Duration::from_millis(50);
     for _ in 0..20 {
-        send(&mut b, keys[0], Ending::Whole { first });
+        send(&mut b, &r, keys[0], Ending::Whole { first });
     }
     assert_eq!(to(choose(&b, &r, &j)), keys[0]);
 }
@@ -180,7 +194,7 @@
     let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
     let mut b = Balance::new("a".into());
     for k in &keys {
-        send(&mut b, *k, Ending::Failed(Failure::Connect));
+        send(&mut b, &r, *k, Ending::Failed(Failure::Connect));
         assert!(b.is_ejected(Instant::now(), *k));
     }
     let c = choose(&b, &r, &job(model("big-0"), 100, 0));
@@ -193,7 +207,7 @@
     let mut b = Balance::new("a".into());
     for _ in 0..10 {
         let j = job(model("big-0"), 100, 0);
-        let mut sent = b.start(Instant::now(), keys[0], &j, 40.0);
+        let mut sent = b.start(Instant::now(), listed(&r, keys[0]), &j, 40.0);
         advance(Duration::from_millis(800)).await;
         b.first(Instant::now(), &mut sent);
         let first = Duration::from_millis(800);
@@ -209,7 +223,12 @@
 fn forget_endpoint_that_is_gone() {
     let (mut r, keys) = roster(&[&["big-0"]]);
     let mut b = Balance::new("a".into());
-    let sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 100, 0), 0.0);
+    let sent = b.start(
+        Instant::now(),
+        listed(&r, keys[0]),
+        &job(model("big-0"), 100, 0),
+        0.0,
+    );
     r.remove("i-0");
     b.forget(keys[0]);
     r.list(Instant::now(), site::endpoint(0, "a", holding(&["big-0"])));
@@ -231,9 +250,149 @@
         |b: &Balance, n: u32| b.choose(Instant::now(), &r, narrow, &job(model("big-0"), n, 0), &[]);
     // One prompt always may go, however long it is.
     assert!(matches!(pick(&b, 9000), Choice::To(..)));
-    let mut sent = b.start(Instant::now(), keys[0], &job(model("big-0"), 2000, 0), 0.0);
-    let _other = b.start(Instant::now(), keys[1], &job(model("big-0"), 2001, 0), 0.0);
+    let mut sent = b.start(
+        Instant::now(),
+        listed(&r, keys[0]),
+        &job(model("big-0"), 2000, 0),
+        0.0,
+    );
+    let _other = b.start(
+        Instant::now(),
+        listed(&r, keys[1]),
+        &job(model("big-0"), 2001, 0),
+        0.0,
+    );
     assert!(matches!(pick(&b, 2002), Choice::Crowded(_)));
     b.first(Instant::now(), &mut sent);
     assert_eq!(to(pick(&b, 2002)), keys[0]);
 }
+
+#[test]
+fn choose_long_prompt_waits_for_no_idle_endpoint() {
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let bounds = Bounds {
+        kv_tokens: None,
+        reading_ms: 150.0,
+    };
+    let _short = b.start(
+        Instant::now(),
+        listed(&r, keys[0]),
+        &job(model("big-0"), 300, 0),
+        0.0,
+    );
+    let long = job(model("big-0"), 9000, 0);
+    let c = b.choose(Instant::now(), &r, bounds, &long, &[]);
+    assert!(matches!(c, Choice::To(..)), "{c:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn demand_counts_the_place_that_a_stream_holds() {
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = Job::generation(site::llm(), model("big-0"), 0, (100, 100), &[]);
+    assert!(b.demand_ms(&j, 8) < 10.0, "its prompt alone");
+    for _ in 0..5 {
+        let sent = b.start(Instant::now(), listed(&r, keys[0]), &j, 30.0);
+        advance(Duration::from_millis(1600)).await;
+        let first = Duration::from_millis(30);
+        b.finish(Instant::now(), sent, Ending::Whole { first });
+    }
+    // 1.6 s of one of eight places are 200 ms of the endpoint; half the output holds it half as long.
+    assert!((b.demand_ms(&j, 8) - 200.0).abs() < 1.0);
+    let short = Job::generation(site::llm(), model("big-0"), 0, (100, 50), &[]);
+    assert!((b.demand_ms(&short, 8) - 100.0).abs() < 1.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn demand_goes_towards_the_middle_sample_of_the_pace() {
+    let (r, keys) = roster(&[&["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = Job::generation(site::llm(), model("big-0"), 0, (1000, 0), &[]);
+    for i in 0..60 {
+        let mut sent = b.start(Instant::now(), listed(&r, keys[0]), &j, 30.0);
+        // 5 us a token; each fourth waits for something else.
+        let ms = if i % 4 == 3 { 900 } else { 25 };
+        advance(Duration::from_millis(ms)).await;
+        b.first(Instant::now(), &mut sent);
+        b.finish(Instant::now(), sent, Ending::Cancelled);
+    }
+    let ms = b.demand_ms(&j, 8);
+    assert!((3.5..7.5).contains(&ms), "{ms}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn zone_that_is_cut_is_left_at_once() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"], &["big-0"], &["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = job(model("big-0"), 100, 0);
+    for k in [keys[0], keys[2]] {
+        send(&mut b, &r, k, Ending::Failed(Failure::Connect));
+    }
+    // The third of the zone was never tried.
+    assert!(keys[1..].contains(&to(choose(&b, &r, &j))));
+    assert_ne!(to(choose(&b, &r, &j)), keys[4]);
+    // An answer from the zone shows that two of it had crashed.
+    send(
+        &mut b,
+        &r,
+        keys[4],
+        Ending::Whole {
+            first: Duration::from_millis(30),
+        },
+    );
+    let mut sent = b.start(Instant::now(), listed(&r, keys[4]), &j, 30.0);
+    b.first(Instant::now(), &mut sent);
+    b.finish(Instant::now(), sent, Ending::Cancelled);
+    assert_eq!(to(choose(&b, &r, &j)), keys[4]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_comes_back_proves_itself_with_one_request() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    let j = job(model("big-0"), 100, 0);
+    send(&mut b, &r, keys[0], Ending::Failed(Failure::Connect));
+    advance(Duration::from_secs(6)).await;
+    b.receive(Instant::now(), "vm-2".into(), busy(keys[1]));
+    assert_eq!(to(choose(&b, &r, &j)), keys[0], "old failures fade");
+    let mut probe = b.start(Instant::now(), listed(&r, keys[0]), &j, 30.0);
+    assert_eq!(to(choose(&b, &r, &j)), keys[1], "one at a time");
+    b.first(Instant::now(), &mut probe);
+    assert_eq!(to(choose(&b, &r, &j)), keys[0], "it has answered");
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_between_some_tries_and_the_list() {
+    let (r, keys) = roster(&[&["big-0"], &["big-0"]]);
+    let mut b = Balance::new("a".into());
+    send(&mut b, &r, keys[0], Ending::Failed(Failure::Connect));
+    assert!(!b.is_lost(Instant::now(), keys[0]), "one try says little");
+    advance(Duration::from_millis(700)).await;
+    assert!(b.is_lost(Instant::now(), keys[0]));
+    advance(Duration::from_secs(6)).await;
+    assert!(!b.is_lost(Instant::now(), keys[0]), "it is still listed");
+    // What another VM of the zone can't reach is left as well, unless it has just answered here.
+    b.told_unreached(Instant::now(), keys[1]);
+    assert!(b.is_ejected(Instant::now(), keys[1]));
+    send(
+        &mut b,
+        &r,
+        keys[0],
+        Ending::Whole {
+            first: Duration::from_millis(30),
+        },
+    );
+    b.told_unreached(Instant::now(), keys[0]);
+    assert!(!b.is_ejected(Instant::now(), keys[0]));
+}
+
+/// What another gateway has at an endpoint: so much that nothing goes there unless it must.
+fn busy(key: EndpointKey) -> Vec<(EndpointKey, Taken)> {
+    let taken = Taken {
+        requests: 2.0,
+        tokens: 0.0,
+        ahead_ms: [500.0; 4],
+    };
+    vec![(key, taken)]
+}
--- /dev/null
+++ b/crates/limehollow/tests/candidacy.rs
@@ -0,0 +1,113 @@
+//! Who stands for the lease, and when, on paused time.
+
+use limehollow::candidacy::{Candidacy, HOLDER_SILENT, LISTEN_FIRST, NEXT_CANDIDATE, Word};
+use limehollow::group_lease::Predecessor;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+fn holds(vm: &str, fence: u64) -> Word {
+    Word {
+        vm: vm.into(),
+        fence,
+        holds: true,
+        last_order: None,
+    }
+}
+
+fn resigns(vm: &str, fence: u64, last_order: Option<Instant>) -> Word {
+    Word {
+        holds: false,
+        last_order,
+        ..holds(vm, fence)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn stands_at_its_start_once_it_has_listened() {
+    let c = Candidacy::new(Instant::now());
+    assert!(!c.stands(Instant::now(), 0));
+    advance(LISTEN_FIRST).await;
+    assert!(c.stands(Instant::now(), 0));
+    assert!(!c.stands(Instant::now(), 1), "the first goes before it");
+    advance(NEXT_CANDIDATE).await;
+    assert!(c.stands(Instant::now(), 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stands_not_while_a_holder_is_heard() {
+    let mut c = Candidacy::new(Instant::now());
+    for _ in 0..20 {
+        advance(Duration::from_millis(100)).await;
+        c.hear(Instant::now(), holds("vm-2", 4));
+        assert!(!c.stands(Instant::now(), 0));
+    }
+    assert_eq!(
+        c.holder(Instant::now()).map(smol_str::SmolStr::as_str),
+        Some("vm-2")
+    );
+    advance(HOLDER_SILENT).await;
+    assert!(c.stands(Instant::now(), 0));
+    assert_eq!(c.holder(Instant::now()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn stands_at_once_when_the_holder_resigns() {
+    let mut c = Candidacy::new(Instant::now());
+    c.hear(Instant::now(), holds("vm-2", 4));
+    assert!(c.hear(Instant::now(), resigns("vm-2", 4, None)));
+    assert!(c.stands(Instant::now(), 0));
+    // It repeats that for a while; the turn of the next runs from its first word.
+    advance(NEXT_CANDIDATE).await;
+    assert!(!c.hear(Instant::now(), resigns("vm-2", 4, None)));
+    assert!(c.stands(Instant::now(), 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn hear_late_words_of_an_earlier_holder() {
+    let mut c = Candidacy::new(Instant::now());
+    c.hear(Instant::now(), holds("vm-3", 6));
+    assert!(!c.hear(Instant::now(), resigns("vm-2", 4, None)));
+    c.hear(Instant::now(), holds("vm-2", 4));
+    assert_eq!(
+        c.holder(Instant::now()).map(smol_str::SmolStr::as_str),
+        Some("vm-3")
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn predecessor_only_where_nobody_can_have_been_between() {
+    let mut c = Candidacy::new(Instant::now());
+    let now = Instant::now();
+    assert_eq!(c.predecessor(now, 5), Predecessor::Unknown);
+    c.hear(now, holds("vm-2", 4));
+    assert_eq!(
+        c.predecessor(now, 6),
+        Predecessor::Unknown,
+        "it has not resigned"
+    );
+    c.hear(now, resigns("vm-2", 4, Some(now)));
+    assert_eq!(c.predecessor(now, 6), Predecessor::Ordered(now));
+    assert_eq!(
+        c.predecessor(now, 7),
+        Predecessor::Unknown,
+        "another may have joined"
+    );
+    assert_eq!(c.predecessor(now, 4), Predecessor::Unknown);
+    advance(HOLDER_SILENT).await;
+    assert_eq!(
+        c.predecessor(Instant::now(), 6),
+        Predecessor::Unknown,
+        "too long ago"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn listen_anew_after_a_freeze() {
+    let mut c = Candidacy::new(Instant::now());
+    c.hear(Instant::now(), holds("vm-1", 4));
+    advance(Duration::from_secs(8)).await;
+    c.listen(Instant::now());
+    assert!(!c.stands(Instant::now(), 0), "another may hold it by now");
+    advance(LISTEN_FIRST).await;
+    assert!(c.stands(Instant::now(), 0));
+}
--- a/crates/limehollow/tests/group_lease.rs
+++ b/crates/limehollow/tests/group_lease.rs
@@ -1,6 +1,6 @@
 //! When a process may give orders: the lease through a group, on paused time.
 
-use limehollow::group_lease::{Dealt, GroupLease, LeaseChange, ORDER_WITHIN, TTL};
+use limehollow::group_lease::{Dealt, GroupLease, LeaseChange, ORDER_WITHIN, Predecessor, TTL};
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
@@ -89,3 +89,38 @@
     l.drop_it();
     assert_eq!(l.fence(Instant::now()), None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn fence_after_a_holder_that_resigned() {
+    // It waits from the last order of the one before, not from its own start.
+    let mut l = GroupLease::new(BETWEEN);
+    let ordered = Instant::now();
+    advance(Duration::from_secs(2)).await;
+    join(&mut l, dealt(6, true));
+    l.follows(Predecessor::Ordered(ordered));
+    assert_eq!(l.fence(Instant::now()), None);
+    advance(Duration::from_millis(900)).await;
+    join(&mut l, dealt(6, true));
+    advance(Duration::from_millis(200)).await;
+    assert_eq!(l.fence(Instant::now()), Some(6));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_after_a_holder_that_gave_no_order() {
+    let mut l = GroupLease::new(BETWEEN);
+    join(&mut l, dealt(6, true));
+    l.follows(Predecessor::Idle);
+    assert_eq!(l.fence(Instant::now()), Some(6));
+    // Another may have held it since: what is known of the one before counts no more.
+    join(&mut l, dealt(7, false));
+    join(&mut l, dealt(8, true));
+    assert_eq!(l.fence(Instant::now()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn has_lapsed_without_a_word_from_the_platform() {
+    let l = held().await;
+    assert!(!l.has_lapsed(Instant::now()));
+    advance(TTL).await;
+    assert!(l.has_lapsed(Instant::now()));
+}
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -153,3 +153,18 @@
     }
     assert_eq!(p.neighbours(), [address(1), address(3)]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn candidate_rank_firsts_of_all_zones_before_seconds() {
+    let zone = |me: &str, zone: &str| {
+        let mut p = Peers::new(me.into(), zone.into(), 250);
+        for (name, z) in [("vm-1", "a"), ("vm-2", "b"), ("vm-3", "a"), ("vm-4", "b")] {
+            p.learn(name.into(), z.into(), address(1), 250);
+        }
+        p.candidate_rank(Instant::now())
+    };
+    assert_eq!(zone("vm-1", "a"), Some(0));
+    assert_eq!(zone("vm-2", "b"), Some(1));
+    assert_eq!(zone("vm-3", "a"), Some(2));
+    assert_eq!(zone("vm-4", "b"), Some(3));
+}
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -266,3 +266,67 @@
     r.observe(Instant::now(), &demand(&[("big-0", 200.0), ("big-3", 5.0)]));
     assert_eq!(loads(&plan(&mut r, &roster, 4)), ["big-3"]);
 }
+
+/// Gives a site whose endpoints each hold a model with adapters that is nowhere else, and a duplicate.
+fn adapters_everywhere() -> (Roster, limehollow::catalog::EngineSpec) {
+    let (roster, _) = roster(&[&["big-0", "big-2"], &["big-1", "big-2"]]);
+    let mut spec = engine(4);
+    for m in spec.models.values_mut() {
+        m.adapters = vec!["a1".into()];
+        m.megabytes = 95_000.0;
+    }
+    (roster, spec)
+}
+
+#[test]
+fn plan_missing_model_waits_for_no_adapters() {
+    let (roster, spec) = adapters_everywhere();
+    let mut r = Rebalancer::default();
+    let now = Instant::now();
+    r.observe(
+        now,
+        &demand(&[("big-3", 800.0), ("big-0", 5.0), ("big-1", 5.0)]),
+    );
+    let moves = r.plan(now, &roster, &llm(), &spec, CEILING);
+    assert_eq!(loads(&moves), ["big-3"]);
+}
+
+#[test]
+fn plan_prefers_the_endpoint_with_a_copy() {
+    // The second endpoint carries a little more, but is ready seven seconds sooner.
+    let (mut roster, keys) = roster(&[&["big-0"], &["big-1"], &["big-2"]]);
+    let mut with_copy = roster.get(keys[2]).expect("it is listed").clone();
+    with_copy.copies.insert("big-0".into());
+    roster.list(Instant::now(), with_copy);
+    let mut r = Rebalancer::default();
+    let asked = demand(&[("big-0", 2000.0), ("big-1", 10.0), ("big-2", 250.0)]);
+    r.observe(Instant::now(), &asked);
+    let moves = plan(&mut r, &roster, 3);
+    assert_eq!(moves.first().map(|(k, _)| *k), Some(keys[2]));
+}
+
+#[test]
+fn plan_model_of_an_endpoint_out_of_reach_goes_elsewhere() {
+    let (roster, keys) = roster(&[&["big-0"], &["big-1"], &["big-1"]]);
+    let mut r = Rebalancer::default();
+    r.observe(Instant::now(), &demand(&[("big-0", 50.0)]));
+    r.observe_lost(BTreeSet::from([keys[0]]));
+    let moves = plan(&mut r, &roster, 2);
+    assert_eq!(loads(&moves)[0], "big-0");
+    assert!(
+        moves.iter().all(|(k, _)| *k != keys[0]),
+        "it takes no orders"
+    );
+}
+
+#[test]
+fn plan_missing_model_however_much_it_is_asked_for() {
+    let (roster, _) = roster(&[&["big-0", "big-1"], &["big-0", "big-1"]]);
+    for asked in [10.0, 300.0, 1000.0, 3000.0, 6000.0, 20_000.0] {
+        let mut r = Rebalancer::default();
+        let asked = [("big-2", asked), ("big-0", 200.0), ("big-1", 200.0)];
+        r.observe(Instant::now(), &demand(&asked));
+        let moves = plan(&mut r, &roster, 3);
+        assert_eq!(loads(&moves).first(), Some(&"big-2"), "{asked:?}");
+    }
+}
