Placement: a missing model costs what is asked of it; the only endpoint of a model with adapters may be ordered

Cause: a model that nobody holds counted like 240 ms of work a second however little was asked of it, so after a loss the free endpoints first got models with a request a second while a hot one stood at one replica with demand for five; and an endpoint with the only replica of a model with adapters was never ordered for a hot one.

--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -44,8 +44,8 @@
 /// What a model costs that is nowhere: three endpoints at twice [`HIGH_LOAD`], and as much again for each
 /// so many ms of work a second that are asked of it. A model that is hardly asked for doesn't push out one
 /// that is hot.
-const MISSING_COST: f64 = 24.0;
-const MISSING_DEMAND: f64 = 240.0;
+const MISSING_COST: f64 = 6.0;
+const MISSING_DEMAND: f64 = 60.0;
 
 /// The load of an endpoint that has no time left, in ms of work a second.
 const FULL_LOAD: f64 = 1000.0;
@@ -243,15 +243,20 @@
 
     /// Tells whether an endpoint may be ordered to load a model: it isn't being ordered, and enough replicas
     /// of the models with adapters that it holds stay at rest.
+    ///
+    /// Where each endpoint holds some model with adapters that is nowhere else, a bound without exception kept a hot
+    /// model at one replica for ten seconds, and one that was nowhere away for thirty.
     fn may_move(&self, p: &Place, load: ModelIx, part: f64) -> bool {
         if p.moving || p.holds(load) {
             return false;
         }
+        // A replica that is needed may take the only endpoint of a model with adapters; a spare one may not.
+        let least = if part < MOVING_PART { 0.0 } else { 1.0 };
         p.models.iter().all(|m| {
             let moving = self.table.holders(*m).filter(|(_, o)| o.moving).count();
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
             let moving = moving as f64 + 1.0;
-            !self.table.has_adapters(*m) || moving <= self.table.replicas(*m) * part
+            !self.table.has_adapters(*m) || moving <= (self.table.replicas(*m) * part).max(least)
         })
     }
 
