--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -3,7 +3,7 @@
 //! What an endpoint's load costs callers grows with its cube until it is full ([`load_cost`]); a move is worth how much the sum
 //! over all endpoints falls. A model that is loaded above [`HIGH_LOAD`] somewhere may get another replica,
 //! once the least wanted duplicates have made way; the last replica of a model never does. In quiet times
-//! models get second replicas and copies.
+//! models get second replicas.
 
 use super::table::{ModelIx, Place, PlaceIx, Table};
 use super::{HIGH_LOAD, Rebalancer};
@@ -32,16 +32,6 @@
 const SPARE_MOVING_PART: f64 = 0.25;
 /// Second replicas are loaded while fewer than this part of the endpoints are being ordered.
 const SPARE_MOVES_PART: usize = 4;
-/// Copies are made while fewer than this part of the endpoints are being ordered, and while more than so
-/// many times the loads of the window are left of the ceiling.
-const COPY_MOVES_PART: usize = 8;
-const COPY_CEILING_PART: usize = 3;
-/// Copies are made of each model until this part of the endpoints has one.
-const COPIES_PART: usize = 2;
-/// An endpoint whose load is below this part of [`HIGH_LOAD`] is at rest.
-const REST_PART: f64 = 0.4;
-/// A model with less demand than this, in ms of work a second, makes way for a copy.
-const ASLEEP: f64 = 1.0;
 /// What it costs to unload a model whose replica carries [`HIGH_LOAD`]: the unload waits for its runs, and
 /// the endpoint takes no other order meanwhile.
 const BUSY_COST: f64 = 2.0;
@@ -112,10 +102,7 @@
             .table
             .models()
             .filter(|m| self.table.replicas(*m) < 2.0);
-        let best = single.map(|m| self.best_spare(m)).fold(None, better);
-        // Copies are for later: they leave most of the weight store and of the endpoints free.
-        let is_idle = moving * COPY_MOVES_PART < places && left > COPY_CEILING_PART * begun;
-        best.or_else(|| is_idle.then(|| self.best_copy()).flatten())
+        single.map(|m| self.best_spare(m)).fold(None, better)
     }
 
     /// Tells whether a model is nowhere, or loaded above [`HIGH_LOAD`] somewhere.
@@ -211,43 +198,6 @@
         best
     }
 
-    /// Finds an endpoint at rest for the model of which the fewest endpoints have a copy: when its demand
-    /// rises, a load from a copy takes a second or two, not eight.
-    fn best_copy(&self) -> Option<Weighed> {
-        let t = self.table;
-        let has_copy = |p: &Place, m: ModelIx| p.holds(m) || p.has_copy(m);
-        let copies = |m: ModelIx| t.places().filter(|(_, p)| has_copy(p, m)).count();
-        let mut models: Vec<(usize, ModelIx)> = t.models().map(|m| (copies(m), m)).collect();
-        models.sort_by_key(|(n, _)| *n);
-        let mut at_rest: Vec<(PlaceIx, &Place)> = t
-            .places()
-            .filter(|(_, p)| p.load < HIGH_LOAD * REST_PART && !p.moving)
-            .collect();
-        at_rest.sort_by(|a, b| a.1.load.total_cmp(&b.1.load));
-        for (n, load) in models {
-            if n * COPIES_PART >= t.places().count() {
-                return None;
-            }
-            let found = at_rest.iter().find_map(|(at, p)| {
-                if has_copy(p, load) || !self.may_move(p, load, SPARE_MOVING_PART) {
-                    return None;
-                }
-                let evict = self.make_room(p, t.megabytes(load), 1.0)?;
-                let asleep = evict.iter().all(|m| t.demand(*m) < ASLEEP);
-                asleep.then_some((*at, evict))
-            });
-            if let Some((at, evict)) = found {
-                return Some(Weighed {
-                    worth: 0.0,
-                    at,
-                    load,
-                    evict,
-                });
-            }
-        }
-        None
-    }
-
     /// Tells whether an endpoint may be ordered to load a model: it isn't being ordered, and enough replicas
     /// of the models with adapters that it holds stay at rest.
     ///
