--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -9,10 +9,10 @@
 use crate::settings::NodeSettings;
 use crate::site::{Known, Site};
 use limehollow::balance::{MESSAGE_LIFE, Taken};
-use limehollow::candidacy::Word;
+use limehollow::candidacy::Notice;
 use limehollow::id::{EndpointKey, VmName, ZoneName};
 use limehollow::roster::ModelRef;
-use limehollow_wire::gossip::{LeaseWord, Message, Scope, decode, encode};
+use limehollow_wire::gossip::{LeaseNotice, Message, Scope, decode, encode};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::io;
@@ -174,7 +174,7 @@
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
             reports: known.reports.take(),
             list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
-            lease: own_word(now, known),
+            lease: own_notice(now, known),
             positions: known.positions,
             from: me,
         }
@@ -235,27 +235,27 @@
         taken: taken.into_iter().collect(),
         demand: demand.into_iter().collect(),
         reports: Vec::new(),
-        lease: zone_word(now, known),
+        lease: zone_notice(now, known),
         ..news(own)
     }
 }
 
 /// Gives what this VM says of the lease, if it holds it or has just resigned.
-fn own_word(now: Instant, known: &Known) -> Option<LeaseWord> {
-    let (word, until) = known.lease_word.as_ref()?;
-    (now < *until).then(|| said(now, word))
+fn own_notice(now: Instant, known: &Known) -> Option<LeaseNotice> {
+    let (notice, until) = known.lease_notice.as_ref()?;
+    (now < *until).then(|| said(now, notice))
 }
 
 /// Gives what a VM of this zone says of the lease, for the other zones.
-fn zone_word(now: Instant, known: &Known) -> Option<LeaseWord> {
+fn zone_notice(now: Instant, known: &Known) -> Option<LeaseNotice> {
     let heard = known.candidacy.fresh(now);
     let here = heard.filter(|w| known.peers.is_here(&w.vm));
     here.map(|w| said(now, w))
 }
 
-fn said(now: Instant, w: &Word) -> LeaseWord {
+fn said(now: Instant, w: &Notice) -> LeaseNotice {
     let ago = |t: Instant| u32::try_from(now.duration_since(t).as_millis()).unwrap_or(u32::MAX);
-    LeaseWord {
+    LeaseNotice {
         vm: w.vm.clone(),
         fence: w.fence,
         holds: w.holds,
@@ -263,13 +263,13 @@
     }
 }
 
-fn heard(now: Instant, w: LeaseWord) -> Word {
+fn heard(now: Instant, w: LeaseNotice) -> Notice {
     // What is on its way was said earlier, so the last order can only be longer ago than this says.
     let at = |ms: u32| {
         now.checked_sub(Duration::from_millis(u64::from(ms)))
             .unwrap_or(now)
     };
-    Word {
+    Notice {
         vm: w.vm,
         fence: w.fence,
         holds: w.holds,
@@ -371,8 +371,8 @@
         }
         known.wanted.extend(w.wants.into_iter().map(|m| (m, now)));
         // A zone that repeats what is known here says nothing new, but is heard all the same.
-        if let Some(word) = w.lease
-            && known.candidacy.hear(now, heard(now, word))
+        if let Some(notice) = w.lease
+            && known.candidacy.hear(now, heard(now, notice))
         {
             site.lease_free.notify_one();
         }
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -2,7 +2,7 @@
 
 use crate::edge::{Protocol, Store};
 use crate::site::Site;
-use limehollow::candidacy::Word;
+use limehollow::candidacy::Notice;
 use limehollow::group_lease::{Dealt, GroupLease, JOIN_EVERY, LeaseChange, TTL};
 use smol_str::SmolStr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -117,15 +117,15 @@
                 tracing::info!(fence, ?before, "lease taken");
             }
             Some(LeaseChange::Lost) => {
-                known.lease_word = None;
+                known.lease_notice = None;
                 tracing::info!(generation = dealt.generation, "lease lost");
             }
             None => {}
         }
         if l.is_held() {
-            let word = word(site, l, true);
-            known.candidacy.hear(now, word.clone());
-            known.lease_word = Some((word, sent + TTL));
+            let notice = notice(site, l, true);
+            known.candidacy.hear(now, notice.clone());
+            known.lease_notice = Some((notice, sent + TTL));
         }
         site.metrics.holds_lease.set(i64::from(l.is_held()));
     });
@@ -139,7 +139,7 @@
     with_lease(lease, GroupLease::drop_it);
     let mut known = site.known();
     known.candidacy.listen(now);
-    known.lease_word = None;
+    known.lease_notice = None;
     site.metrics.holds_lease.set(0);
     tracing::info!("lease lapsed");
 }
@@ -151,10 +151,10 @@
 {
     with_lease(lease, |l| {
         if l.is_held() {
-            let word = word(site, l, false);
+            let notice = notice(site, l, false);
             let mut known = site.known();
-            known.candidacy.hear(now, word.clone());
-            known.lease_word = Some((word, now + RESIGNED_FOR));
+            known.candidacy.hear(now, notice.clone());
+            known.lease_notice = Some((notice, now + RESIGNED_FOR));
             site.urgent.notify_one();
         }
         l.drop_it();
@@ -162,11 +162,11 @@
     site.metrics.holds_lease.set(0);
 }
 
-fn word<P>(site: &Site<P>, l: &GroupLease, holds: bool) -> Word
+fn notice<P>(site: &Site<P>, l: &GroupLease, holds: bool) -> Notice
 where
     P: Protocol,
 {
-    Word {
+    Notice {
         vm: SmolStr::new(site.me.as_str()),
         fence: l.generation(),
         holds,
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -28,8 +28,8 @@
 use tokio::time::{Instant, timeout_at};
 
 /// A request is refused when its first result is expected later than so many times the service's
-/// tightest objective: an answer that is late is worth a third, one that comes after four times the
-/// objective is worth nothing, since callers have left by then.
+/// tightest objective: an answer that is late is worth a tenth to a third of one in time, and after four times the
+/// objective callers have left.
 const PATIENCE: f64 = 2.5;
 /// The part of its objective that a request waits at most for a crowded endpoint or for an adapter, which loads in some
 /// ms: what comes later leaves too little of the objective for the result itself. Half of the objective instead was
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -10,7 +10,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limehollow::arrivals::Arrivals;
 use limehollow::balance::{Balance, Taken};
-use limehollow::candidacy::{Candidacy, Word};
+use limehollow::candidacy::{Candidacy, Notice};
 use limehollow::catalog::Catalog;
 use limehollow::id::{ServiceName, VmName, ZoneName};
 use limehollow::peers::Peers;
@@ -47,7 +47,7 @@
     /// Who holds the lease to give orders, as far as is known.
     pub candidacy: Candidacy,
     /// What this VM says of the lease itself, and until when.
-    pub lease_word: Option<(Word, Instant)>,
+    pub lease_notice: Option<(Notice, Instant)>,
     /// Changes of the list that this VM read lately, for the VMs of its zone.
     pub list_news: VecDeque<(Instant, ListChanges)>,
     /// How far this process has read what it follows.
@@ -56,7 +56,7 @@
     pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
     /// What the controller on this VM found out lately, for the other VMs.
     pub reports: Outbox,
-    /// Whether this VM's last call for the lease failed.
+    /// Whether this VM can't stand for the lease: its last call for it failed, or it was told to end.
     pub lease_failing: bool,
     /// The other VMs.
     pub peers: Peers,
@@ -118,7 +118,7 @@
             wants: BTreeSet::new(),
             wanted: BTreeMap::new(),
             candidacy: Candidacy::new(Instant::now()),
-            lease_word: None,
+            lease_notice: None,
             list_news: VecDeque::new(),
             positions: Positions::default(),
             ahead: BTreeMap::new(),
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -45,7 +45,7 @@
 
 /// What a VM that holds the lease, or has just resigned, says of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseWord {
+pub struct LeaseNotice {
     /// The VM.
     pub vm: SmolStr,
     /// Its fencing number.
@@ -73,7 +73,7 @@
     pub address: SmolStr,
     /// Its processor, in thousandths of a core.
     pub millicores: u32,
-    /// Whether it reaches the platform's store.
+    /// Whether it can stand for the lease: it reaches the platform's store and isn't told to end.
     pub reaches_store: bool,
     /// Rises with each message of one start of the process; a later start begins higher.
     pub number: u64,
@@ -88,7 +88,7 @@
     /// Changes of the list that this VM read lately.
     pub list: Vec<ListChanges>,
     /// What is known of the lease to give orders.
-    pub lease: Option<LeaseWord>,
+    pub lease: Option<LeaseNotice>,
     /// What the controller knows of endpoints that changed lately.
     pub reports: Vec<HoldingsReport>,
     /// How far it has read the configuration and the list of endpoints in the platform's store.
--- a/crates/limehollow/src/candidacy.rs
+++ b/crates/limehollow/src/candidacy.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// After how long without a word of the holder it counts as silent: above a dozen messages of its zone, and below the
+/// After how long without a notice of the holder it counts as silent: above a dozen messages of its zone, and below the
 /// time after which the platform deals the lease on, so that a candidate stands when it does.
 pub const HOLDER_SILENT: Duration = Duration::from_millis(1200);
 /// How long a VM listens for a holder after its start before it stands: three messages of a zone.
@@ -26,7 +26,7 @@
 
 /// What a VM says of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Word {
+pub struct Notice {
     /// The VM.
     pub vm: SmolStr,
     /// Its fencing number.
@@ -40,7 +40,7 @@
 /// What one VM knows of who holds the lease.
 #[derive(Debug)]
 pub struct Candidacy {
-    last: Option<(Instant, Word)>,
+    last: Option<(Instant, Notice)>,
     started: Instant,
 }
 
@@ -57,15 +57,15 @@
     /// Gives the VM that holds the lease, as far as was heard lately.
     #[must_use]
     pub fn holder(&self, now: Instant) -> Option<&SmolStr> {
-        let word = self.fresh(now)?;
-        word.holds.then_some(&word.vm)
+        let notice = self.fresh(now)?;
+        notice.holds.then_some(&notice.vm)
     }
 
-    /// Gives the last word of the holder, or of who resigned, while it is fresh.
+    /// Gives the last notice of the holder, or of who resigned, while it is fresh.
     #[must_use]
-    pub fn fresh(&self, now: Instant) -> Option<&Word> {
-        let (at, word) = self.last.as_ref()?;
-        (now.duration_since(*at) < HOLDER_SILENT).then_some(word)
+    pub fn fresh(&self, now: Instant) -> Option<&Notice> {
+        let (at, notice) = self.last.as_ref()?;
+        (now.duration_since(*at) < HOLDER_SILENT).then_some(notice)
     }
 
     /// Tells whether the candidate of this rank stands for the lease now.
@@ -74,7 +74,7 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let turn = NEXT_CANDIDATE.saturating_mul(rank);
         let (since, silence) = match &self.last {
-            Some((at, word)) if word.holds => (*at, HOLDER_SILENT),
+            Some((at, notice)) if notice.holds => (*at, HOLDER_SILENT),
             Some((at, _)) => (*at, Duration::ZERO),
             None => (self.started, LISTEN_FIRST),
         };
@@ -90,27 +90,27 @@
     /// Takes in what a VM says. Gives whether the lease has just become free.
     ///
     /// Words cross on their way: of two holders the one with the higher fencing number has it.
-    pub fn hear(&mut self, now: Instant, word: Word) -> bool {
+    pub fn hear(&mut self, now: Instant, notice: Notice) -> bool {
         let Some((at, last)) = &mut self.last else {
-            let is_free = !word.holds;
-            self.last = Some((now, word));
+            let is_free = !notice.holds;
+            self.last = Some((now, notice));
             return is_free;
         };
-        if word.fence < last.fence {
+        if notice.fence < last.fence {
             return false;
         }
-        let repeats_itself = !word.holds && !last.holds && word.vm == last.vm;
+        let repeats_itself = !notice.holds && !last.holds && notice.vm == last.vm;
         if repeats_itself {
-            // A resignation is said for some time; the turns of the candidates run from its first word.
-            last.last_order = last.last_order.max(word.last_order);
+            // A resignation is said for some time; the turns of the candidates run from its first notice.
+            last.last_order = last.last_order.max(notice.last_order);
             return false;
         }
-        let resigns = !word.holds;
-        if resigns && last.holds && word.vm != last.vm {
+        let resigns = !notice.holds;
+        if resigns && last.holds && notice.vm != last.vm {
             return false;
         }
         *at = now;
-        *last = word;
+        *last = notice;
         resigns
     }
 
@@ -118,7 +118,7 @@
     /// only if it resigned, and nobody else can have held the lease in between.
     #[must_use]
     pub fn predecessor(&self, now: Instant, fence: u64) -> Predecessor {
-        let direct = |w: &Word| fence > w.fence && fence <= w.fence + DIRECT;
+        let direct = |w: &Notice| fence > w.fence && fence <= w.fence + DIRECT;
         let resigned = self.fresh(now).filter(|w| !w.holds && direct(w));
         resigned.map_or(Predecessor::Unknown, |w| {
             w.last_order.map_or(Predecessor::Idle, Predecessor::Ordered)
--- a/crates/limehollow/tests/candidacy.rs
+++ b/crates/limehollow/tests/candidacy.rs
@@ -1,12 +1,12 @@
 //! Who stands for the lease, and when, on paused time.
 
-use limehollow::candidacy::{Candidacy, HOLDER_SILENT, LISTEN_FIRST, NEXT_CANDIDATE, Word};
+use limehollow::candidacy::{Candidacy, HOLDER_SILENT, LISTEN_FIRST, NEXT_CANDIDATE, Notice};
 use limehollow::group_lease::Predecessor;
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
-fn holds(vm: &str, fence: u64) -> Word {
-    Word {
+fn holds(vm: &str, fence: u64) -> Notice {
+    Notice {
         vm: vm.into(),
         fence,
         holds: true,
@@ -14,8 +14,8 @@
     }
 }
 
-fn resigns(vm: &str, fence: u64, last_order: Option<Instant>) -> Word {
-    Word {
+fn resigns(vm: &str, fence: u64, last_order: Option<Instant>) -> Notice {
+    Notice {
         holds: false,
         last_order,
         ..holds(vm, fence)
