A holder that resigns without an order hands on what it knew of the one before

Cause, found on reading the change again: a holder that resigned before it gave an order said that none was given, so the next could order at once, less than the site's time between holders after the order of the one before both. Change: last_order falls back on what is known of the predecessor, and on the start of the lease where nothing is. resign takes its two locks in the order of take_in; no other change of behaviour. Test: group_lease.rs last_order_of_a_holder_that_gave_none (the old code gave none in its first two cases).

--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -149,10 +149,10 @@
 where
     P: Protocol,
 {
+    let mut known = site.known();
     with_lease(lease, |l| {
         if l.is_held() {
             let notice = notice(site, l, false);
-            let mut known = site.known();
             known.candidacy.hear(now, notice.clone());
             known.lease_notice = Some((notice, now + RESIGNED_FOR));
             site.urgent.notify_one();
--- a/crates/limehollow/src/group_lease.rs
+++ b/crates/limehollow/src/group_lease.rs
@@ -104,10 +104,17 @@
         self.is_held() && self.renewed.is_none_or(lapsed)
     }
 
-    /// Gives when the last order under this lease was given.
+    /// Gives when the last order was given at the latest, by this holder or one before it.
+    ///
+    /// One that resigns before it gave any hands on what it knew of its predecessor: the next would otherwise order
+    /// at once, right after the one before both.
     #[must_use]
     pub fn last_order(&self) -> Option<Instant> {
-        self.last_order
+        self.last_order.or(match self.predecessor {
+            Predecessor::Unknown => self.held_since,
+            Predecessor::Ordered(t) => Some(t),
+            Predecessor::Idle => None,
+        })
     }
 
     /// Tells whether the lease is held, though perhaps not long enough for orders.
--- a/crates/limehollow/tests/group_lease.rs
+++ b/crates/limehollow/tests/group_lease.rs
@@ -124,3 +124,20 @@
     advance(TTL).await;
     assert!(l.has_lapsed(Instant::now()));
 }
+
+#[tokio::test(start_paused = true)]
+async fn last_order_of_a_holder_that_gave_none() {
+    // What is known of the one before goes on to the next.
+    let mut l = GroupLease::new(BETWEEN);
+    let ordered = Instant::now();
+    advance(Duration::from_secs(1)).await;
+    let taken = Instant::now();
+    join(&mut l, dealt(6, true));
+    assert_eq!(l.last_order(), Some(taken), "nothing is known");
+    l.follows(Predecessor::Ordered(ordered));
+    assert_eq!(l.last_order(), Some(ordered));
+    l.follows(Predecessor::Idle);
+    assert_eq!(l.last_order(), None);
+    l.note_order(taken);
+    assert_eq!(l.last_order(), Some(taken));
+}
