Sight: how each VM learnt that an endpoint leaves, and what it holds back; scripts/departures

Cause: logs could not tell apart whether a VM hears late, holds a removal back, or got it from another VM's state. Change: 'endpoint listed' says from where it was learnt and at which position, a removal that is held back has a line, and scripts/departures prints for each endpoint the first and the last VM that knew, by which way, and what was sent late. The messages between VMs and the way to another VM's state can be had without sockets, for tests on paused time. No change of logic.

--- a/crates/limehollow-bench/src/lib.rs
+++ b/crates/limehollow-bench/src/lib.rs
@@ -1,11 +1,12 @@
 //! Measurements of limehollow.
 //!
-//! Four programs, each a command in `docs/measurements.md`: `slopes` (what one entry or message
+//! Five programs, each a command in `docs/measurements.md`: `slopes` (what one entry or message
 //! costs), `policy` (moves and attainment on seeded demand, on virtual time), `overhead` (a
-//! gateway against the endpoint called directly, on sockets), and `losses` (where service was lost in a
-//! played day, from the lines of its processes).
+//! gateway against the endpoint called directly, on sockets), `losses` (where service was lost in a
+//! played day, from the lines of its processes) and `departures` (how long VMs took to learn that endpoints leave).
 
 pub mod demand;
+pub mod departures;
 pub mod fleets;
 pub mod losses;
 pub mod placing;
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -10,6 +10,7 @@
 use limehollow::job::PromptPart;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
+use limehollow_wire::gossip::State;
 use smol_str::SmolStr;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -161,6 +162,16 @@
     fn leave(&self, member: &str) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
 
+/// The way to other VMs' states.
+pub trait States: Clone + Send + Sync + 'static {
+    /// Asks another VM for what it has read of the store.
+    ///
+    /// # Errors
+    ///
+    /// What went wrong, for a log line.
+    fn fetch(&self, from: SocketAddr) -> impl Future<Output = Result<State, String>> + Send;
+}
+
 /// What a request says of itself, beside method, path and body.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -4,9 +4,8 @@
 //! last state stays in force. Entries that vanish during an outage or within [`SETTLE`] after it are
 //! taken as gone only if they are still missing then, since living endpoints list themselves again.
 
-use crate::edge::{Change, Changes, Feed, Protocol, Store, StoreError};
+use crate::edge::{Change, Changes, Feed, Protocol, States, Store, StoreError};
 use crate::metrics::Metrics;
-use crate::peer_state;
 use crate::site::Site;
 use limehollow::roster::Roster;
 use limehollow_wire::gossip::{ListChange, ListChanges, Positions, State};
@@ -58,13 +57,15 @@
 pub const SETTLE: Duration = Duration::from_millis(2500);
 
 /// Follows one feed for as long as the process lives.
-pub async fn follow<P, S>(site: Arc<Site<P>>, store: S, feed: Feed)
+pub async fn follow<P, S, T>(site: Arc<Site<P>>, store: S, states: T, feed: Feed)
 where
     P: Protocol,
     S: Store,
+    T: States,
 {
     let mut f = Follower {
         site,
+        states,
         feed,
         lost: None,
         was_alone: false,
@@ -121,7 +122,7 @@
                 f.pass_on(next, &changes);
                 next = Some(changes.next);
                 f.note_position(changes.next);
-                f.apply(changes.changes, whole);
+                f.apply(Learnt::Store, changes.changes, whole);
                 let list = feed == Feed::Endpoints;
                 sleep(if list { LIST_PAUSE } else { PAUSE }).await;
             }
@@ -142,14 +143,26 @@
     }
 }
 
+/// From where a change was learnt, for the lines on endpoints.
+#[derive(Clone, Copy, Debug)]
+enum Learnt {
+    /// The platform's store.
+    Store,
+    /// A VM of the zone, which passes on what it reads.
+    Neighbour,
+    /// The whole state of another VM.
+    State,
+}
+
 /// What another VM has read of the store.
 struct PeerState {
     vm: SmolStr,
     state: State,
 }
 
-struct Follower<P> {
+struct Follower<P, T> {
     site: Arc<Site<P>>,
+    states: T,
     feed: Feed,
     lost: Option<Instant>,
     /// Whether others read on while this VM could not.
@@ -160,9 +173,10 @@
     missing: BTreeMap<SmolStr, Instant>,
 }
 
-impl<P> Follower<P>
+impl<P, T> Follower<P, T>
 where
     P: Protocol,
+    T: States,
 {
     /// Tells whether the list comes from the VM that leads the zone, so that one VM a zone reads it.
     fn may_listen(&self) -> bool {
@@ -198,7 +212,7 @@
             ListChange::Listed(e) => Change::Endpoint(e),
             ListChange::Gone(i) => Change::EndpointGone(i),
         });
-        self.apply(changes.collect(), false);
+        self.apply(Learnt::Neighbour, changes.collect(), false);
         Some(offer.to)
     }
 
@@ -299,7 +313,7 @@
             }
             (vm.clone(), known.peers.address(vm)?)
         };
-        match peer_state::fetch(address).await {
+        match self.states.fetch(address).await {
             Ok(state) => Some(PeerState { vm, state }),
             Err(why) => {
                 tracing::info!(%vm, why, "no state from another VM");
@@ -325,7 +339,7 @@
             }
             _ => state.endpoints.into_iter().map(Change::Endpoint).collect(),
         };
-        self.apply(changes, true);
+        self.apply(Learnt::State, changes, true);
         Some(at)
     }
 
@@ -349,8 +363,9 @@
         self.settled = (!was_alone).then_some(now + SETTLE);
     }
 
-    fn apply(&mut self, changes: Vec<Change>, whole: bool) {
+    fn apply(&mut self, learnt: Learnt, changes: Vec<Change>, whole: bool) {
         let now = Instant::now();
+        let position = position(self.site.positions(), self.feed);
         let mut seen = Vec::new();
         let mut news = false;
         for c in changes {
@@ -368,7 +383,7 @@
                     let (instance, leaving) = (e.instance.clone(), e.leaving);
                     let new = self.site.known().roster.list(now, e);
                     if new || leaving {
-                        tracing::info!(%instance, leaving, "endpoint listed");
+                        tracing::info!(%instance, leaving, ?learnt, position, "endpoint listed");
                     }
                     news = true;
                 }
@@ -406,6 +421,8 @@
     fn vanish(&mut self, now: Instant, instance: SmolStr) {
         match self.settled.filter(|t| now < *t) {
             Some(due) => {
+                let held_ms = due.duration_since(now).as_millis();
+                tracing::info!(%instance, held_ms, "a removal is held back");
                 self.missing.entry(instance).or_insert(due);
             }
             None => self.drop_endpoint(&instance),
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -44,19 +44,14 @@
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
 /// A message and where it goes.
-type Outgoing = (Message, Vec<SocketAddr>);
+pub type Outgoing = (Message, Vec<SocketAddr>);
 
 /// Sends this VM's messages for as long as the process lives.
 pub async fn send<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
-    let mut s = Sender {
-        number: limehollow_edge::process::incarnation(),
-        seeds: seeds(&site.settings.load()),
-        summed: Instant::now(),
-        site: Arc::clone(&site),
-    };
+    let mut s = Sender::new(Arc::clone(&site));
     let mut last = Instant::now();
     loop {
         let urgent = timeout(s.pace(), site.urgent.notified()).await.is_ok();
@@ -100,7 +95,9 @@
         .collect()
 }
 
-struct Sender<P> {
+/// What one VM says, without the socket that it goes through.
+#[derive(Debug)]
+pub struct Sender<P> {
     site: Arc<Site<P>>,
     number: u64,
     seeds: Vec<SocketAddr>,
@@ -112,8 +109,20 @@
 where
     P: Protocol,
 {
+    /// Makes the messages of a VM that has said nothing yet.
+    #[must_use]
+    pub fn new(site: Arc<Site<P>>) -> Self {
+        Self {
+            number: limehollow_edge::process::incarnation(),
+            seeds: seeds(&site.settings.load()),
+            summed: Instant::now(),
+            site,
+        }
+    }
+
     /// Gives the time until the next message.
-    fn pace(&self) -> Duration {
+    #[must_use]
+    pub fn pace(&self) -> Duration {
         let neighbours = self.site.known().peers.neighbours().len();
         #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
         let slower = neighbours as f64 / FEW as f64;
@@ -121,7 +130,7 @@
     }
 
     /// Gives what is to be said now, and to whom.
-    fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
+    pub fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
         self.number += 1;
         let site = Arc::clone(&self.site);
         let mut known = site.known();
@@ -303,22 +312,19 @@
                 continue;
             }
         };
-        let mut w = match decode(&buf[..n]) {
+        let w = match decode(&buf[..n]) {
             Ok(w) => w,
             Err(e) => {
                 tracing::debug!(error = %e, "a message can't be read");
                 continue;
             }
         };
-        if w.forward {
-            w.forward = false;
-            let neighbours = site.known().peers.neighbours();
-            send_all(&socket, &w, &neighbours).await;
-        }
         if !w.wants.is_empty() {
             wanted.notify_one();
         }
-        take_in(&site, w);
+        if let Some((message, to)) = hear(&site, w) {
+            send_all(&socket, &message, &to).await;
+        }
     }
 }
 
@@ -327,6 +333,16 @@
     sleep(URGENT_EVERY).await;
 }
 
+/// Takes in another VM's message. Gives what is to be passed on, and to whom.
+pub fn hear<P>(site: &Site<P>, mut w: Message) -> Option<Outgoing>
+where
+    P: Protocol,
+{
+    let on = std::mem::take(&mut w.forward).then(|| (w.clone(), site.known().peers.neighbours()));
+    take_in(site, w);
+    on
+}
+
 fn take_in<P>(site: &Site<P>, w: Message)
 where
     P: Protocol,
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -3,7 +3,7 @@
 //! The store may turn some VMs away and serve the others. Who hears that another VM has read further,
 //! and can't read the store itself, asks that VM.
 
-use crate::edge::Protocol;
+use crate::edge::{Protocol, States};
 use crate::site::Site;
 use crate::small_server;
 use bytes::Bytes;
@@ -48,14 +48,15 @@
     }
 }
 
-/// Asks another VM for its state.
-///
-/// # Errors
-///
-/// What went wrong, for a log line.
-pub async fn fetch(from: SocketAddr) -> Result<State, String> {
-    let fetched = timeout(FETCH_TIMEOUT, ask(from)).await;
-    fetched.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+/// Fetches over HTTP what other VMs hand out with [`serve`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpStates;
+
+impl States for HttpStates {
+    async fn fetch(&self, from: SocketAddr) -> Result<State, String> {
+        let fetched = timeout(FETCH_TIMEOUT, ask(from)).await;
+        fetched.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
 }
 
 async fn ask(from: SocketAddr) -> Result<State, String> {
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -1,6 +1,7 @@
 //! Puts the process together.
 
 use crate::edge::{Feed, Protocol, Store, Vm};
+use crate::peer_state::HttpStates;
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{caller, controller, follow, gossip, peer_state};
@@ -55,7 +56,8 @@
     let (stop_tx, stop) = watch::channel(false);
     let wanted = Arc::new(Notify::new());
     for feed in [Feed::Configuration, Feed::Endpoints, Feed::Vms] {
-        tokio::spawn(follow::follow(Arc::clone(&site), store.clone(), feed));
+        let (site, store) = (Arc::clone(&site), store.clone());
+        tokio::spawn(follow::follow(site, store, HttpStates, feed));
     }
     tokio::spawn(announce(Arc::clone(&site), store.clone()));
     tokio::spawn(gossip::send(
--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -5,7 +5,7 @@
 use limehollow_node::edge::{Change, Feed};
 use limehollow_node::follow::{SETTLE, follow};
 use limehollow_node::site::Site;
-use rig::{Memory, Plain, catalog, endpoint, settings};
+use rig::{Memory, NoStates, Plain, catalog, endpoint, settings};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -15,7 +15,7 @@
 fn start(store: &Memory) -> Arc<Site<Plain>> {
     let site = Site::new(settings(), Plain);
     for feed in [Feed::Configuration, Feed::Endpoints] {
-        tokio::spawn(follow(Arc::clone(&site), store.clone(), feed));
+        tokio::spawn(follow(Arc::clone(&site), store.clone(), NoStates, feed));
     }
     site
 }
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -16,10 +16,11 @@
 use limehollow_node::caller;
 use limehollow_node::edge::{
     Ask, BadAsk, BadAskSnafu, Change, Changes, Feed, Judgement, Order, OrderReply, Passage,
-    Protocol, Sending, Store, StoreError, Vm,
+    Protocol, Sending, States, Store, StoreError, Vm,
 };
 use limehollow_node::settings::NodeSettings;
 use limehollow_node::site::Site;
+use limehollow_wire::gossip::State;
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -336,6 +337,16 @@
     word.and_then(|w| w.parse().ok()).unwrap_or(0)
 }
 
+/// No other VM hands out its state.
+#[derive(Clone, Copy, Debug)]
+pub struct NoStates;
+
+impl States for NoStates {
+    async fn fetch(&self, _: SocketAddr) -> Result<State, String> {
+        Err("no other VM is there".to_owned())
+    }
+}
+
 /// A store in memory, which is away when a test says so.
 #[derive(Clone, Debug, Default)]
 pub struct Memory(Arc<Mutex<Kept>>, Arc<Notify>);
