--- /dev/null
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -0,0 +1,360 @@
+//! Many VMs of a site on paused time: their followers, the messages between them, and a store that treats each VM as a
+//! test says. Messages and states go by memory, so that nothing waits for a socket.
+
+use super::{Memory, Plain, endpoint, parse_settings};
+use limehollow::group_lease::Dealt;
+use limehollow::id::ServiceName;
+use limehollow::roster::Endpoint;
+use limehollow_node::edge::{Change, Changes, Feed, States, Store, StoreError, Vm};
+use limehollow_node::follow::follow;
+use limehollow_node::gossip::{Outgoing, Sender, hear};
+use limehollow_node::site::Site;
+use limehollow_wire::gossip::State;
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The way of a message or a state between two VMs.
+const WAY: Duration = Duration::from_millis(2);
+/// How often a test looks whether all VMs know.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// How long it looks at most.
+const LOOK_FOR: Duration = Duration::from_secs(60);
+
+/// How the store treats one VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Treats {
+    /// As it should.
+    #[default]
+    Well,
+    /// A call that waits is never woken, only ended by its own time.
+    Deaf,
+    /// No call is answered, nor is one that was under way, not even later.
+    Silent,
+    /// All calls are refused.
+    Away,
+}
+
+#[derive(Debug, Default)]
+struct Treatment {
+    now: Treats,
+    /// Counts the silences: a call that began before one is never answered.
+    silences: u64,
+}
+
+/// The store as one VM reaches it.
+#[derive(Clone, Debug)]
+pub struct Link {
+    store: Memory,
+    treatment: Arc<Mutex<Treatment>>,
+}
+
+impl Link {
+    fn treats(&self) -> (Treats, u64) {
+        let t = self.treatment.lock().expect("sound");
+        (t.now, t.silences)
+    }
+
+    fn set(&self, treats: Treats) {
+        let mut t = self.treatment.lock().expect("sound");
+        t.now = treats;
+        if treats == Treats::Silent {
+            t.silences += 1;
+        }
+    }
+
+    /// Carries a call out, as the store treats this VM.
+    async fn call<T, F>(&self, call: F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let (treats, silences) = self.treats();
+        let res = match treats {
+            Treats::Silent => pending().await,
+            Treats::Away => Err(StoreError::TurnedAway {
+                call: "changes",
+                status: 503,
+            }),
+            Treats::Well | Treats::Deaf => call.await,
+        };
+        if self.treats().1 != silences {
+            pending::<()>().await;
+        }
+        res
+    }
+}
+
+impl Store for Link {
+    async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
+        self.call(self.store.newest(feed)).await
+    }
+
+    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+        let is_deaf = self.treats().0 == Treats::Deaf;
+        let call = self.call(async {
+            if is_deaf {
+                let began = self.store.changes(feed, from, Duration::ZERO).await?;
+                if began.changes.is_empty() {
+                    sleep(wait).await;
+                }
+                return Ok(began);
+            }
+            self.store.changes(feed, from, wait).await
+        });
+        // The store's client gives a call up this long after its wait.
+        let given_up = timeout(wait + Duration::from_millis(1500), call).await;
+        given_up.unwrap_or_else(|_| {
+            Err(StoreError::NoAnswer {
+                call: "changes",
+                why: "timed out".to_owned(),
+            })
+        })
+    }
+
+    async fn announce(&self, _: &Vm) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn join(&self, _: &str, _: u64) -> Result<Dealt, StoreError> {
+        pending().await
+    }
+
+    async fn leave(&self, _: &str) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct Entry {
+    pub site: Arc<Site<Plain>>,
+    pub link: Link,
+    zone: usize,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    fn has_open(&self, instance: &str) -> bool {
+        let known = self.site.known();
+        let service = ServiceName::from("portal");
+        known
+            .roster
+            .open(&service)
+            .any(|(_, e)| e.instance == instance)
+    }
+}
+
+/// Where messages and states go, and which zones are cut off from all others.
+#[derive(Clone, Debug, Default)]
+pub struct Net(Arc<Mutex<Ways>>);
+
+#[derive(Debug, Default)]
+struct Ways {
+    sites: BTreeMap<SocketAddr, (usize, Arc<Site<Plain>>)>,
+    cut: BTreeSet<usize>,
+}
+
+impl Net {
+    fn reach(&self, from_zone: usize, to: SocketAddr) -> Option<(usize, Arc<Site<Plain>>)> {
+        let ways = self.0.lock().expect("sound");
+        let (zone, site) = ways.sites.get(&to)?;
+        let is_cut = ways.cut.contains(zone) || ways.cut.contains(&from_zone);
+        (*zone == from_zone || !is_cut).then(|| (*zone, Arc::clone(site)))
+    }
+
+    fn deliver(&self, from_zone: usize, (message, to): Outgoing) {
+        for address in to {
+            let Some((zone, site)) = self.reach(from_zone, address) else {
+                continue;
+            };
+            let (net, message) = (self.clone(), message.clone());
+            tokio::spawn(async move {
+                sleep(WAY).await;
+                if let Some(on) = hear(&site, message) {
+                    net.deliver(zone, on);
+                }
+            });
+        }
+    }
+}
+
+/// The way of one VM to the others' states.
+#[derive(Clone, Debug)]
+struct Neighbours(Net, usize);
+
+impl States for Neighbours {
+    async fn fetch(&self, from: SocketAddr) -> Result<State, String> {
+        sleep(WAY).await;
+        let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
+        Ok(site.state())
+    }
+}
+
+/// A site of many VMs.
+#[derive(Debug)]
+pub struct Fleet {
+    pub store: Memory,
+    pub vms: Vec<Entry>,
+    net: Net,
+}
+
+impl Fleet {
+    /// Starts a site with so many VMs in so many zones, on which an endpoint that leaves has to be out of use after
+    /// so many ms, and lets it come to rest. The first VM of each zone is the strongest.
+    pub async fn start(zones: usize, vms: usize, leaving_ms: u64, endpoints: usize) -> Self {
+        let store = Memory::default();
+        for i in 0..endpoints {
+            store.add(Feed::Endpoints, Change::Endpoint(listed(i)));
+        }
+        let net = Net::default();
+        let mut fleet = Self {
+            store: store.clone(),
+            vms: Vec::new(),
+            net: net.clone(),
+        };
+        for i in 0..vms {
+            fleet.add(i, i % zones, leaving_ms, i < zones);
+        }
+        fleet.introduce();
+        for i in 0..vms {
+            fleet.run(i);
+        }
+        sleep(Duration::from_secs(10)).await;
+        fleet
+    }
+
+    fn add(&mut self, i: usize, zone: usize, leaving_ms: u64, is_strong: bool) {
+        let name = format!("vm-{:03}", i + 1);
+        let ip = format!("127.1.{}.{}", i / 200, i % 200 + 1);
+        let cores = if is_strong { 0.5 } else { 0.25 };
+        let own = format!(
+            "name = \"{name}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = 7000\ncores = {cores}\n\
+             leaving_ms = {leaving_ms}\nconfiguration_ms = {leaving_ms}\n"
+        );
+        let site = Site::new(parse_settings(&own), Plain);
+        let address = site.settings.load().peer_address();
+        let mut ways = self.net.0.lock().expect("sound");
+        ways.sites.insert(address, (zone, Arc::clone(&site)));
+        drop(ways);
+        let link = Link {
+            store: self.store.clone(),
+            treatment: Arc::default(),
+        };
+        self.vms.push(Entry {
+            site,
+            link,
+            zone,
+            tasks: Vec::new(),
+        });
+    }
+
+    fn introduce(&self) {
+        for vm in &self.vms {
+            let mut known = vm.site.known();
+            for other in &self.vms {
+                let s = other.site.settings.load();
+                known.peers.learn(
+                    s.name.as_str().into(),
+                    other.site.zone.clone(),
+                    s.peer_address(),
+                    s.millicores(),
+                );
+            }
+        }
+    }
+
+    fn run(&mut self, i: usize) {
+        let vm = &mut self.vms[i];
+        for feed in [Feed::Configuration, Feed::Endpoints] {
+            let states = Neighbours(self.net.clone(), vm.zone);
+            let (site, link) = (Arc::clone(&vm.site), vm.link.clone());
+            vm.tasks
+                .push(tokio::spawn(follow(site, link, states, feed)));
+        }
+        let (net, site, zone) = (self.net.clone(), Arc::clone(&vm.site), vm.zone);
+        vm.tasks.push(tokio::spawn(async move {
+            let mut sender = Sender::new(Arc::clone(&site));
+            loop {
+                // The time-out is the usual pace.
+                let _timed_out = timeout(sender.pace(), site.urgent.notified()).await;
+                for out in sender.outgoing(Instant::now()) {
+                    net.deliver(zone, out);
+                }
+                sleep(Duration::from_millis(15)).await;
+            }
+        }));
+    }
+
+    /// Gives the VMs of a zone, the one that leads it first.
+    pub fn zone(&self, zone: usize) -> Vec<usize> {
+        let here = self.vms.iter().enumerate().filter(|(_, v)| v.zone == zone);
+        here.map(|(i, _)| i).collect()
+    }
+
+    pub fn zones(&self) -> usize {
+        self.vms.iter().map(|v| v.zone + 1).max().unwrap_or(0)
+    }
+
+    pub fn treat(&self, vms: &[usize], treats: Treats) {
+        for i in vms {
+            self.vms[*i].link.set(treats);
+        }
+    }
+
+    pub fn treat_all(&self, treats: Treats) {
+        let all: Vec<usize> = (0..self.vms.len()).collect();
+        self.treat(&all, treats);
+    }
+
+    /// Ends a VM without a word; nothing reaches it any more.
+    pub fn kill(&mut self, i: usize) {
+        for t in self.vms[i].tasks.drain(..) {
+            t.abort();
+        }
+        let address = self.vms[i].site.settings.load().peer_address();
+        self.net.0.lock().expect("sound").sites.remove(&address);
+    }
+
+    /// Cuts a zone off from the other zones; the store is still reached.
+    pub fn cut(&self, zone: usize) {
+        self.net.0.lock().expect("sound").cut.insert(zone);
+    }
+
+    /// An endpoint says that it leaves, as the store acknowledges now.
+    pub fn leave(&self, i: usize) {
+        let mut e = listed(i);
+        e.leaving = true;
+        self.store.add(Feed::Endpoints, Change::Endpoint(e));
+    }
+
+    /// An endpoint's entry goes.
+    pub fn vanish(&self, i: usize) {
+        let gone = Change::EndpointGone(listed(i).instance);
+        self.store.add(Feed::Endpoints, gone);
+    }
+
+    /// Gives how long it takes from now on until no running VM sends anything to an endpoint, and which is last.
+    pub async fn out_of_use(&self, i: usize) -> (Duration, String) {
+        let instance = listed(i).instance;
+        let began = Instant::now();
+        let mut last = String::from("nobody");
+        while began.elapsed() < LOOK_FOR {
+            let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
+            let using = running.filter(|v| v.has_open(&instance));
+            let Some(vm) = using.last() else {
+                return (began.elapsed(), last);
+            };
+            last = vm.site.me.to_string();
+            sleep(LOOK_EVERY).await;
+        }
+        (LOOK_FOR, last)
+    }
+}
+
+fn listed(i: usize) -> Endpoint {
+    endpoint(i, ([127, 0, 0, 1], 9000).into())
+}
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod fleet;
+
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
@@ -223,11 +225,17 @@
 }
 
 pub fn settings() -> NodeSettings {
-    let text = "name = \"vm-1\"\navailability_zone = \"a\"\nip = \"127.0.0.1\"\naddress = \"127.0.0.1:1\"\n\
-        readiness_address = \"127.0.0.1:2\"\npeer_port = 0\nadmin_port = 0\nstore_address = \"127.0.0.1:3\"\n\
-        grace_ms = 8000\nlease_ms = 3000\nrepeat_ratio = 0.2\nrepeat_slack = 50.0\nrepeat_window_ms = 10000\n\
-        load_window_ms = 5000\nload_over = 1.1\n";
-    parse("test.toml", text).expect("they are valid")
+    parse_settings(
+        "name = \"vm-1\"\navailability_zone = \"a\"\nip = \"127.0.0.1\"\npeer_port = 0\n",
+    )
+}
+
+/// Reads settings of which a test gives its own part.
+pub fn parse_settings(own: &str) -> NodeSettings {
+    let common = "address = \"127.0.0.1:1\"\nreadiness_address = \"127.0.0.1:2\"\nadmin_port = 0\n\
+        store_address = \"127.0.0.1:3\"\ngrace_ms = 8000\nlease_ms = 3000\nrepeat_ratio = 0.2\n\
+        repeat_slack = 50.0\nrepeat_window_ms = 10000\nload_window_ms = 5000\nload_over = 1.1\n";
+    parse("test.toml", &format!("{own}{common}")).expect("they are valid")
 }
 
 pub fn rule(prefix: &str, repeat: Repeat, max_attempts: u32) -> Rule {
