A state says what its VM was told of the outage, too; an answer that others have overtaken isn't applied

Cause: a state from a VM that is itself turned away said nothing of the outage, so that the taker dropped living endpoints at once. Found on reading the change: an answer that is on its way while a neighbour's changes go further would bring back for good what is gone. Ruled out: that ages go round, each VM taking off the time of the way (told_only_what_was_read_here). Change: states carry the merged freshness; a call that is never answered no longer keeps a VM from asking another one; calls that are begun anew get 1 s at most instead of 1.5 s; overtaken answers are left out.

--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -21,9 +21,10 @@
 /// Changes of the list that go into one message at most; beyond, each VM reads them itself. With a few hundred
 /// bytes each they fit in a datagram beside the rest.
 const MAX_PASSED_ON: usize = 100;
-/// How long a call may take that was begun anew after others got no answer: one to a store that is slow two hundred
-/// times.
-const LONGEST_ANSWER: Duration = Duration::from_millis(1500);
+/// How long a call may take at most that was begun anew after others got no answer: the store answers in 4 ms, so it
+/// may be slow two hundred times. A call that began in an outage is never answered, so this is what an outage is longer
+/// for this VM than for the store.
+const LONGEST_ANSWER: Duration = Duration::from_millis(1000);
 /// The longest wait before a VM that can't read the store asks another one for its state. It spreads the VMs of a zone, and the
 /// first to get the state may pass its list on.
 const FETCH_SPREAD: Duration = Duration::from_millis(150);
@@ -98,7 +99,7 @@
         loop {
             let due = self.due();
             let settled_at = self.settled_at();
-            let can_fetch = self.failures > 0;
+            let (can_fetch, fetch_after) = (self.failures > 0, self.fetch_after());
             tokio::select! {
                 biased;
                 Some(offer) = self.offers.recv() => return Work::Take(offer),
@@ -109,7 +110,7 @@
                         return Work::Read;
                     }
                 }
-                () = self.f.behind(FETCH_SPREAD.mul_f64(self.luck)), if can_fetch => return Work::Fetch,
+                () = self.f.behind(fetch_after), if can_fetch => return Work::Fetch,
             }
         }
     }
@@ -131,6 +132,11 @@
         due.max(self.retry_at)
     }
 
+    /// Gives how long a VM that can't read the store waits before it asks another one that is further.
+    fn fetch_after(&self) -> Duration {
+        FETCH_SPREAD.mul_f64(self.luck)
+    }
+
     fn pace(&self) -> ReadPace {
         self.f.site.settings.load().list_pace()
     }
@@ -140,7 +146,8 @@
         holds_back.then(|| self.f.settled_at()).flatten()
     }
 
-    /// Reads the store, and takes in what others offer meanwhile: a call that is never answered holds nothing up.
+    /// Reads the store, and takes in what others offer or hand over meanwhile: a call that is never answered holds
+    /// nothing up.
     async fn read(&mut self) {
         let began = Instant::now();
         self.began = Some(began);
@@ -158,10 +165,12 @@
             }
         };
         tokio::pin!(read);
+        let (can_fetch, fetch_after) = (self.failures > 0, self.fetch_after());
         let read = loop {
             tokio::select! {
                 read = &mut read => break read,
                 Some(offer) = self.offers.recv() => self.take(offer),
+                () = self.f.behind(fetch_after), if can_fetch => self.fetch().await,
             }
         };
         match read {
@@ -194,11 +203,14 @@
         self.retry_at = began;
         self.f.regained(began, self.pace().longest_gap());
         self.pass_on(from, &read);
-        if self.next.is_none_or(|at| read.next > at) {
+        // Others may have told more than an answer that was long on its way: applied on top, it would bring back for good
+        // what is gone.
+        let is_overtaken = self.next.is_some_and(|at| read.next < at);
+        if !is_overtaken {
             self.next = Some(read.next);
             self.f.note_position(read.next);
+            self.f.apply(Learnt::Store, read.changes, from.is_none());
         }
-        self.f.apply(Learnt::Store, read.changes, from.is_none());
         let reads_for_others = self.f.site.known().peers.is_zone_reader(Instant::now());
         if !reads_for_others {
             // The zone's reader was late: the others needn't read as well.
--- a/crates/limehollow-node/src/reading.rs
+++ b/crates/limehollow-node/src/reading.rs
@@ -38,6 +38,17 @@
         self.rows.get(&feed).is_some_and(|r| r.failed.is_some())
     }
 
+    /// Gives what goes with this process's whole state: what it read and what it was told, since the state may have
+    /// come from others. It doesn't go round: a state is taken by who is behind it.
+    #[must_use]
+    pub fn of_state(&self, now: Instant) -> Reading {
+        let ages = |feed| Some(Ages::at(now, self.freshness(feed)?));
+        Reading {
+            configuration: ages(Feed::Configuration),
+            endpoints: ages(Feed::Endpoints),
+        }
+    }
+
     /// Gives what other VMs are told.
     ///
     /// Only what this process read itself counts: were ages passed on that others told, each VM would take off the
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -263,7 +263,7 @@
         let listed = listed.filter(|e| !known.withheld.contains(&e.instance));
         State {
             positions: known.positions,
-            reading: known.readings.told(Instant::now()),
+            reading: known.readings.of_state(Instant::now()),
             catalog: self.catalog.load().as_deref().cloned(),
             endpoints: listed.cloned().collect(),
         }
--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -5,7 +5,7 @@
 use limehollow_node::edge::{Change, Feed};
 use limehollow_node::follow::{SETTLE, follow};
 use limehollow_node::site::Site;
-use limehollow_wire::gossip::Reading;
+use limehollow_wire::gossip::{ListChange, ListChanges, Reading};
 use rig::{Memory, NoStates, Plain, catalog, endpoint, settings};
 use std::sync::Arc;
 use std::time::Duration;
@@ -168,6 +168,27 @@
     assert_eq!(endpoints(&site), ["i-2"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn answer_that_is_overtaken() {
+    // An answer is on its way while another VM's changes, which go further, arrive: what they took away stays away.
+    for phase in 0..14 {
+        let store = Memory::default();
+        let site = start(&store);
+        store.add(Feed::Endpoints, listed(1));
+        sleep(SOON * 2).await;
+        store.set_transfer(Duration::from_millis(300));
+        store.add(Feed::Endpoints, listed(2));
+        sleep(Duration::from_millis(50) * phase).await;
+        site.offer_list(ListChanges {
+            from: 1,
+            to: 99,
+            changes: vec![ListChange::Gone("i-2".into())],
+        });
+        sleep(SOON).await;
+        assert_eq!(endpoints(&site), ["i-1"], "phase {phase}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn endpoint_that_lapsed_in_an_outage() {
     // Both entries lapse while the store is away; one endpoint lists itself again.
--- /dev/null
+++ b/crates/limehollow-node/tests/reading.rs
@@ -0,0 +1,83 @@
+//! What a VM knows of its own copies, and what it tells of them.
+
+use limehollow::freshness::Freshness;
+use limehollow_node::edge::Feed;
+use limehollow_node::reading::Readings;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const GAP: Duration = Duration::from_secs(2);
+const LIST: Feed = Feed::Endpoints;
+
+fn at(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+fn told_age(r: &Readings, now: Instant) -> Option<u32> {
+    r.told(now).endpoints.map(|a| a.complete_ms)
+}
+
+#[tokio::test]
+async fn told_only_what_was_read_here() {
+    // Ages that are told on lose the time of the way at each VM: nobody would find the list old any more.
+    let t = Instant::now();
+    let mut r = Readings::default();
+    r.read(LIST, t, GAP);
+    r.meet(LIST, Freshness::new(at(t, 1000), t), true);
+    let now = at(t, 1100);
+    let age = r.freshness(LIST).map(|f| f.age(now));
+    assert_eq!(age, Some(Duration::from_millis(100)));
+    assert_eq!(told_age(&r, now), Some(1101));
+    let of_state = r.of_state(now).endpoints;
+    assert_eq!(of_state.map(|a| a.complete_ms), Some(101));
+}
+
+#[tokio::test]
+async fn told_nothing_while_reads_fail() {
+    let t = Instant::now();
+    let mut r = Readings::default();
+    assert_eq!(told_age(&r, t), None);
+    r.read(LIST, t, GAP);
+    r.fail(LIST, at(t, 500));
+    assert!(r.is_failing(LIST));
+    assert_eq!(told_age(&r, at(t, 600)), None);
+    r.read(LIST, at(t, 700), GAP);
+    assert_eq!(told_age(&r, at(t, 700)), Some(1));
+}
+
+#[tokio::test]
+async fn read_after_failures_begins_anew() {
+    let t = Instant::now();
+    for (others_read_at, sound_since) in [(0, 900), (600, 0)] {
+        let mut r = Readings::default();
+        r.read(LIST, t, GAP);
+        r.fail(LIST, at(t, 500));
+        // Where another VM read on after the failure, it was this VM's own.
+        r.meet(LIST, Freshness::new(at(t, others_read_at), t), true);
+        r.read(LIST, at(t, 900), GAP);
+        let f = r.freshness(LIST).expect("it was read");
+        assert_eq!(f.sound_since(), at(t, sound_since), "{others_read_at}");
+    }
+}
+
+#[tokio::test]
+async fn read_after_a_long_gap_begins_anew() {
+    let t = Instant::now();
+    let mut r = Readings::default();
+    r.read(LIST, t, GAP);
+    r.read(LIST, at(t, 2500), GAP);
+    let f = r.freshness(LIST).expect("it was read");
+    assert_eq!(f.sound_since(), at(t, 2500));
+}
+
+#[tokio::test]
+async fn meet_before_anything_was_read() {
+    let t = Instant::now();
+    let told = Freshness::new(at(t, 1000), t);
+    let mut r = Readings::default();
+    r.meet(LIST, told, false);
+    assert_eq!(r.freshness(LIST), None);
+    r.meet(LIST, told, true);
+    assert_eq!(r.freshness(LIST), Some(told));
+    assert_eq!(told_age(&r, at(t, 1000)), None);
+}
