--- a/crates/limehollow-node/tests/departures.rs
+++ b/crates/limehollow-node/tests/departures.rs
@@ -264,6 +264,27 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn vanish_while_vms_restart() {
+    // A VM that has just started has had answers from the store for a moment only; that is no sign of an outage. On a grown
+    // site, half of whose VMs were restarted one by one, 62 VMs held removals back for up to 6.6 s.
+    for size in SIZES {
+        let mut fleet = size.start().await;
+        for i in 0..8 {
+            fleet.restart(i);
+            sleep(Duration::from_millis(400)).await;
+        }
+        fleet.vanish(1);
+        let restarts = size.bound() / 4;
+        for i in 0..4 {
+            fleet.restart(i + 4);
+            sleep(restarts).await;
+        }
+        let using: Vec<usize> = (0..fleet.vms.len()).filter(|i| fleet.uses(*i, 1)).collect();
+        assert!(using.is_empty(), "{} VMs: {using:?}", size.vms);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn lapse_in_an_outage() {
     // Entries that lapse while the store is away and come back within two seconds of its return are in use all the time,
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -233,6 +233,11 @@
     }
 
     fn add(&mut self, i: usize, zone: usize, leaving_ms: u64, is_strong: bool) {
+        let entry = self.make(i, zone, leaving_ms, is_strong);
+        self.vms.push(entry);
+    }
+
+    fn make(&self, i: usize, zone: usize, leaving_ms: u64, is_strong: bool) -> Entry {
         let name = format!("vm-{:03}", i + 1);
         let ip = format!("127.1.{}.{}", i / 200, i % 200 + 1);
         let cores = if is_strong { 0.5 } else { 0.25 };
@@ -249,26 +254,43 @@
             store: self.store.clone(),
             treatment: Arc::default(),
         };
-        self.vms.push(Entry {
+        Entry {
             site,
             link,
             zone,
             tasks: Vec::new(),
-        });
+        }
+    }
+
+    /// Ends a VM and starts it again: it knows nothing but the other VMs.
+    pub fn restart(&mut self, i: usize) {
+        self.kill(i);
+        let (zone, settings) = {
+            let vm = &self.vms[i];
+            (vm.zone, vm.site.settings.load_full())
+        };
+        let is_strong = settings.cores > 0.25;
+        self.vms[i] = self.make(i, zone, settings.leaving_ms, is_strong);
+        self.introduce_to(&self.vms[i]);
+        self.run(i);
     }
 
     fn introduce(&self) {
         for vm in &self.vms {
-            let mut known = vm.site.known();
-            for other in &self.vms {
-                let s = other.site.settings.load();
-                known.peers.learn(
-                    s.name.as_str().into(),
-                    other.site.zone.clone(),
-                    s.peer_address(),
-                    s.millicores(),
-                );
-            }
+            self.introduce_to(vm);
+        }
+    }
+
+    fn introduce_to(&self, vm: &Entry) {
+        let mut known = vm.site.known();
+        for other in &self.vms {
+            let s = other.site.settings.load();
+            known.peers.learn(
+                s.name.as_str().into(),
+                other.site.zone.clone(),
+                s.peer_address(),
+                s.millicores(),
+            );
         }
     }
 
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -433,6 +433,25 @@
     }
 }
 
+/// Leaves what is listed of each endpoint last, and nothing of one that is gone.
+fn newest_of_each(changes: Vec<Change>) -> Vec<Change> {
+    let mut endpoints = BTreeMap::new();
+    let mut others = Vec::new();
+    for c in changes {
+        match &c {
+            Change::Endpoint(e) => {
+                endpoints.insert(e.instance.clone(), c);
+            }
+            Change::EndpointGone(instance) => {
+                endpoints.remove(instance);
+            }
+            _ => others.push(c),
+        }
+    }
+    others.extend(endpoints.into_values());
+    others
+}
+
 impl Store for Memory {
     async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
         let first = self.0.lock().expect("sound").first;
@@ -442,6 +461,7 @@
             whole.append(&mut out.changes);
             out.changes = whole;
         }
+        out.changes = newest_of_each(out.changes);
         Ok(out)
     }
 
