A VM that has just started is no sign of an outage

Cause: spans for which VMs know the store to be sound were joined only where they overlapped to the ms; a restarted VM's begins later than the others' copies were last complete, so all took each restart for the end of an outage and held removals back for 2.5 s more. Change: spans add up over the longest gap of a sound store (0.65 of the time for the list); a VM keeps until when it knows the store to be sound, also while its own copy is older.

--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -94,7 +94,7 @@
         began = Some(this);
         match read {
             Ok(changes) => {
-                f.regained(this, f.longest_gap());
+                f.regained(this);
                 pause = FIRST_PAUSE;
                 next = Some(changes.next);
                 f.note_position(changes.next);
@@ -126,10 +126,6 @@
         self.site.settings.load().configuration_pace()
     }
 
-    fn longest_gap(&self) -> Duration {
-        self.pace().longest_gap()
-    }
-
     /// Tells whether this VM reads the feed for its zone.
     fn reads_for_zone(&self) -> bool {
         let known = self.site.known();
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -126,7 +126,7 @@
         };
         if let Some(ages) = ages {
             let mut known = self.site.known();
-            known.readings.meet(self.feed, ages.told(now), true);
+            self.site.meet(&mut known, self.feed, ages.told(now), true);
         }
         let changes: Vec<Change> = match self.feed {
             Feed::Configuration => {
@@ -150,11 +150,12 @@
     }
 
     /// Notes that a read that began at this moment was answered.
-    pub(crate) fn regained(&mut self, began: Instant, longest_gap: Duration) {
+    pub(crate) fn regained(&mut self, began: Instant) {
         Metrics::count(&self.site.metrics.store_calls, "answered");
-        let mut known = self.site.known();
-        known.readings.read(self.feed, began, longest_gap);
-        drop(known);
+        if let Some(pace) = self.site.settings.load().pace(self.feed) {
+            let mut known = self.site.known();
+            known.readings.read(self.feed, began, pace.longest_gap());
+        }
         if let Some(since) = self.lost.take() {
             let away_ms = since.elapsed().as_millis();
             tracing::info!(feed = ?self.feed, away_ms, "store regained");
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -201,7 +201,7 @@
     fn succeed(&mut self, began: Instant, from: Option<u64>, read: Changes) {
         self.failures = 0;
         self.retry_at = began;
-        self.f.regained(began, self.pace().longest_gap());
+        self.f.regained(began);
         self.pass_on(from, &read);
         // Others may have told more than an answer that was long on its way: applied on top, it would bring back for good
         // what is gone.
--- a/crates/limehollow-node/src/reading.rs
+++ b/crates/limehollow-node/src/reading.rs
@@ -98,9 +98,9 @@
     }
 
     /// Takes in what another VM told; `has_all` says whether this copy holds all that the other has read.
-    pub fn meet(&mut self, feed: Feed, other: Freshness, has_all: bool) {
+    pub fn meet(&mut self, feed: Feed, other: Freshness, has_all: bool, longest_gap: Duration) {
         match self.rows.get_mut(&feed) {
-            Some(row) => row.freshness = row.freshness.meet(other, has_all),
+            Some(row) => row.freshness = row.freshness.meet(other, has_all, longest_gap),
             None if has_all => {
                 // A copy that came whole from another VM before this one could read the store.
                 let row = Row {
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of the process; see `docs/settings.md`.
 
+use crate::edge::Feed;
 use limehollow::freshness::ReadPace;
 use limehollow::rebalance::LoadCeiling;
 use limehollow::retry_window::RepeatAllowance;
@@ -92,6 +93,16 @@
         millicores
     }
 
+    /// Gives when a feed is read, for those that have a bound on their age.
+    #[must_use]
+    pub fn pace(&self, feed: Feed) -> Option<ReadPace> {
+        match feed {
+            Feed::Endpoints => Some(self.list_pace()),
+            Feed::Configuration => Some(self.configuration_pace()),
+            Feed::Vms => None,
+        }
+    }
+
     /// Gives when the list of endpoints is read.
     #[must_use]
     pub fn list_pace(&self) -> ReadPace {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -13,6 +13,7 @@
 use limehollow::balance::{Balance, Taken};
 use limehollow::candidacy::{Candidacy, Notice};
 use limehollow::catalog::Catalog;
+use limehollow::freshness::Freshness;
 use limehollow::id::{ServiceName, VmName, ZoneName};
 use limehollow::peers::Peers;
 use limehollow::retry_window::RepeatWindow;
@@ -243,7 +244,7 @@
         for (feed, theirs, mine, ages, behind) in feeds {
             if let Some(ages) = ages {
                 let has_all = theirs <= mine && mine > 0;
-                known.readings.meet(feed, ages.told(now), has_all);
+                self.meet(&mut known, feed, ages.told(now), has_all);
             }
             if theirs <= mine {
                 continue;
@@ -256,6 +257,14 @@
         }
     }
 
+    /// Takes in how fresh another VM's copy is; `has_all` says whether this process's holds all that is in it.
+    pub(crate) fn meet(&self, known: &mut Known, feed: Feed, other: Freshness, has_all: bool) {
+        if let Some(pace) = self.settings.load().pace(feed) {
+            let gap = pace.longest_gap();
+            known.readings.meet(feed, other, has_all, gap);
+        }
+    }
+
     /// Gives what this process has read of the store, for a VM that can't read it.
     pub fn state(&self) -> State {
         let known = self.known();
--- a/crates/limehollow-node/tests/reading.rs
+++ b/crates/limehollow-node/tests/reading.rs
@@ -23,7 +23,7 @@
     let t = Instant::now();
     let mut r = Readings::default();
     r.read(LIST, t, GAP);
-    r.meet(LIST, Freshness::new(at(t, 1000), t), true);
+    r.meet(LIST, Freshness::new(at(t, 1000), t), true, GAP);
     let now = at(t, 1100);
     let age = r.freshness(LIST).map(|f| f.age(now));
     assert_eq!(age, Some(Duration::from_millis(100)));
@@ -53,7 +53,7 @@
         r.read(LIST, t, GAP);
         r.fail(LIST, at(t, 500));
         // Where another VM read on after the failure, it was this VM's own.
-        r.meet(LIST, Freshness::new(at(t, others_read_at), t), true);
+        r.meet(LIST, Freshness::new(at(t, others_read_at), t), true, GAP);
         r.read(LIST, at(t, 900), GAP);
         let f = r.freshness(LIST).expect("it was read");
         assert_eq!(f.sound_since(), at(t, sound_since), "{others_read_at}");
@@ -75,9 +75,9 @@
     let t = Instant::now();
     let told = Freshness::new(at(t, 1000), t);
     let mut r = Readings::default();
-    r.meet(LIST, told, false);
+    r.meet(LIST, told, false, GAP);
     assert_eq!(r.freshness(LIST), None);
-    r.meet(LIST, told, true);
+    r.meet(LIST, told, true, GAP);
     assert_eq!(r.freshness(LIST), Some(told));
     assert_eq!(told_age(&r, at(t, 1000)), None);
 }
--- a/crates/limehollow/src/freshness.rs
+++ b/crates/limehollow/src/freshness.rs
@@ -14,7 +14,8 @@
 //! let later = now + Duration::from_millis(300);
 //! // Another VM, which has had answers for a second, read to the same position as this one.
 //! let theirs = Freshness::new(later, now - Duration::from_secs(1));
-//! assert_eq!(mine.meet(theirs, true).age(later), Duration::ZERO);
+//! let gap = Duration::from_secs(1);
+//! assert_eq!(mine.meet(theirs, true, gap).age(later), Duration::ZERO);
 //! ```
 
 use std::time::Duration;
@@ -25,6 +26,8 @@
 pub struct Freshness {
     complete_at: Instant,
     sound_since: Instant,
+    /// The end of that span: the copy may be older, where others have read further.
+    sound_until: Instant,
 }
 
 impl Freshness {
@@ -34,6 +37,7 @@
         Self {
             complete_at,
             sound_since,
+            sound_until: complete_at,
         }
     }
 
@@ -65,30 +69,38 @@
     /// store is known to be sound only from here on.
     #[must_use]
     pub fn read(self, began: Instant, was_broken: bool) -> Self {
-        let sound_since = if was_broken { began } else { self.sound_since };
-        Self::new(self.complete_at.max(began), sound_since)
+        Self {
+            complete_at: self.complete_at.max(began),
+            sound_since: if was_broken { began } else { self.sound_since },
+            sound_until: self.sound_until.max(began),
+        }
     }
 
     /// Gives the freshness after another VM told its own; `has_all` says whether this copy holds all that the other
     /// has read.
     ///
-    /// The spans for which two VMs know the store to be sound add up where they overlap. Where the other's begins
-    /// after this copy was last complete, the store may have been away in between.
+    /// The spans for which two VMs know the store to be sound add up where they lie no further apart than
+    /// `longest_gap`. That one begins later than this copy was last complete is no sign of an outage: a VM that has just
+    /// started knows of no earlier answer. Taken for one, restarts of half of 63 VMs held removals back for up to 6.6 s.
     #[must_use]
-    pub fn meet(self, other: Self, has_all: bool) -> Self {
-        let overlap = other.sound_since <= self.complete_at.max(self.sound_since)
-            && other.complete_at >= self.sound_since;
-        let sound_since = if overlap {
-            self.sound_since.min(other.sound_since)
-        } else {
+    pub fn meet(self, other: Self, has_all: bool, longest_gap: Duration) -> Self {
+        let is_later = other.sound_since > self.sound_until + longest_gap;
+        let is_earlier = self.sound_since > other.sound_until + longest_gap;
+        let sound_since = if is_later || is_earlier {
             self.sound_since.max(other.sound_since)
+        } else {
+            self.sound_since.min(other.sound_since)
         };
         let complete_at = if has_all {
             self.complete_at.max(other.complete_at)
         } else {
             self.complete_at
         };
-        Self::new(complete_at, sound_since)
+        Self {
+            complete_at,
+            sound_since,
+            sound_until: self.sound_until.max(other.sound_until),
+        }
     }
 }
 
@@ -106,6 +118,8 @@
 
 /// The spread of the moments at which VMs find the same copy stale, so that the first can tell the others.
 const SPREAD: f64 = 0.1;
+/// What a read and the message that tells of it take at most.
+const GAP_ROOM: f64 = 0.1;
 /// How long a short call may take before it is given up and begun anew.
 const ANSWER: f64 = 0.2;
 
@@ -150,9 +164,10 @@
         self.bound.mul_f64(ANSWER)
     }
 
-    /// Gives the longest gap between two reads over which nothing is taken to have happened to the store.
+    /// Gives the longest gap between two answers over which the store is taken to have been sound: as old as a copy
+    /// gets where all goes well, and one call. An outage that is shorter isn't noticed as one.
     #[must_use]
     pub fn longest_gap(&self) -> Duration {
-        self.bound
+        self.bound.mul_f64(self.stale + SPREAD + GAP_ROOM)
     }
 }
--- a/crates/limehollow/tests/freshness.rs
+++ b/crates/limehollow/tests/freshness.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+const GAP: Duration = Duration::from_millis(1000);
+
 /// A moment so many ms after the start of the test.
 fn at(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -29,8 +31,8 @@
     let t = Instant::now();
     let other = Freshness::new(at(t, 900), t);
     let mine = Freshness::first(t);
-    assert_eq!(mine.meet(other, false).complete_at(), t);
-    assert_eq!(mine.meet(other, true).complete_at(), at(t, 900));
+    assert_eq!(mine.meet(other, false, GAP).complete_at(), t);
+    assert_eq!(mine.meet(other, true, GAP).complete_at(), at(t, 900));
 }
 
 #[tokio::test]
@@ -39,7 +41,7 @@
     let t = Instant::now();
     let mine = Freshness::first(t).read(at(t, 800), true);
     let other = Freshness::new(at(t, 900), t);
-    assert_eq!(mine.meet(other, true).sound_since(), t);
+    assert_eq!(mine.meet(other, true, GAP).sound_since(), t);
 }
 
 #[tokio::test]
@@ -49,24 +51,38 @@
     let mine = Freshness::first(t);
     let other = Freshness::first(at(t, 2000));
     for has_all in [false, true] {
-        assert_eq!(mine.meet(other, has_all).sound_since(), at(t, 2000));
+        assert_eq!(mine.meet(other, has_all, GAP).sound_since(), at(t, 2000));
     }
     // Told again and by others that came back later, it stays with the first.
-    let f = mine.meet(other, false).meet(other, false);
+    let f = mine.meet(other, false, GAP).meet(other, false, GAP);
     let late = Freshness::first(at(t, 2600));
     let again = Freshness::new(at(t, 2700), at(t, 2000));
     assert_eq!(
-        f.meet(late, false).meet(again, true).sound_since(),
+        f.meet(late, false, GAP)
+            .meet(again, true, GAP)
+            .sound_since(),
         at(t, 2000)
     );
 }
 
+#[tokio::test]
+async fn meet_who_has_just_started_is_no_outage() {
+    let t = Instant::now();
+    let mine = Freshness::first(t).read(at(t, 5000), false);
+    let other = Freshness::first(at(t, 5800));
+    for has_all in [false, true] {
+        assert_eq!(mine.meet(other, has_all, GAP).sound_since(), t);
+    }
+    // Nor is it one for a VM that it tells first.
+    assert_eq!(other.meet(mine, true, GAP).sound_since(), t);
+}
+
 #[tokio::test]
 async fn meet_old_news_changes_nothing() {
     let t = Instant::now();
     let mine = Freshness::new(at(t, 5000), at(t, 3000));
     let other = Freshness::new(at(t, 1000), t);
-    assert_eq!(mine.meet(other, true), mine);
+    assert_eq!(mine.meet(other, true, GAP), mine);
 }
 
 #[tokio::test]
