--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -3,7 +3,7 @@
 //! Each feed is read once whole and then by its changes. While the store is away the last state stays in force. The
 //! list of endpoints is read at an even pace (`list`); the other feeds by calls that wait for changes.
 
-use crate::edge::{Feed, Protocol, States, Store, StoreError};
+use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
 use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState};
 use crate::list;
@@ -33,125 +33,153 @@
     S: Store,
     T: States,
 {
-    match feed {
-        Feed::Endpoints => list::follow(site, store, states).await,
-        Feed::Configuration | Feed::Vms => follow_waiting(site, store, states, feed).await,
+    if feed == Feed::Endpoints {
+        return list::follow(site, store, states).await;
     }
+    let mut w = WaitingFollower {
+        f: Follower::new(site, states, feed),
+        store,
+        next: None,
+        began: None,
+        is_behind: false,
+        pause: FIRST_PAUSE,
+    };
+    loop {
+        w.wait_for_turn().await;
+        if let Some(answer) = w.read().await {
+            w.take(answer).await;
+        }
+    }
+}
+
+/// What a call gave.
+struct Answer {
+    began: Instant,
+    /// Whether the whole feed was asked for.
+    whole: bool,
+    read: Result<Changes, StoreError>,
+}
+
+/// A follower whose calls wait for changes.
+struct WaitingFollower<P, S, T> {
+    f: Follower<P, T>,
+    store: S,
+    /// Where to read on; none while nothing has been read.
+    next: Option<u64>,
+    /// When the last call began that came to an end.
+    began: Option<Instant>,
+    /// Whether there is something to read, or the copy is too old: the next call doesn't wait.
+    is_behind: bool,
+    /// The time until the next try after a failure.
+    pause: Duration,
 }
 
-async fn follow_waiting<P, S, T>(site: Arc<Site<P>>, store: S, states: T, feed: Feed)
+impl<P, S, T> WaitingFollower<P, S, T>
 where
     P: Protocol,
     S: Store,
     T: States,
 {
-    let mut f = Follower::new(site, states, feed);
-    let mut next = None;
-    let mut pause = FIRST_PAUSE;
-    let mut is_behind = false;
-    let mut began = None;
-    loop {
-        if let Some(last) = began
-            && !is_behind
-            && f.reads_for_zone()
-        {
-            // Its calls don't wait, so that the others know how fresh the configuration is; who hears of a change
-            // first says so.
-            f.until(last).await;
-            is_behind = true;
+    /// Waits, on the VM that reads for its zone, until it is to read again or another VM has read further.
+    ///
+    /// Its calls don't wait, so that the others know how fresh the configuration is; who is woken by a change first
+    /// tells it.
+    async fn wait_for_turn(&mut self) {
+        let Some(began) = self
+            .began
+            .filter(|_| !self.is_behind && self.reads_for_zone())
+        else {
+            return;
+        };
+        let Some(pace) = self.pace() else {
+            return;
+        };
+        tokio::select! {
+            () = sleep_until(began + pace.every()) => {}
+            () = self.f.behind(OWN_TIME) => {}
         }
+        self.is_behind = true;
+    }
+
+    /// Makes one call. Gives none where it was given up, to be made anew without waiting or because another VM has
+    /// handed its state over.
+    async fn read(&mut self) -> Option<Answer> {
+        let began = Instant::now();
+        let whole = self.next.is_none();
         // What other VMs have read is there: a call that doesn't wait gets it.
-        let wait = if is_behind { Duration::ZERO } else { WAIT };
-        let whole = next.is_none();
-        let this = Instant::now();
+        let wait = if self.is_behind { Duration::ZERO } else { WAIT };
         let read = async {
-            match next {
-                None => store.newest(feed).await,
-                Some(from) => store.changes(feed, from, wait).await,
+            match self.next {
+                None => self.store.newest(self.f.feed).await,
+                Some(from) => self.store.changes(self.f.feed, from, wait).await,
             }
         };
         // A call that waits may miss a change; another VM that has read further shows it, or the age of what is
         // here. A call that doesn't wait is under way for as long as its answer takes on a slow link, and isn't begun
         // anew.
         let may_miss = !whole && !wait.is_zero();
-        let read = tokio::select! {
-            read = read => read,
-            () = f.behind(OWN_TIME), if may_miss => {
-                is_behind = true;
-                continue;
-            }
-            () = f.stale(), if may_miss => {
-                is_behind = true;
-                continue;
-            }
-            state = f.fetch_late(), if is_behind => {
-                next = f.take_state(state).or(next);
-                is_behind = false;
-                continue;
+        let state = tokio::select! {
+            read = read => {
+                self.is_behind = false;
+                self.began = Some(began);
+                return Some(Answer { began, whole, read });
             }
+            () = self.f.behind(OWN_TIME), if may_miss => None,
+            () = self.stale(), if may_miss => None,
+            state = self.fetch_late(), if self.is_behind => Some(state),
         };
-        is_behind = false;
-        began = Some(this);
+        self.is_behind = state.is_none();
+        if let Some(state) = state {
+            self.next = self.f.take_state(state).or(self.next);
+        }
+        None
+    }
+
+    /// Takes in what a call gave, and rests for as long as its end asks for.
+    async fn take(&mut self, Answer { began, whole, read }: Answer) {
         match read {
             Ok(changes) => {
-                f.regained(this);
-                pause = FIRST_PAUSE;
-                next = Some(changes.next);
-                f.note_position(changes.next);
-                f.apply(Learnt::Store, changes.changes, whole);
+                self.f.regained(began);
+                self.pause = FIRST_PAUSE;
+                self.next = Some(changes.next);
+                self.f.note_position(changes.next);
+                self.f.apply(Learnt::Store, changes.changes, whole);
                 sleep(PAUSE).await;
             }
             Err(StoreError::Forgotten { .. }) => {
-                tracing::info!(?feed, "history is gone; reading anew");
-                next = None;
+                tracing::info!(feed = ?self.f.feed, "history is gone; reading anew");
+                self.next = None;
             }
             Err(e) => {
-                f.lose(this, &e);
-                if let Some(state) = f.fetch_ahead().await {
-                    next = f.take_state(state).or(next);
+                self.f.lose(began, &e);
+                if let Some(state) = self.f.fetch_ahead().await {
+                    self.next = self.f.take_state(state).or(self.next);
                 }
-                sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                sleep(self.pause).await;
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
             }
         }
     }
-}
 
-impl<P, T> Follower<P, T>
-where
-    P: Protocol,
-    T: States,
-{
-    fn pace(&self) -> ReadPace {
-        self.site.settings.load().configuration_pace()
+    fn pace(&self) -> Option<ReadPace> {
+        self.f.site.settings.load().pace(self.f.feed)
     }
 
     /// Tells whether this VM reads the feed for its zone.
     fn reads_for_zone(&self) -> bool {
-        let known = self.site.known();
-        self.feed == Feed::Configuration && known.peers.is_zone_reader(Instant::now())
+        let known = self.f.site.known();
+        known.peers.is_zone_reader(Instant::now())
     }
 
-    /// Waits until the zone's reader is to read again, or another VM has read further.
-    async fn until(&self, last: Instant) {
-        tokio::select! {
-            () = sleep_until(last + self.pace().every()) => {}
-            () = self.behind(OWN_TIME) => {}
-        }
-    }
-
-    /// Waits until the copy is too old; for good where the feed has no bound.
+    /// Waits until the copy is too old; for good where the feed has no bound, or nothing has been read.
     async fn stale(&self) {
         let luck = rand::random();
         loop {
-            let freshness = match self.feed {
-                Feed::Configuration => self.site.known().readings.freshness(self.feed),
-                Feed::Endpoints | Feed::Vms => None,
-            };
-            let Some(f) = freshness else {
+            let freshness = self.f.site.known().readings.freshness(self.f.feed);
+            let (Some(pace), Some(f)) = (self.pace(), freshness) else {
                 return std::future::pending().await;
             };
-            let due = f.complete_at() + self.pace().stale_after(luck);
+            let due = f.complete_at() + pace.stale_after(luck);
             if due <= Instant::now() {
                 return;
             }
@@ -164,7 +192,7 @@
     async fn fetch_late(&self) -> PeerState {
         loop {
             sleep(ASK_PEER_AFTER).await;
-            if let Some(state) = self.fetch_ahead().await {
+            if let Some(state) = self.f.fetch_ahead().await {
                 return state;
             }
         }
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -4,7 +4,7 @@
 use crate::metrics::Metrics;
 use crate::site::Site;
 use limehollow::roster::Roster;
-use limehollow_wire::gossip::{Positions, State};
+use limehollow_wire::gossip::{Ages, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,10 +60,8 @@
     /// Waits until another VM has read further, and for as long as this one would take to hear of it
     /// otherwise.
     pub(crate) async fn behind(&self, own_time: Duration) {
-        let behind = match self.feed {
-            Feed::Configuration => &self.site.configuration_behind,
-            Feed::Endpoints => &self.site.endpoints_behind,
-            Feed::Vms => return std::future::pending().await,
+        let Some(behind) = self.site.behind(self.feed) else {
+            return std::future::pending().await;
         };
         loop {
             behind.notified().await;
@@ -119,12 +117,7 @@
         tracing::info!(feed = ?self.feed, %vm, position = at, "read from another VM");
         self.note_position(at);
         let now = Instant::now();
-        let ages = match self.feed {
-            Feed::Configuration => state.reading.configuration,
-            Feed::Endpoints => state.reading.endpoints,
-            Feed::Vms => None,
-        };
-        if let Some(ages) = ages {
+        if let Some(ages) = ages(state.reading, self.feed) {
             let mut known = self.site.known();
             self.site.meet(&mut known, self.feed, ages.told(now), true);
         }
@@ -276,6 +269,14 @@
     }
 }
 
+pub(crate) fn ages(r: Reading, feed: Feed) -> Option<Ages> {
+    match feed {
+        Feed::Configuration => r.configuration,
+        Feed::Endpoints => r.endpoints,
+        Feed::Vms => None,
+    }
+}
+
 fn instances(roster: &Roster) -> Vec<SmolStr> {
     roster.iter().map(|(_, e)| e.instance.clone()).collect()
 }
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -3,6 +3,7 @@
 //! All of it is used on one thread; the locks are never held over an `await`.
 
 use crate::edge::{Feed, Protocol};
+use crate::follower::{ages, position};
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
@@ -224,25 +225,9 @@
     pub fn note_peer(&self, vm: &SmolStr, p: Positions, r: Reading) {
         let now = Instant::now();
         let mut known = self.known();
-        let mine = known.positions;
-        let feeds = [
-            (
-                Feed::Configuration,
-                p.configuration,
-                mine.configuration,
-                r.configuration,
-                &self.configuration_behind,
-            ),
-            (
-                Feed::Endpoints,
-                p.endpoints,
-                mine.endpoints,
-                r.endpoints,
-                &self.endpoints_behind,
-            ),
-        ];
-        for (feed, theirs, mine, ages, behind) in feeds {
-            if let Some(ages) = ages {
+        for feed in [Feed::Configuration, Feed::Endpoints] {
+            let (theirs, mine) = (position(p, feed), position(known.positions, feed));
+            if let Some(ages) = ages(r, feed) {
                 let has_all = theirs <= mine && mine > 0;
                 self.meet(&mut known, feed, ages.told(now), has_all);
             }
@@ -253,7 +238,18 @@
             if theirs >= best {
                 known.ahead.insert(feed, (vm.clone(), theirs));
             }
-            behind.notify_one();
+            if let Some(behind) = self.behind(feed) {
+                behind.notify_one();
+            }
+        }
+    }
+
+    /// Gives what is told when another VM has read a feed further than this one.
+    pub(crate) fn behind(&self, feed: Feed) -> Option<&Notify> {
+        match feed {
+            Feed::Configuration => Some(&self.configuration_behind),
+            Feed::Endpoints => Some(&self.endpoints_behind),
+            Feed::Vms => None,
         }
     }
 
--- a/crates/limehollow/src/freshness.rs
+++ b/crates/limehollow/src/freshness.rs
@@ -31,7 +31,7 @@
 }
 
 impl Freshness {
-    /// Makes the freshness of a copy from its parts.
+    /// Makes the freshness of a copy that is complete up to a moment, with answers from the store since another one.
     #[must_use]
     pub fn new(complete_at: Instant, sound_since: Instant) -> Self {
         Self {
@@ -80,8 +80,8 @@
     /// has read.
     ///
     /// The spans for which two VMs know the store to be sound add up where they lie no further apart than
-    /// `longest_gap`. That one begins later than this copy was last complete is no sign of an outage: a VM that has just
-    /// started knows of no earlier answer. Taken for one, restarts of half of 63 VMs held removals back for up to 6.6 s.
+    /// `longest_gap`. That the other's begins a little later is no sign of an outage: a VM that has just started knows of
+    /// no earlier answer. Taken for one, restarts of half of 63 VMs held removals back for up to 6.6 s in a played day.
     #[must_use]
     pub fn meet(self, other: Self, has_all: bool, longest_gap: Duration) -> Self {
         let is_later = other.sound_since > self.sound_until + longest_gap;
@@ -118,8 +118,8 @@
 
 /// The spread of the moments at which VMs find the same copy stale, so that the first can tell the others.
 const SPREAD: f64 = 0.1;
-/// What a read and the message that tells of it take at most.
-const GAP_ROOM: f64 = 0.1;
+/// What a read takes beyond that where the store is sound.
+const GAP_ROOM: f64 = 0.05;
 /// How long a short call may take before it is given up and begun anew.
 const ANSWER: f64 = 0.2;
 
