--- a/crates/limehollow-node/tests/departures.rs
+++ b/crates/limehollow-node/tests/departures.rs
@@ -288,7 +288,7 @@
 #[tokio::test(start_paused = true)]
 async fn lapse_in_an_outage() {
     // Entries that lapse while the store is away and come back within two seconds of its return are in use all the time,
-    // on VMs that were told of the outage by others only, too: in played days living endpoints were dropped 2,500 times.
+    // on VMs that were told of the outage by others only, too: on a played day 71 VMs dropped living endpoints 5,311 times.
     for size in SIZES {
         let fleet = size.start().await;
         fleet.treat_all(Treats::Silent);
