A test for who reads for a zone; it bites

Cause: the mutation reader-that-cannot-read survived departures.rs, since who isn't told in time reads for itself. Change: a test of its own; with the mutation it fails. lapsed-is-gone and neighbours-only-listen are caught, the other new mutations were not run to the end.

--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -110,6 +110,22 @@
     assert_eq!(p.zone_leader(Instant::now()), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn is_zone_reader_not_beside_a_stronger_one_that_can_read() {
+    let mut p = peers();
+    let now = Instant::now();
+    assert!(p.is_zone_reader(now), "nobody else is heard");
+    p.receive(now, "vm-1", 1);
+    assert!(!p.is_zone_reader(now), "vm-1 comes before");
+    p.note_list("vm-1", false);
+    assert!(p.is_zone_reader(now), "vm-1 is turned away by the store");
+    assert!(!p.is_zone_leader(now), "it leads all the same");
+    p.note_list("vm-1", true);
+    assert!(!p.is_zone_reader(now));
+    advance(SILENT_AFTER).await;
+    assert!(p.is_zone_reader(Instant::now()), "vm-1 is silent");
+}
+
 #[test]
 fn receive_older_messages_are_none() {
     let mut p = peers();
