--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use limehollow::id::EndpointKey;
+use limehollow::instance::Instance;
 use limehollow::verdict::{Failure, Verdict};
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
@@ -74,7 +75,7 @@
     /// Its key in this process's arena.
     pub key: EndpointKey,
     /// The only instance that may run the request.
-    pub instance: SmolStr,
+    pub instance: Instance,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -109,7 +110,7 @@
     // A kept connection that turns out to be closed gives the request back unsent.
     while let Some(mut c) = pool.take(to.key) {
         match c.sender.try_send_request(req).await {
-            Ok(response) => return judge(site, pool, response, c, (id, &to.instance)),
+            Ok(response) => return judge(site, pool, response, c, (id, &to.instance.id)),
             Err(mut e) => match e.take_message() {
                 Some(unsent) => req = unsent,
                 None => return Err(Failed::broken(format_smolstr!("{}", e.error()))),
@@ -123,7 +124,7 @@
         return Err(Failed::gone());
     }
     match c.sender.try_send_request(req).await {
-        Ok(response) => judge(site, pool, response, c, (id, &to.instance)),
+        Ok(response) => judge(site, pool, response, c, (id, &to.instance.id)),
         Err(mut e) => Err(match e.take_message() {
             Some(_) => Failed::connect(format_smolstr!("{}", e.error())),
             None => Failed::broken(format_smolstr!("{}", e.error())),
--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::attempt::Target;
 use crate::edge::{Protocol, Store};
 use crate::lease::{SharedLease, keep_lease, with_lease};
-use crate::order_task::{Ended, Moved, OrderTask};
+use crate::order_task::{Ended, Moved, OrderTask, SharedLateLoads};
 use crate::site::{Known, Site};
 use limehollow::catalog::EngineSpec;
 use limehollow::group_lease::GroupLease;
@@ -49,6 +49,7 @@
         lease: Arc::clone(&lease),
         rebalancers: BTreeMap::new(),
         books: BTreeMap::new(),
+        late: SharedLateLoads::default(),
         at_work: BTreeSet::new(),
         logged: Instant::now(),
         ended: ended_tx,
@@ -102,6 +103,8 @@
     rebalancers: BTreeMap<ServiceName, Rebalancer>,
     /// What is known of endpoints whose last order was ours and was answered.
     books: BTreeMap<EndpointKey, OrderBook>,
+    /// What was ordered without an answer. It outlasts the lease: the orders are still under way.
+    late: SharedLateLoads,
     /// Endpoints that a task is at work with.
     at_work: BTreeSet<EndpointKey>,
     /// When demand was last put into a log line.
@@ -139,6 +142,7 @@
         let Some(catalog) = self.site.catalog.load_full() else {
             return;
         };
+        self.forget_former_starts();
         let now = Instant::now();
         let demand = self.demand(now);
         let ceiling = self.site.settings.load().ceiling();
@@ -170,6 +174,12 @@
         }
     }
 
+    /// Drops what is known of starts of endpoints that are gone.
+    fn forget_former_starts(&mut self) {
+        let known = self.site.known();
+        self.books.retain(|k, _| known.roster.get(*k).is_some());
+    }
+
     /// Begins to load adapters that are asked for and not there.
     fn load_adapters(&mut self) {
         if with_lease(&self.lease, |l| l.fence(Instant::now())).is_none() {
@@ -228,6 +238,7 @@
         Some(OrderTask {
             site: Arc::clone(&self.site),
             lease: Arc::clone(&self.lease),
+            late: Arc::clone(&self.late),
             service: service.clone(),
             spec: spec.clone(),
             to: Target {
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -47,11 +47,12 @@
     Catalog(Box<Catalog>),
     /// An endpoint is there, or says something else of itself.
     Endpoint(Endpoint),
-    /// The instance is off the list.
+    /// The endpoint with this id is off the list.
     EndpointGone(SmolStr),
     /// A VM has started.
     Vm(Vm),
-    /// A record that can't be read; the last good one stays.
+    /// A record that can't be read. An entry of the list names no endpoint to use then; of the other feeds the last
+    /// good record stays.
     Malformed {
         /// Its key.
         key: SmolStr,
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -1,11 +1,13 @@
 //! What all followers of the store share: taking changes in, and getting them from another VM.
 
 use crate::edge::{Change, Feed, Protocol, States, StoreError};
+use crate::logbook::may_log;
 use crate::metrics::Metrics;
 use crate::site::Site;
 use limehollow::roster::Roster;
 use limehollow_wire::gossip::{Ages, Positions, Reading, State};
 use smol_str::SmolStr;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -126,7 +128,7 @@
                 let catalog = state.catalog.into_iter();
                 catalog.map(|c| Change::Catalog(Box::new(c))).collect()
             }
-            _ => state.endpoints.into_iter().map(Change::Endpoint).collect(),
+            Feed::Endpoints | Feed::Vms => listed(state),
         };
         self.apply(Learnt::State, changes, true);
         Some(at)
@@ -158,7 +160,7 @@
     pub(crate) fn apply(&mut self, learnt: Learnt, changes: Vec<Change>, whole: bool) {
         let now = Instant::now();
         let position = position(self.site.positions(), self.feed);
-        let mut seen = Vec::new();
+        let mut seen = BTreeSet::new();
         let mut news = false;
         for c in changes {
             match c {
@@ -170,13 +172,14 @@
                     }
                 }
                 Change::Endpoint(e) => {
-                    seen.push(e.instance.clone());
+                    seen.insert(e.instance.id.clone());
                     let (instance, leaving) = (e.instance.clone(), e.leaving);
                     let mut known = self.site.known();
-                    known.withheld.remove(&instance);
-                    let new = known.roster.list(now, e);
+                    known.withheld.remove(&instance.id);
+                    let update = known.list(now, e);
                     drop(known);
-                    if new || leaving {
+                    self.site.note_restart(&instance, update, "list");
+                    if update.is_news || leaving {
                         tracing::info!(%instance, leaving, ?learnt, position, "endpoint listed");
                     }
                     news = true;
@@ -192,14 +195,17 @@
                         .learn(vm.name, vm.zone, vm.address, vm.millicores);
                 }
                 Change::Malformed { key, why } => {
-                    tracing::warn!(feed = ?self.feed, %key, why, "a record can't be read; the last good one stays");
+                    self.note_unreadable(&key, &why);
+                    seen.insert(key);
+                    news = true;
                 }
             }
         }
         if whole && self.feed == Feed::Endpoints {
-            let known = instances(&self.site.known().roster);
-            for instance in known.into_iter().filter(|i| !seen.contains(i)) {
-                self.vanish(now, &instance);
+            self.site.known().roster.retain_unreadable(&seen);
+            let known = ids(&self.site.known().roster);
+            for id in known.difference(&seen) {
+                self.vanish(now, id);
             }
         }
         if news {
@@ -226,15 +232,32 @@
         Some(freshness.sound_since() + SETTLE)
     }
 
-    fn vanish(&self, now: Instant, instance: &SmolStr) {
+    /// Notes a record that can't be read. An entry of the list takes its endpoint out of use; a line says so once, and
+    /// as many in all as lines on requests are allowed.
+    fn note_unreadable(&self, key: &SmolStr, why: &str) {
+        let mut known = self.site.known();
+        let is_entry = self.feed == Feed::Endpoints;
+        let is_known = is_entry && known.roster.unreadable().any(|id| id == key);
+        let was_in_use = is_entry && known.set_unreadable(key);
+        drop(known);
+        if is_known {
+            return;
+        }
+        self.site.metrics.unreadable_records.inc();
+        if may_log() {
+            tracing::warn!(feed = ?self.feed, %key, why, was_in_use, "a record can't be read");
+        }
+    }
+
+    fn vanish(&self, now: Instant, id: &SmolStr) {
         match self.settled_at().filter(|t| now < *t) {
             Some(due) => {
                 let held_ms = due.duration_since(now).as_millis();
-                if self.site.known().withheld.insert(instance.clone()) {
-                    tracing::info!(%instance, held_ms, "a removal is held back");
+                if self.site.known().withheld.insert(id.clone()) {
+                    tracing::info!(instance = %id, held_ms, "a removal is held back");
                 }
             }
-            None => self.drop_endpoint(instance),
+            None => self.drop_endpoint(id),
         }
     }
 
@@ -245,18 +268,15 @@
             return;
         }
         let due = std::mem::take(&mut self.site.known().withheld);
-        for instance in &due {
-            self.drop_endpoint(instance);
+        for id in &due {
+            self.drop_endpoint(id);
         }
         self.tell_change();
     }
 
-    fn drop_endpoint(&self, instance: &SmolStr) {
-        let mut known = self.site.known();
-        known.withheld.remove(instance);
-        if let Some(key) = known.roster.remove(instance) {
-            known.balance.forget(key);
-            tracing::info!(%instance, "endpoint is off the list");
+    fn drop_endpoint(&self, id: &SmolStr) {
+        if self.site.known().drop_endpoint(id) {
+            tracing::info!(instance = %id, "endpoint is off the list");
         }
     }
 }
@@ -277,6 +297,16 @@
     }
 }
 
-fn instances(roster: &Roster) -> Vec<SmolStr> {
-    roster.iter().map(|(_, e)| e.instance.clone()).collect()
+/// Gives another VM's list as changes.
+fn listed(state: State) -> Vec<Change> {
+    let unreadable = state.unreadable.into_iter().map(|key| Change::Malformed {
+        key,
+        why: "another VM could not read it".to_owned(),
+    });
+    let endpoints = state.endpoints.into_iter().map(Change::Endpoint);
+    endpoints.chain(unreadable).collect()
+}
+
+fn ids(roster: &Roster) -> BTreeSet<SmolStr> {
+    roster.iter().map(|(_, e)| e.instance.id.clone()).collect()
 }
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -12,6 +12,7 @@
 use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::candidacy::Notice;
 use limehollow::id::{EndpointKey, VmName, ZoneName};
+use limehollow::instance::Instance;
 use limehollow::roster::ModelRef;
 use limehollow_wire::gossip::{LeaseNotice, Message, Scope, decode, encode};
 use smol_str::{SmolStr, format_smolstr};
@@ -192,7 +193,7 @@
     }
 }
 
-fn unreached(now: Instant, known: &Known) -> Vec<SmolStr> {
+fn unreached(now: Instant, known: &Known) -> Vec<Instance> {
     let keys = known.balance.unreached(now);
     keys.filter_map(|k| Some(known.roster.get(k)?.instance.clone()))
         .collect()
@@ -223,7 +224,7 @@
 fn sums(own: &Message, now: Instant, known: &Known) -> Message {
     let here = |vm: &VmName| !is_zone(vm);
     let fresh = |at: &Instant| now.duration_since(*at) < MESSAGE_LIFE;
-    let mut taken: BTreeMap<SmolStr, Taken> = own.taken.iter().cloned().collect();
+    let mut taken: BTreeMap<Instance, Taken> = own.taken.iter().cloned().collect();
     for (instance, t) in known
         .taken
         .values()
@@ -361,7 +362,7 @@
         {
             tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
         }
-        let key = |(i, t): &(SmolStr, Taken)| Some((known.roster.key(i)?, *t));
+        let key = |(i, t): &(Instance, Taken)| Some((known.roster.find(i)?, *t));
         let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
         match w.scope {
             Scope::Vm => {
@@ -373,7 +374,7 @@
                         .note_list(&w.from, w.reading.endpoints.is_some());
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
-                    for key in w.unreached.iter().filter_map(|i| known.roster.key(i)) {
+                    for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
                         known.balance.told_unreached(now, key);
                     }
                     known.taken.insert(from.clone(), (now, w.taken));
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -238,7 +238,11 @@
         self.f.note_position(offer.to);
         let changes = offer.changes.into_iter().map(|c| match c {
             ListChange::Listed(e) => Change::Endpoint(e),
-            ListChange::Gone(i) => Change::EndpointGone(i),
+            ListChange::Gone(id) => Change::EndpointGone(id),
+            ListChange::Unreadable(key) => Change::Malformed {
+                key,
+                why: "another VM could not read it".to_owned(),
+            },
         });
         self.f.apply(Learnt::Neighbour, changes.collect(), false);
     }
@@ -250,8 +254,9 @@
         };
         let changes = read.changes.iter().filter_map(|c| match c {
             Change::Endpoint(e) => Some(ListChange::Listed(e.clone())),
-            Change::EndpointGone(i) => Some(ListChange::Gone(i.clone())),
-            _ => None,
+            Change::EndpointGone(id) => Some(ListChange::Gone(id.clone())),
+            Change::Malformed { key, .. } => Some(ListChange::Unreadable(key.clone())),
+            Change::Catalog(_) | Change::Vm(_) => None,
         });
         let news = ListChanges {
             from,
@@ -283,18 +288,24 @@
     .fail()
 }
 
-/// Leaves the last change of each instance.
+/// Leaves of each endpoint what its last state follows from: an entry stands alone, or after what took a former start
+/// of the endpoint out of use.
 fn newest<I>(changes: I) -> Vec<ListChange>
 where
     I: Iterator<Item = ListChange>,
 {
-    let mut by_instance: BTreeMap<SmolStr, ListChange> = BTreeMap::new();
+    let mut by_id: BTreeMap<SmolStr, Vec<ListChange>> = BTreeMap::new();
     for c in changes {
-        let instance = match &c {
-            ListChange::Listed(e) => e.instance.clone(),
-            ListChange::Gone(i) => i.clone(),
-        };
-        by_instance.insert(instance, c);
+        match &c {
+            ListChange::Listed(e) => {
+                let rows = by_id.entry(e.instance.id.clone()).or_default();
+                rows.pop_if(|last| matches!(last, ListChange::Listed(_)));
+                rows.push(c);
+            }
+            ListChange::Gone(id) | ListChange::Unreadable(id) => {
+                by_id.insert(id.clone(), vec![c]);
+            }
+        }
     }
-    by_instance.into_values().collect()
+    by_id.into_values().flatten().collect()
 }
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -40,6 +40,10 @@
     pub endpoints: Gauge,
     /// How old the copies of the list and of the configuration are, in seconds, looked at once a second.
     pub copy_age: Family<By, Histogram, fn() -> Histogram>,
+    /// Records of the store's feeds that could not be read.
+    pub unreadable_records: Counter,
+    /// Endpoints that were seen to start again under their id.
+    pub endpoint_restarts: Counter,
     /// The version of the configuration in force.
     pub catalog: Gauge,
     /// Log lines left out for their rate.
@@ -59,6 +63,8 @@
             holds_lease: Gauge::default(),
             endpoints: Gauge::default(),
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
+            unreadable_records: Counter::default(),
+            endpoint_restarts: Counter::default(),
             catalog: Gauge::default(),
             lines_left_out: Counter::default(),
         }
@@ -113,6 +119,16 @@
             "How old the copies of the store's feeds are",
             self.copy_age.clone(),
         );
+        r.register(
+            "unreadable_records",
+            "Records of the store's feeds that could not be read",
+            self.unreadable_records.clone(),
+        );
+        r.register(
+            "endpoint_restarts",
+            "Endpoints that were seen to start again under their id",
+            self.endpoint_restarts.clone(),
+        );
         r.register(
             "catalog_version",
             "Configuration in force",
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -1,8 +1,9 @@
 //! The orders of one move at one endpoint.
 //!
 //! Before each order on a model the endpoint's own report is read, and the order names the number of orders
-//! in it, so that an order that is carried out late is void once another was taken. Other VMs hear at once
-//! what is about to go and what has come.
+//! in it, so that an order that is carried out late is void once another was taken. A report of a later start of the
+//! endpoint ends the task, and room is kept for orders to a former start ([`limehollow::late_loads`]). Other VMs hear at
+//! once what is about to go and what has come.
 
 use crate::attempt::{self, Target};
 use crate::edge::{Action, Order, OrderReply, Protocol};
@@ -12,11 +13,14 @@
 use http_body_util::BodyExt;
 use limehollow::catalog::EngineSpec;
 use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::instance::{Instance, StartCheck};
+use limehollow::late_loads::{LateLoads, Reserve};
 use limehollow::order_book::{AdapterStep, OrderBook};
 use limehollow::rebalance::{AdapterMove, EndpointReport, ModelMove, Step};
 use limehollow::roster::{Holdings, HoldingsReport, ModelRef, holds};
 use smol_str::SmolStr;
-use std::sync::Arc;
+use std::ops::ControlFlow;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
@@ -38,9 +42,15 @@
 const DROP_TIMEOUT: Duration = Duration::from_secs(4);
 /// Steps of an adapter's move at most: dropping, loading, and conflicts in between.
 const MAX_ADAPTER_STEPS: u32 = 5;
+/// How long an order that was taken may be missing in the endpoint's reports, which are as of some hundred ms ago. Without
+/// a bound a move at an endpoint that had started again kept it from all other orders for [`MOVE_TIMEOUT`].
+const COUNTED_WITHIN: Duration = Duration::from_millis(2000);
 /// Orders that are given without an answer before a move is given up.
 const MAX_UNANSWERED: u32 = 3;
 
+/// The loads that were ordered without an answer; never held over an `await`.
+pub(crate) type SharedLateLoads = Arc<Mutex<LateLoads>>;
+
 /// What was moved.
 #[derive(Clone, Copy)]
 pub(crate) enum Moved {
@@ -58,6 +68,51 @@
     pub(crate) book: Option<OrderBook>,
 }
 
+/// How far the move of a model is.
+struct Progress {
+    began: Instant,
+    check: StartCheck,
+    /// Reports and orders without an answer, and orders that were refused.
+    unanswered: u32,
+    /// How many orders the endpoint has taken at least.
+    least: u64,
+    /// When the last order was taken.
+    ordered: Instant,
+    /// When other VMs were last told what is about to go.
+    told: Instant,
+}
+
+impl Progress {
+    fn new(instance: &Instance) -> Self {
+        let now = Instant::now();
+        Self {
+            began: now,
+            check: StartCheck::new(instance.clone()),
+            unanswered: 0,
+            least: 0,
+            ordered: now,
+            told: now,
+        }
+    }
+}
+
+/// How the move of a model ended.
+struct MoveEnd {
+    /// For the log.
+    outcome: &'static str,
+    /// What is known of the endpoint, if the model is there.
+    book: Option<OrderBook>,
+}
+
+impl MoveEnd {
+    fn failed(outcome: &'static str) -> ControlFlow<Self> {
+        ControlFlow::Break(Self {
+            outcome,
+            book: None,
+        })
+    }
+}
+
 /// What a task needs to give orders to one endpoint.
 pub(crate) struct OrderTask<P>
 where
@@ -65,6 +120,8 @@
 {
     pub(crate) site: Arc<Site<P>>,
     pub(crate) lease: SharedLease,
+    /// What was ordered without an answer, by all tasks of this VM.
+    pub(crate) late: SharedLateLoads,
     pub(crate) service: ServiceName,
     pub(crate) spec: EngineSpec,
     pub(crate) to: Target,
@@ -93,91 +150,111 @@
 
     /// Carries out a move of a model. Gives what is known of the endpoint then.
     pub(crate) async fn move_model(&self, m: &ModelMove) -> Option<OrderBook> {
-        let began = Instant::now();
-        let mut unanswered = 0;
-        let mut least = 0;
-        let mut told = began;
-        while began.elapsed() < MOVE_TIMEOUT {
-            let Some(r) = self.report().await else {
-                unanswered += 1;
-                if unanswered > MAX_UNANSWERED {
-                    self.log_move(m, began, "the endpoint does not answer");
-                    return None;
-                }
-                sleep(ASK_EVERY).await;
-                continue;
-            };
-            // A report may be older than the order before it.
-            let step = if r.orders_taken < least {
-                Step::Wait
-            } else {
-                m.step(&r, &self.spec)
-            };
-            let order = match step {
-                Step::Wait => {
-                    // What is going is still listed until its last run has ended.
-                    if told.elapsed() >= TELL_EVERY {
-                        told = Instant::now();
-                        self.tell(left(&r, m), r.orders_taken.max(least));
-                    }
-                    sleep(ASK_EVERY).await;
-                    continue;
-                }
-                Step::Done => {
-                    self.tell(r.holdings.clone(), r.orders_taken);
-                    self.log_move(m, began, "done");
-                    return Some(OrderBook::from(r));
-                }
-                Step::NoRoom => {
-                    self.tell(r.holdings, r.orders_taken);
-                    self.log_move(m, began, "no room");
-                    return None;
+        let mut p = Progress::new(&self.to.instance);
+        loop {
+            if let ControlFlow::Break(end) = self.advance(m, &mut p).await {
+                self.log_move(m, p.began, end.outcome);
+                return end.book;
+            }
+            sleep(ASK_EVERY).await;
+        }
+    }
+
+    /// Reads the endpoint's report, and gives the order that it asks for.
+    async fn advance(&self, m: &ModelMove, p: &mut Progress) -> ControlFlow<MoveEnd> {
+        if p.began.elapsed() >= MOVE_TIMEOUT {
+            return MoveEnd::failed("took too long");
+        }
+        if p.unanswered > MAX_UNANSWERED {
+            return MoveEnd::failed("the endpoint does not answer, or takes no orders");
+        }
+        let Some(r) = self.report().await else {
+            p.unanswered += 1;
+            return ControlFlow::Continue(());
+        };
+        if !p.check.is_same(r.born, r.orders_taken) {
+            self.tell_start(&r);
+            return MoveEnd::failed("the endpoint has started again");
+        }
+        // A report may be older than the order before it.
+        let step = if r.orders_taken >= p.least {
+            m.step(
+                &r,
+                &self.spec,
+                self.reserve(&OrderBook::from(r.clone()), &model(&m.load)),
+            )
+        } else if p.ordered.elapsed() < COUNTED_WITHIN {
+            Step::Wait
+        } else {
+            return MoveEnd::failed("the order is not counted");
+        };
+        match step {
+            Step::Wait => {
+                // What is going is still listed until its last run has ended.
+                if p.told.elapsed() >= TELL_EVERY {
+                    p.told = Instant::now();
+                    self.tell(left(&r, m), r.orders_taken.max(p.least));
                 }
-                Step::Unload(model) => (Action::Unload, model),
-                Step::Load => (Action::Load, m.load.clone()),
-            };
-            let (action, model) = order;
-            if action == Action::Unload {
+                ControlFlow::Continue(())
+            }
+            Step::Done => {
+                self.tell(r.holdings.clone(), r.orders_taken);
+                ControlFlow::Break(MoveEnd {
+                    outcome: "done",
+                    book: Some(OrderBook::from(r)),
+                })
+            }
+            Step::NoRoom => {
+                self.tell(r.holdings, r.orders_taken);
+                MoveEnd::failed("no room")
+            }
+            Step::Unload(name) => {
                 self.tell(left(&r, m), r.orders_taken);
                 sleep(WITHDRAW).await;
+                self.order_model(Action::Unload, &name, m, &r, p).await
             }
-            let subject = ModelRef {
-                model,
-                adapter: None,
-            };
-            match self.order(action, &subject, r.orders_taken).await {
-                Some(OrderReply::Taken) => {
-                    least = r.orders_taken + 1;
-                    told = Instant::now();
-                    self.tell(left(&r, m), least);
-                }
-                Some(OrderReply::Holds | OrderReply::Conflict) => {}
-                Some(OrderReply::Refused(_)) | None => unanswered += 1,
-            }
-            if unanswered > MAX_UNANSWERED {
-                self.log_move(m, began, "orders are not taken");
-                return None;
+            Step::Load => self.order_model(Action::Load, &m.load, m, &r, p).await,
+        }
+    }
+
+    /// Gives one order of a model's move.
+    async fn order_model(
+        &self,
+        action: Action,
+        name: &SmolStr,
+        m: &ModelMove,
+        r: &EndpointReport,
+        p: &mut Progress,
+    ) -> ControlFlow<MoveEnd> {
+        match self.order(action, &model(name), r.orders_taken).await {
+            Some(OrderReply::Taken) => {
+                p.least = r.orders_taken + 1;
+                p.ordered = Instant::now();
+                p.told = p.ordered;
+                self.tell(left(r, m), p.least);
             }
-            sleep(ASK_EVERY).await;
+            Some(OrderReply::Holds | OrderReply::Conflict) => {}
+            Some(OrderReply::Refused(_)) | None => p.unanswered += 1,
         }
-        self.log_move(m, began, "took too long");
-        None
+        ControlFlow::Continue(())
     }
 
-    /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then; nothing if no
-    /// order was given, since then the plan rested on something else than the book.
+    /// Loads an adapter, from what is known of the endpoint. Gives what is known of it then; nothing if no order was
+    /// given, since then the plan rested on something else than the book, or if the endpoint has started again.
     pub(crate) async fn move_adapter(
         &self,
         m: &AdapterMove,
         book: Option<OrderBook>,
     ) -> Option<OrderBook> {
+        let mut check = StartCheck::new(self.to.instance.clone());
         let mut book = match book {
             Some(b) => b,
-            None => self.read_book().await?,
+            None => self.read_book(&mut check).await?,
         };
         let mut ordered = false;
         for _ in 0..MAX_ADAPTER_STEPS {
-            let (action, subject) = match book.adapter_step(m, &self.spec) {
+            let reserve = self.reserve(&book, &m.load);
+            let (action, subject) = match book.adapter_step(m, &self.spec, reserve) {
                 AdapterStep::Unload(r) => (Action::Unload, r),
                 AdapterStep::Load => (Action::Load, m.load.clone()),
                 AdapterStep::Done | AdapterStep::Impossible => {
@@ -194,7 +271,8 @@
             let counted = match self.order(action, &subject, book.orders_taken).await? {
                 OrderReply::Taken if action == Action::Unload => {
                     // It waits for its runs; until it is gone, the endpoint takes no other order.
-                    book = self.wait_dropped(&subject, book.orders_taken + 1).await?;
+                    let least = book.orders_taken + 1;
+                    book = self.wait_dropped(&subject, least, &mut check).await?;
                     continue;
                 }
                 OrderReply::Taken => true,
@@ -204,7 +282,7 @@
                 OrderReply::Conflict => {
                     // A report is as of some time ago; one that is read at once would show the same.
                     sleep(ASK_EVERY).await;
-                    book = self.read_book().await?;
+                    book = self.read_book(&mut check).await?;
                     continue;
                 }
                 OrderReply::Refused(_) => return None,
@@ -221,11 +299,16 @@
     }
 
     /// Waits until an adapter that is being dropped is gone, by reports that count the order to drop it.
-    async fn wait_dropped(&self, m: &ModelRef, least: u64) -> Option<OrderBook> {
+    async fn wait_dropped(
+        &self,
+        m: &ModelRef,
+        least: u64,
+        check: &mut StartCheck,
+    ) -> Option<OrderBook> {
         let until = Instant::now() + DROP_TIMEOUT;
         while Instant::now() < until {
             sleep(ASK_EVERY).await;
-            let mut book = self.read_book().await?;
+            let mut book = self.read_book(check).await?;
             if book.orders_taken >= least && !holds(&book.holdings, m) {
                 return Some(book);
             }
@@ -235,14 +318,45 @@
         None
     }
 
-    async fn read_book(&self) -> Option<OrderBook> {
-        self.report().await.map(OrderBook::from)
+    /// Reads what the endpoint reports; none if it doesn't, or has started again.
+    async fn read_book(&self, check: &mut StartCheck) -> Option<OrderBook> {
+        let r = self.report().await?;
+        if check.is_same(r.born, r.orders_taken) {
+            return Some(OrderBook::from(r));
+        }
+        self.tell_start(&r);
+        None
+    }
+
+    /// Gives what has to stay free at the endpoint while something is loaded there.
+    fn reserve(&self, book: &OrderBook, loading: &ModelRef) -> Reserve {
+        let late = self.late.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = &self.to.instance.id;
+        late.reserve(Instant::now(), id, book, loading, &self.spec)
+    }
+
+    fn note_late(&self, subject: &ModelRef, expected: u64) {
+        let mut late = self.late.lock().unwrap_or_else(PoisonError::into_inner);
+        late.note(Instant::now(), &self.to.instance, subject, expected);
+    }
+
+    /// Tells this VM and the others that the endpoint has started again, and what it holds.
+    fn tell_start(&self, r: &EndpointReport) {
+        let instance = Instance {
+            id: self.to.instance.id.clone(),
+            born: r.born,
+        };
+        self.tell_of(instance, r.holdings.clone(), r.orders_taken);
     }
 
     /// Tells this VM and the others what the endpoint holds.
     fn tell(&self, holdings: Holdings, orders_taken: u64) {
+        self.tell_of(self.to.instance.clone(), holdings, orders_taken);
+    }
+
+    fn tell_of(&self, instance: Instance, holdings: Holdings, orders_taken: u64) {
         let r = HoldingsReport {
-            instance: self.to.instance.clone(),
+            instance,
             holdings,
             orders_taken,
         };
@@ -253,7 +367,7 @@
     }
 
     async fn report(&self) -> Option<EndpointReport> {
-        let req = self.site.protocol.report(&self.to.instance);
+        let req = self.site.protocol.report(&self.to.instance.id);
         let call = async {
             let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "").await;
             let answer = sent.map_err(|f| f.why)?;
@@ -292,7 +406,7 @@
         })?;
         let settings = self.site.settings.load();
         let o = Order {
-            instance: &self.to.instance,
+            instance: &self.to.instance.id,
             action,
             subject,
             expected,
@@ -320,6 +434,9 @@
             Ok(OrderReply::Refused(_)) => "refused",
             Err(_) => "no answer",
         };
+        if action == Action::Load && reply.is_err() {
+            self.note_late(subject, expected);
+        }
         Metrics::count(&self.site.metrics.orders, outcome);
         tracing::info!(
             endpoint = %self.to.instance,
@@ -347,6 +464,13 @@
     }
 }
 
+fn model(name: &SmolStr) -> ModelRef {
+    ModelRef {
+        model: name.clone(),
+        adapter: None,
+    }
+}
+
 /// Gives what an endpoint holds, less what makes way in a move.
 fn left(r: &EndpointReport, m: &ModelMove) -> Holdings {
     let mut left = r.holdings.clone();
--- a/crates/limehollow-node/src/outbox.rs
+++ b/crates/limehollow-node/src/outbox.rs
@@ -38,7 +38,7 @@
             number: self.last,
             report: report.clone(),
         };
-        self.rows.insert(report.instance, row);
+        self.rows.insert(report.instance.id, row);
     }
 
     /// Takes the reports that go into the next message.
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use limehollow::balance::Sent;
+use limehollow::instance::Instance;
 use limehollow::load::Ending;
 use limehollow::verdict::Failure;
 use smol_str::SmolStr;
@@ -42,7 +43,7 @@
     site: Arc<Site<P>>,
     sent: Option<Sent>,
     id: SmolStr,
-    instance: SmolStr,
+    instance: Instance,
     began: Instant,
     arrived: Instant,
     /// When the last part of a streamed answer came, and the longest pause before one.
@@ -59,7 +60,7 @@
         site: Arc<Site<P>>,
         sent: Sent,
         id: SmolStr,
-        instance: SmolStr,
+        instance: Instance,
         arrived: Instant,
     ) -> Self {
         Self {
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -378,7 +378,7 @@
         *req.headers_mut() = self.head.headers.clone();
         let s = Sending {
             remaining: self.expiry.duration_since(now),
-            instance: &c.to.instance,
+            instance: &c.to.instance.id,
             rank: self.rule.rank,
         };
         self.site.protocol.address(req.headers_mut(), &s);
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -15,10 +15,11 @@
 use limehollow::candidacy::{Candidacy, Notice};
 use limehollow::catalog::Catalog;
 use limehollow::freshness::Freshness;
-use limehollow::id::{ServiceName, VmName, ZoneName};
+use limehollow::id::{EndpointKey, ServiceName, VmName, ZoneName};
+use limehollow::instance::Instance;
 use limehollow::peers::Peers;
 use limehollow::retry_window::RepeatWindow;
-use limehollow::roster::{HoldingsReport, ModelRef, Roster};
+use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,7 +43,7 @@
     /// What the callers of other VMs, and of other zones, ask for, and when that was heard.
     pub demand: BTreeMap<VmName, (Instant, Vec<(ModelRef, f32)>)>,
     /// What other VMs have at the endpoints, as the VMs of this zone said it last.
-    pub taken: BTreeMap<VmName, (Instant, Vec<(SmolStr, Taken)>)>,
+    pub taken: BTreeMap<VmName, (Instant, Vec<(Instance, Taken)>)>,
     /// What requests wait for here that isn't loaded, until it is told.
     pub wants: BTreeSet<ModelRef>,
     /// What other VMs' requests wait for, and when that was heard.
@@ -69,6 +70,45 @@
     pub peers: Peers,
 }
 
+impl Known {
+    /// Takes in an entry of the list.
+    pub(crate) fn list(&mut self, now: Instant, e: Endpoint) -> Update {
+        let update = self.roster.list(now, e);
+        self.forget(update.replaced);
+        update
+    }
+
+    /// Takes in what the controller knows of an endpoint.
+    pub(crate) fn report(&mut self, now: Instant, r: &HoldingsReport) -> Update {
+        let update = self.roster.report(now, r);
+        self.forget(update.replaced);
+        update
+    }
+
+    /// Takes an endpoint out of use whose entry can't be read. Gives whether it was in use.
+    pub(crate) fn set_unreadable(&mut self, id: &SmolStr) -> bool {
+        self.withheld.remove(id);
+        let gone = self.roster.set_unreadable(id.clone());
+        self.forget(gone);
+        gone.is_some()
+    }
+
+    /// Drops an endpoint that is off the list. Gives whether it was there.
+    pub(crate) fn drop_endpoint(&mut self, id: &str) -> bool {
+        self.withheld.remove(id);
+        let gone = self.roster.remove(id);
+        self.forget(gone);
+        gone.is_some()
+    }
+
+    /// Forgets what is believed of a start of an endpoint that is gone.
+    fn forget(&mut self, gone: Option<EndpointKey>) {
+        if let Some(key) = gone {
+            self.balance.forget(key);
+        }
+    }
+}
+
 /// The state of one process.
 #[derive(Debug)]
 pub struct Site<P> {
@@ -265,12 +305,13 @@
     pub fn state(&self) -> State {
         let known = self.known();
         let listed = known.roster.iter().map(|(_, e)| e);
-        let listed = listed.filter(|e| !known.withheld.contains(&e.instance));
+        let listed = listed.filter(|e| !known.withheld.contains(&e.instance.id));
         State {
             positions: known.positions,
             reading: known.readings.of_state(Instant::now()),
             catalog: self.catalog.load().as_deref().cloned(),
             endpoints: listed.cloned().collect(),
+            unreadable: known.roster.unreadable().cloned().collect(),
         }
     }
 
@@ -280,7 +321,8 @@
         let known = self.known();
         let endpoints = known.roster.iter().map(|(k, e)| {
             serde_json::json!({
-                "instance": e.instance,
+                "id": e.instance.id,
+                "born": e.instance.born,
                 "service": e.service,
                 "zone": e.zone,
                 "leaving": e.leaving,
@@ -299,14 +341,24 @@
             "stopping": self.is_stopping(),
             "vms_heard_ms_ago": heard,
             "endpoints": endpoints.collect::<Vec<_>>(),
+            "unreadable_entries": known.roster.unreadable().collect::<Vec<_>>(),
         })
     }
 
     /// Takes in what the controller knows of an endpoint.
     pub fn report(&self, now: Instant, r: &HoldingsReport) {
-        let news = self.known().roster.report(now, r);
-        if news {
+        let update = self.known().report(now, r);
+        self.note_restart(&r.instance, update, "report");
+        if update.is_news {
             self.changed.notify_waiters();
         }
     }
+
+    /// Says so if an endpoint was seen to start again, and by whose word.
+    pub(crate) fn note_restart(&self, instance: &Instance, update: Update, by: &'static str) {
+        if update.is_restart() {
+            self.metrics.endpoint_restarts.inc();
+            tracing::info!(%instance, by, "endpoint started again");
+        }
+    }
 }
--- a/crates/limehollow-node/tests/outbox.rs
+++ b/crates/limehollow-node/tests/outbox.rs
@@ -7,7 +7,7 @@
 
 fn report(i: usize, orders_taken: u64) -> HoldingsReport {
     HoldingsReport {
-        instance: format_smolstr!("i-{i}"),
+        instance: format_smolstr!("i-{i}").into(),
         holdings: Holdings::new(),
         orders_taken,
     }
@@ -27,7 +27,7 @@
             break;
         }
         for r in reports {
-            *said.entry(r.instance).or_default() += 1;
+            *said.entry(r.instance.id).or_default() += 1;
         }
     }
     assert_eq!(said.len(), 100);
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -149,7 +149,7 @@
         known
             .roster
             .open(&service)
-            .any(|(_, e)| e.instance == instance)
+            .any(|(_, e)| e.instance.id == instance)
     }
 }
 
@@ -379,7 +379,7 @@
     /// Tells whether a running VM sends requests to an endpoint.
     pub fn uses(&self, vm: usize, endpoint: usize) -> bool {
         let vm = &self.vms[vm];
-        !vm.tasks.is_empty() && vm.has_open(&listed(endpoint).instance)
+        !vm.tasks.is_empty() && vm.has_open(&listed(endpoint).instance.id)
     }
 
     /// An endpoint says that it leaves, as the store acknowledges now.
@@ -412,13 +412,13 @@
 
     /// An endpoint's entry goes.
     pub fn vanish(&self, i: usize) {
-        let gone = Change::EndpointGone(listed(i).instance);
+        let gone = Change::EndpointGone(listed(i).instance.id);
         self.store.add(Feed::Endpoints, gone);
     }
 
     /// Gives how long it takes from now on until no running VM sends anything to an endpoint, and which is last.
     pub async fn out_of_use(&self, i: usize) -> (Duration, String) {
-        let instance = listed(i).instance;
+        let instance = listed(i).instance.id;
         let began = Instant::now();
         let mut last = String::from("nobody");
         while began.elapsed() < LOOK_FOR {
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -270,7 +270,7 @@
 
 pub fn endpoint(i: usize, address: SocketAddr) -> Endpoint {
     Endpoint {
-        instance: format_smolstr!("i-{i}"),
+        instance: format_smolstr!("i-{i}").into(),
         service: ServiceName::from("portal"),
         address,
         zone: "a".into(),
@@ -440,10 +440,13 @@
     for c in changes {
         match &c {
             Change::Endpoint(e) => {
-                endpoints.insert(e.instance.clone(), c);
+                endpoints.insert(e.instance.id.clone(), c);
             }
-            Change::EndpointGone(instance) => {
-                endpoints.remove(instance);
+            Change::EndpointGone(id) => {
+                endpoints.remove(id);
+            }
+            Change::Malformed { key, .. } => {
+                endpoints.insert(key.clone(), c);
             }
             _ => others.push(c),
         }
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -4,6 +4,7 @@
 use limehollow::balance::Taken;
 use limehollow::catalog::Catalog;
 use limehollow::freshness::Freshness;
+use limehollow::instance::Instance;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -12,7 +13,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 3;
+pub const SCHEMA: u8 = 4;
 
 /// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,8 +32,10 @@
 pub enum ListChange {
     /// An endpoint is there, or says something else of itself.
     Listed(Endpoint),
-    /// The instance is off the list.
+    /// The endpoint with this id is off the list.
     Gone(SmolStr),
+    /// The entry with this id can't be read, and names no endpoint to use.
+    Unreadable(SmolStr),
 }
 
 /// Changes of the list of endpoints, for VMs that have read up to the first position.
@@ -120,10 +123,10 @@
     pub reaches_store: bool,
     /// Rises with each message of one start of the process; a later start begins higher.
     pub number: u64,
-    /// What its requests take at each endpoint, by instance.
-    pub taken: Vec<(SmolStr, Taken)>,
-    /// The endpoints that it could not reach lately, by instance; only for the VMs of its zone.
-    pub unreached: Vec<SmolStr>,
+    /// What its requests take at each endpoint.
+    pub taken: Vec<(Instance, Taken)>,
+    /// The endpoints that it could not reach lately; only for the VMs of its zone.
+    pub unreached: Vec<Instance>,
     /// What its callers ask of each model, in ms of work a second.
     pub demand: Vec<(ModelRef, f32)>,
     /// What requests wait for that isn't loaded.
@@ -161,6 +164,8 @@
     /// The endpoints, without those whose removal is held back: who takes this in decides on them by itself, and
     /// would never hear of a removal that came before these positions.
     pub endpoints: Vec<Endpoint>,
+    /// The ids whose entries can't be read.
+    pub unreadable: Vec<SmolStr>,
 }
 
 /// Writes a state.
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -12,8 +12,8 @@
 //! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
 //! * [`lease`], [`membership`] and [`order`] drive a controller.
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] drive a gateway.
-//! * [`catalog`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
-//!   [`group_lease`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
+//! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
+//!   [`group_lease`], [`late_loads`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
 //!
 //! ```
@@ -41,8 +41,10 @@
 pub mod group_lease;
 mod health;
 pub mod id;
+pub mod instance;
 pub mod intent;
 pub mod job;
+pub mod late_loads;
 pub mod lease;
 pub mod listing;
 pub mod load;
--- a/crates/limehollow/src/order_book.rs
+++ b/crates/limehollow/src/order_book.rs
@@ -5,6 +5,7 @@
 //! from the book alone.
 
 use crate::catalog::EngineSpec;
+use crate::late_loads::Reserve;
 use crate::rebalance::{AdapterMove, EndpointReport, used};
 use crate::roster::{Holdings, ModelRef, holds};
 
@@ -19,6 +20,8 @@
     coming: usize,
     /// Whether it was carrying out an order on a model.
     busy: bool,
+    /// When the endpoint started, as it reported.
+    pub born: Option<u64>,
 }
 
 /// The next thing to do for a move of an adapter.
@@ -41,6 +44,7 @@
             holdings: r.holdings,
             coming: r.coming,
             busy: r.busy,
+            born: r.born,
         }
     }
 }
@@ -48,7 +52,12 @@
 impl OrderBook {
     /// Says what comes next for a move of an adapter.
     #[must_use]
-    pub fn adapter_step(&self, m: &AdapterMove, spec: &EngineSpec) -> AdapterStep {
+    pub fn adapter_step(
+        &self,
+        m: &AdapterMove,
+        spec: &EngineSpec,
+        reserve: Reserve,
+    ) -> AdapterStep {
         if holds(&self.holdings, &m.load) {
             return AdapterStep::Done;
         }
@@ -60,8 +69,9 @@
             return AdapterStep::Impossible;
         }
         let there: usize = self.holdings.values().map(|h| h.adapters.len()).sum();
-        let has_place = there + self.coming < spec.adapter_places;
-        let has_room = used(&self.holdings, spec) + model.adapter_megabytes <= spec.megabytes;
+        let has_place = there + self.coming + reserve.adapters < spec.adapter_places;
+        let needed = model.adapter_megabytes + reserve.megabytes;
+        let has_room = used(&self.holdings, spec) + needed <= spec.megabytes;
         if has_place && has_room {
             return AdapterStep::Load;
         }
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -7,6 +7,7 @@
 
 use crate::catalog::EngineSpec;
 use crate::id::{EndpointKey, ServiceName};
+use crate::late_loads::Reserve;
 use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -70,6 +71,8 @@
 /// What an endpoint said of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointReport {
+    /// When the endpoint started, by its own clock ([`crate::instance::Instance::born`]).
+    pub born: Option<u64>,
     /// How many orders it has taken.
     pub orders_taken: u64,
     /// Whether it is carrying out an order on a model.
@@ -98,7 +101,7 @@
 impl ModelMove {
     /// Says what comes next, from a report that counts all orders given so far.
     #[must_use]
-    pub fn step(&self, r: &EndpointReport, spec: &EngineSpec) -> Step {
+    pub fn step(&self, r: &EndpointReport, spec: &EngineSpec, reserve: Reserve) -> Step {
         if r.busy {
             return Step::Wait;
         }
@@ -107,7 +110,7 @@
         }
         let size = |m: &SmolStr| spec.models.get(m).map_or(0.0, |s| s.megabytes);
         let needed = size(&self.load);
-        if used(&r.holdings, spec) + needed <= spec.megabytes {
+        if used(&r.holdings, spec) + needed + reserve.megabytes <= spec.megabytes {
             return Step::Load;
         }
         let next = self.evict.iter().find(|m| r.holdings.contains_key(*m));
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -2,9 +2,13 @@
 //!
 //! The list lags, and doesn't say how old an entry is. A report that the controller read from the endpoint itself
 //! goes before entries that come within [`REPORT_PREFERRED`] after it. Reports count the endpoint's orders, so of
-//! two reports the newer one is known.
+//! two reports of one start the newer one is known.
+//!
+//! A key stands for one start of an endpoint ([`Instance`]). A later start gets a new key, so that all that is believed
+//! of the former one, here and elsewhere, goes with the former key.
 
 use crate::id::{EndpointKey, ServiceName, ZoneName};
+use crate::instance::{Instance, Start};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use smol_str::SmolStr;
@@ -55,8 +59,8 @@
 /// One endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// The name of this start of the endpoint; no other start has it.
-    pub instance: SmolStr,
+    /// Which start of the endpoint it is.
+    pub instance: Instance,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -76,8 +80,8 @@
 /// What the controller knows of an endpoint's holdings.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldingsReport {
-    /// The endpoint.
-    pub instance: SmolStr,
+    /// The start of the endpoint that it speaks of.
+    pub instance: Instance,
     /// What it holds, less what is about to go.
     pub holdings: Holdings,
     /// How many orders it had taken.
@@ -91,9 +95,51 @@
     reported: Option<(Instant, u64)>,
     /// What the list said while the report went before it, and when.
     held_back: Option<(Instant, Holdings)>,
+    /// Whether the list says when the endpoint started.
+    lists_born: bool,
+}
+
+/// What a command changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Update {
+    /// Whether anything is new: for an entry the endpoint or its start, for a report what it holds.
+    pub is_news: bool,
+    /// The key of a former start, which is gone: what is believed of it has to be forgotten.
+    pub replaced: Option<EndpointKey>,
+}
+
+impl Update {
+    /// Tells whether it shows that the endpoint started again.
+    #[must_use]
+    pub fn is_restart(self) -> bool {
+        self.is_news && self.replaced.is_some()
+    }
 }
 
 impl Row {
+    fn new(endpoint: Endpoint, lists_born: bool) -> Self {
+        Self {
+            lists_born,
+            endpoint,
+            reported: None,
+            held_back: None,
+        }
+    }
+
+    /// Tells whether a report of the same start was made before the last one.
+    ///
+    /// Where the endpoint doesn't say when it started, a lower count may also mean that it started again: after the
+    /// time for which a report goes before the list, which is longer than a message is repeated, it is believed.
+    /// Otherwise nothing would be known of it until its orders had caught up.
+    fn is_older_report(&self, now: Instant, r: &HoldingsReport) -> bool {
+        let Some((at, taken)) = self.reported else {
+            return false;
+        };
+        let says_start = self.endpoint.instance.born.is_some() && r.instance.born.is_some();
+        let is_recent = now.duration_since(at) < REPORT_PREFERRED;
+        r.orders_taken < taken && (says_start || is_recent)
+    }
+
     fn is_report_preferred(&self, now: Instant) -> bool {
         let preferred = |at: Instant| now.duration_since(at) < REPORT_PREFERRED;
         self.reported.is_some_and(|(at, _)| preferred(at))
@@ -104,7 +150,10 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     rows: SlotMap<EndpointKey, Row>,
+    /// The start that is known of each endpoint, by its id.
     keys: BTreeMap<SmolStr, EndpointKey>,
+    /// The ids whose entries can't be read: they name no endpoint to use.
+    unreadable: BTreeSet<SmolStr>,
 }
 
 /// Queries.
@@ -115,10 +164,23 @@
         self.rows.get(key).map(|r| &r.endpoint)
     }
 
-    /// Gives the key of an instance.
+    /// Gives the key of the start that is known of an endpoint.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<EndpointKey> {
+        self.keys.get(id).copied()
+    }
+
+    /// Gives the key of just this start of an endpoint.
     #[must_use]
-    pub fn key(&self, instance: &str) -> Option<EndpointKey> {
-        self.keys.get(instance).copied()
+    pub fn find(&self, instance: &Instance) -> Option<EndpointKey> {
+        let key = self.key(&instance.id)?;
+        let known = &self.rows[key].endpoint.instance;
+        known.is_same(instance).then_some(key)
+    }
+
+    /// Gives the ids whose entries can't be read.
+    pub fn unreadable(&self) -> impl Iterator<Item = &SmolStr> {
+        self.unreadable.iter()
     }
 
     /// Gives all endpoints, those that are leaving too, in the order of their instances' names.
@@ -150,51 +212,112 @@
 
 /// Commands.
 impl Roster {
-    /// Takes in an entry of the platform's list. Gives whether it is a new endpoint.
-    pub fn list(&mut self, now: Instant, mut entry: Endpoint) -> bool {
-        let Some(key) = self.key(&entry.instance) else {
-            let instance = entry.instance.clone();
-            let row = Row {
-                endpoint: entry,
-                reported: None,
-                held_back: None,
-            };
-            let key = self.rows.insert(row);
-            self.keys.insert(instance, key);
-            return true;
+    /// Takes in an entry of the platform's list.
+    ///
+    /// An entry of an earlier start than the one that is known changes nothing: it was written before, and read late.
+    pub fn list(&mut self, now: Instant, mut entry: Endpoint) -> Update {
+        let lists_born = entry.instance.born.is_some();
+        let Some(key) = self.key(&entry.instance.id) else {
+            return self.insert(entry, lists_born);
         };
         let row = &mut self.rows[key];
+        let known = &row.endpoint;
+        match entry.instance.against(&known.instance) {
+            Start::Earlier => return Update::default(),
+            Start::Later => return self.replace(key, entry, lists_born),
+            Start::Same => {}
+        }
+        if row.lists_born && !lists_born {
+            // The endpoint says when it started with each heartbeat; another writer didn't know.
+            let replaced = self.set_unreadable(entry.instance.id);
+            return Update {
+                is_news: false,
+                replaced,
+            };
+        }
+        // An endpoint that began to leave doesn't come back in the same start, whatever an entry that was read late
+        // says.
+        entry.leaving |= known.leaving;
+        if (known.address, &known.service) != (entry.address, &entry.service) {
+            // Connections and measurements belong to what was at the former address.
+            return self.replace(key, entry, lists_born);
+        }
         row.held_back = None;
         if row.is_report_preferred(now) {
             let reported = std::mem::take(&mut row.endpoint.holdings);
             row.held_back = Some((now, std::mem::replace(&mut entry.holdings, reported)));
         }
-        // An endpoint that began to leave doesn't come back under the same name, whatever an entry
-        // that was read late says.
-        entry.leaving |= row.endpoint.leaving;
+        entry.instance.born = entry.instance.born.or(row.endpoint.instance.born);
+        row.lists_born |= lists_born;
         row.endpoint = entry;
-        false
+        Update::default()
     }
 
-    /// Takes in what the controller knows. Gives whether it was news.
-    pub fn report(&mut self, now: Instant, r: &HoldingsReport) -> bool {
-        let Some(key) = self.key(&r.instance) else {
-            return false;
+    /// Takes in what the controller knows.
+    ///
+    /// A report of a later start than the list shows is the first word of it: the endpoint is used from then on as the
+    /// report says, with nothing at hand, since what the list says of copies was true of the former start.
+    pub fn report(&mut self, now: Instant, r: &HoldingsReport) -> Update {
+        let Some(key) = self.key(&r.instance.id) else {
+            return Update::default();
         };
         let row = &mut self.rows[key];
-        if row
-            .reported
-            .is_some_and(|(_, taken)| r.orders_taken < taken)
-        {
-            return false;
+        match r.instance.against(&row.endpoint.instance) {
+            Start::Earlier => return Update::default(),
+            Start::Later => {
+                let started = Endpoint {
+                    instance: r.instance.clone(),
+                    leaving: false,
+                    holdings: r.holdings.clone(),
+                    copies: BTreeSet::new(),
+                    ..row.endpoint.clone()
+                };
+                let lists_born = row.lists_born;
+                let update = self.replace(key, started, lists_born);
+                self.note_report(now, r);
+                return update;
+            }
+            Start::Same => {}
+        }
+        if row.is_older_report(now, r) {
+            return Update::default();
         }
-        row.reported = Some((now, r.orders_taken));
+        row.endpoint.instance.born = row.endpoint.instance.born.or(r.instance.born);
         row.held_back = None;
-        let news = row.endpoint.holdings != r.holdings;
-        if news {
+        let is_news = row.endpoint.holdings != r.holdings;
+        if is_news {
             row.endpoint.holdings = r.holdings.clone();
         }
-        news
+        self.note_report(now, r);
+        Update {
+            is_news,
+            replaced: None,
+        }
+    }
+
+    fn note_report(&mut self, now: Instant, r: &HoldingsReport) {
+        if let Some(key) = self.key(&r.instance.id) {
+            self.rows[key].reported = Some((now, r.orders_taken));
+        }
+    }
+
+    fn insert(&mut self, endpoint: Endpoint, lists_born: bool) -> Update {
+        let id = endpoint.instance.id.clone();
+        self.unreadable.remove(&id);
+        let key = self.rows.insert(Row::new(endpoint, lists_born));
+        self.keys.insert(id, key);
+        Update {
+            is_news: true,
+            replaced: None,
+        }
+    }
+
+    fn replace(&mut self, old: EndpointKey, endpoint: Endpoint, lists_born: bool) -> Update {
+        self.rows.remove(old);
+        Update {
+            replaced: Some(old),
+            ..self.insert(endpoint, lists_born)
+        }
     }
 
     /// Takes in what the list said while a report went before it, once the report is old. Gives whether anything
@@ -248,9 +371,23 @@
         }
     }
 
+    /// Takes an endpoint out of use whose entry can't be read: the entry names no endpoint. What it is sent already
+    /// goes on; a later entry that can be read brings it back. Gives its key if it was in use.
+    pub fn set_unreadable(&mut self, id: SmolStr) -> Option<EndpointKey> {
+        let key = self.remove(&id);
+        self.unreadable.insert(id);
+        key
+    }
+
+    /// Leaves only those ids among the unreadable ones that a whole reading of the list showed.
+    pub fn retain_unreadable(&mut self, shown: &BTreeSet<SmolStr>) {
+        self.unreadable.retain(|id| shown.contains(id));
+    }
+
     /// Drops an endpoint that is off the list.
-    pub fn remove(&mut self, instance: &str) -> Option<EndpointKey> {
-        let key = self.keys.remove(instance)?;
+    pub fn remove(&mut self, id: &str) -> Option<EndpointKey> {
+        self.unreadable.remove(id);
+        let key = self.keys.remove(id)?;
         self.rows.remove(key);
         Some(key)
     }
--- a/crates/limehollow/tests/order_book.rs
+++ b/crates/limehollow/tests/order_book.rs
@@ -2,6 +2,7 @@
 
 mod site;
 
+use limehollow::late_loads::Reserve;
 use limehollow::order_book::{AdapterStep, OrderBook};
 use limehollow::rebalance::{AdapterMove, EndpointReport};
 use limehollow::roster::ModelRef;
@@ -22,7 +23,7 @@
 }
 
 fn step(r: EndpointReport, m: &AdapterMove) -> AdapterStep {
-    OrderBook::from(r).adapter_step(m, &engine(2))
+    OrderBook::from(r).adapter_step(m, &engine(2), Reserve::default())
 }
 
 #[test]
@@ -71,7 +72,7 @@
     spec.megabytes = 70_040.0;
     let book = OrderBook::from(with(&[]));
     assert_eq!(
-        book.adapter_step(&load("a1", None), &spec),
+        book.adapter_step(&load("a1", None), &spec, Reserve::default()),
         AdapterStep::Impossible
     );
 }
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -3,6 +3,7 @@
 mod site;
 
 use limehollow::id::EndpointKey;
+use limehollow::late_loads::Reserve;
 use limehollow::rebalance::{AdapterMove, ModelMove, Rebalancer, Step, used};
 use limehollow::roster::{ModelRef, Roster};
 use site::{CEILING, adapter, demand, engine, holding, llm, report, roster};
@@ -196,7 +197,7 @@
         (report(3, false, &["big-2", "big-3"]), Step::NoRoom),
     ];
     for (r, expected) in cases {
-        assert_eq!(m.step(&r, &spec), expected, "{r:?}");
+        assert_eq!(m.step(&r, &spec, Reserve::default()), expected, "{r:?}");
     }
 }
 
--- /dev/null
+++ b/crates/limehollow/tests/restarts.rs
@@ -0,0 +1,316 @@
+//! Endpoints that start again under their ids, and entries that can't be read.
+
+mod site;
+
+use limehollow::instance::{Instance, StartCheck};
+use limehollow::late_loads::{LATE_FOR, LateLoads, Reserve};
+use limehollow::order_book::OrderBook;
+use limehollow::rebalance::{ModelMove, Step};
+use limehollow::roster::{Endpoint, HoldingsReport, REPORT_PREFERRED, Roster};
+use site::{endpoint, engine, holding, llm, model, report};
+use std::collections::BTreeSet;
+use tokio::time::{Instant, advance};
+
+const FIRST: Option<u64> = Some(1_000);
+const SECOND: Option<u64> = Some(2_000);
+
+fn instance(born: Option<u64>) -> Instance {
+    Instance {
+        id: "i-0".into(),
+        born,
+    }
+}
+
+fn entry(born: Option<u64>, models: &[&str]) -> Endpoint {
+    Endpoint {
+        instance: instance(born),
+        ..endpoint(0, "a", holding(models))
+    }
+}
+
+fn told(born: Option<u64>, orders_taken: u64, models: &[&str]) -> HoldingsReport {
+    HoldingsReport {
+        instance: instance(born),
+        holdings: holding(models),
+        orders_taken,
+    }
+}
+
+fn listed(born: Option<u64>, models: &[&str]) -> Roster {
+    let mut r = Roster::default();
+    r.list(Instant::now(), entry(born, models));
+    r
+}
+
+fn held(r: &Roster) -> Vec<String> {
+    let e = r.key("i-0").and_then(|k| r.get(k)).expect("it is there");
+    e.holdings.keys().map(ToString::to_string).collect()
+}
+
+#[test]
+fn list_of_a_later_start_takes_work_again() {
+    let mut r = listed(FIRST, &["big-0"]);
+    let first = r.key("i-0").expect("it is there");
+    r.leave(first);
+    let update = r.list(Instant::now(), entry(SECOND, &[]));
+    assert!(update.is_restart());
+    assert_eq!(update.replaced, Some(first));
+    assert!(
+        r.get(first).is_none(),
+        "the former start's key names nothing"
+    );
+    assert_eq!(r.open(&llm()).count(), 1);
+    assert_eq!(held(&r), Vec::<String>::new());
+}
+
+#[test]
+fn list_of_an_earlier_start_changes_nothing() {
+    let mut r = listed(SECOND, &["big-1"]);
+    let mut late = entry(FIRST, &["big-0"]);
+    late.leaving = true;
+    assert_eq!(r.list(Instant::now(), late).replaced, None);
+    assert_eq!(held(&r), ["big-1"]);
+    assert_eq!(r.open(&llm()).count(), 1);
+}
+
+#[test]
+fn list_of_the_same_start_keeps_the_key() {
+    let mut r = listed(FIRST, &["big-0"]);
+    let key = r.key("i-0");
+    assert!(!r.list(Instant::now(), entry(FIRST, &["big-1"])).is_news);
+    assert_eq!(r.key("i-0"), key);
+}
+
+#[test]
+fn list_at_another_address_is_another_key() {
+    // Connections and measurements belong to what was at the former address, whatever the entry says of its start.
+    let mut r = listed(None, &[]);
+    let key = r.key("i-0");
+    r.leave(key.expect("it is there"));
+    let mut moved = entry(None, &[]);
+    moved.address = ([127, 0, 0, 1], 9001).into();
+    assert_eq!(r.list(Instant::now(), moved).replaced, key);
+    assert_eq!(r.open(&llm()).count(), 0, "it is leaving all the same");
+}
+
+#[test]
+fn list_without_its_start_where_it_said_it_before() {
+    let mut r = listed(FIRST, &["big-0"]);
+    r.list(Instant::now(), entry(None, &["big-0"]));
+    assert_eq!(r.len(), 0, "another writer's entry names no endpoint");
+    assert!(r.list(Instant::now(), entry(FIRST, &["big-0"])).is_news);
+}
+
+#[test]
+fn list_without_its_start_where_only_a_report_said_it() {
+    let mut r = listed(None, &["big-0"]);
+    r.report(Instant::now(), &told(FIRST, 1, &["big-1"]));
+    r.list(Instant::now(), entry(None, &["big-0"]));
+    assert_eq!(r.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn list_of_a_later_start_goes_before_reports_of_the_former() {
+    let mut r = listed(FIRST, &["big-0"]);
+    r.report(Instant::now(), &told(FIRST, 9, &["big-0", "big-1"]));
+    r.list(Instant::now(), entry(SECOND, &[]));
+    assert_eq!(held(&r), Vec::<String>::new(), "it holds nothing now");
+    let late = r.report(Instant::now(), &told(FIRST, 10, &["big-0"]));
+    assert!(!late.is_news);
+    assert_eq!(held(&r), Vec::<String>::new());
+}
+
+#[test]
+fn report_of_a_later_start_counts_anew() {
+    let mut r = listed(FIRST, &["big-0"]);
+    r.report(Instant::now(), &told(FIRST, 9, &["big-0"]));
+    assert!(
+        r.report(Instant::now(), &told(SECOND, 1, &["big-2"]))
+            .is_restart()
+    );
+    assert_eq!(held(&r), ["big-2"]);
+    assert!(
+        r.report(Instant::now(), &told(SECOND, 2, &["big-1"]))
+            .is_news
+    );
+    assert_eq!(held(&r), ["big-1"]);
+}
+
+#[test]
+fn report_of_a_later_start_while_its_entry_stands() {
+    // The store is away: the entry of the former start stays, and says that it leaves.
+    let mut r = listed(FIRST, &["big-0"]);
+    let first = r.key("i-0").expect("it is there");
+    r.leave(first);
+    r.report(Instant::now(), &told(SECOND, 0, &[]));
+    let service = llm();
+    let (_, e) = r.open(&service).next().expect("the later start takes work");
+    assert_eq!(e.instance, instance(SECOND));
+    assert!(e.copies.is_empty(), "what was at hand is not known");
+    // What other VMs have at the former start is nothing to this one.
+    assert_eq!(r.find(&instance(FIRST)), None);
+    assert_eq!(r.find(&instance(SECOND)), r.key("i-0"));
+    assert_eq!(r.find(&instance(None)), r.key("i-0"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn report_with_a_lower_count_without_a_start() {
+    // Nothing says that the endpoint started again but its count; messages are repeated for a while.
+    let mut r = listed(None, &["big-0"]);
+    r.report(Instant::now(), &told(None, 9, &["big-0"]));
+    assert!(!r.report(Instant::now(), &told(None, 1, &["big-2"])).is_news);
+    advance(REPORT_PREFERRED).await;
+    assert!(r.report(Instant::now(), &told(None, 1, &["big-2"])).is_news);
+    assert_eq!(held(&r), ["big-2"]);
+}
+
+#[test]
+fn set_unreadable_until_an_entry_can_be_read() {
+    let mut r = listed(FIRST, &["big-0"]);
+    let key = r.key("i-0");
+    assert_eq!(r.set_unreadable("i-0".into()), key);
+    assert_eq!(r.open(&llm()).count(), 0);
+    assert_eq!(r.unreadable().count(), 1);
+    assert!(
+        !r.report(Instant::now(), &told(FIRST, 1, &["big-0"]))
+            .is_news
+    );
+    assert!(r.list(Instant::now(), entry(FIRST, &["big-0"])).is_news);
+    assert_eq!((r.open(&llm()).count(), r.unreadable().count()), (1, 0));
+}
+
+#[test]
+fn retain_unreadable_by_a_whole_reading() {
+    let mut r = Roster::default();
+    for id in ["x", "y"] {
+        assert_eq!(r.set_unreadable(id.into()), None);
+    }
+    r.retain_unreadable(&BTreeSet::from(["y".into()]));
+    assert!(r.unreadable().eq(["y"]));
+}
+
+#[test]
+fn start_check_by_start_and_by_count() {
+    for (born, orders, is_same) in [
+        (FIRST, 4, true),
+        (FIRST, 5, true),
+        (FIRST, 3, false),
+        (SECOND, 9, false),
+        (None, 5, true),
+        (None, 3, false),
+    ] {
+        let mut check = StartCheck::new(instance(None));
+        assert!(check.is_same(FIRST, 4));
+        assert_eq!(check.is_same(born, orders), is_same, "{born:?} {orders}");
+    }
+}
+
+fn book(born: Option<u64>, orders_taken: u64, models: &[&str]) -> OrderBook {
+    let mut r = report(orders_taken, false, models);
+    r.born = born;
+    OrderBook::from(r)
+}
+
+#[tokio::test(start_paused = true)]
+async fn reserve_for_a_load_that_may_come_late() {
+    let spec = engine(4);
+    let mut late = LateLoads::default();
+    late.note(Instant::now(), &instance(FIRST), &model("big-0"), 1);
+    let reserved = |late: &LateLoads, b: &OrderBook, loading: &str| {
+        let r = late.reserve(Instant::now(), "i-0", b, &model(loading), &spec);
+        r.megabytes > 0.0
+    };
+    for (b, loading, expected, why) in [
+        (
+            book(FIRST, 1, &[]),
+            "big-1",
+            false,
+            "the same start: the next order makes it void",
+        ),
+        (
+            book(SECOND, 0, &[]),
+            "big-1",
+            true,
+            "its number may still be met by chance",
+        ),
+        (
+            book(SECOND, 1, &["big-1"]),
+            "big-2",
+            true,
+            "its number is met",
+        ),
+        (
+            book(SECOND, 2, &["big-1"]),
+            "big-2",
+            false,
+            "its number has passed",
+        ),
+        (
+            book(SECOND, 1, &["big-0"]),
+            "big-2",
+            false,
+            "it is there already",
+        ),
+        (book(SECOND, 0, &[]), "big-0", false, "the same load"),
+        (
+            book(None, 0, &[]),
+            "big-1",
+            true,
+            "a lower count shows a later start",
+        ),
+        (
+            book(None, 1, &[]),
+            "big-1",
+            false,
+            "nothing shows another start",
+        ),
+    ] {
+        assert_eq!(reserved(&late, &b, loading), expected, "{why}");
+    }
+    advance(LATE_FOR).await;
+    assert!(
+        !reserved(&late, &book(SECOND, 0, &[]), "big-1"),
+        "it can't come any more"
+    );
+}
+
+/// An endpoint that takes 200 GB of models of 70 GB starts again while a load without an answer is under way. Whenever
+/// that arrives, by whatever number of orders, it fits.
+#[tokio::test(start_paused = true)]
+async fn step_never_overruns_with_a_late_load() {
+    let spec = engine(6);
+    for expected in 0..4 {
+        for arrives_at in 0..6 {
+            let mut late = LateLoads::default();
+            late.note(Instant::now(), &instance(FIRST), &model("big-5"), expected);
+            let (mut orders, mut there): (u64, Vec<&str>) = (0, Vec::new());
+            for name in ["big-0", "big-1", "big-2", "big-3"] {
+                if orders == arrives_at && orders == expected && !there.contains(&"big-5") {
+                    assert!(there.len() < 2, "{there:?} and big-5 at {orders}");
+                    there.push("big-5");
+                    orders += 1;
+                }
+                let r = report(orders, false, &there);
+                let b = book(SECOND, orders, &there);
+                let reserve = late.reserve(Instant::now(), "i-0", &b, &model(name), &spec);
+                let m = ModelMove {
+                    load: name.into(),
+                    evict: Vec::new(),
+                };
+                if m.step(&r, &spec, reserve) == Step::Load {
+                    there.push(name);
+                    orders += 1;
+                }
+                assert!(there.len() <= 2);
+            }
+        }
+    }
+    assert_eq!(
+        ModelMove {
+            load: "big-0".into(),
+            evict: Vec::new()
+        }
+        .step(&report(0, false, &["big-1"]), &spec, Reserve::default()),
+        Step::Load
+    );
+}
--- a/crates/limehollow/tests/roster.rs
+++ b/crates/limehollow/tests/roster.rs
@@ -18,7 +18,7 @@
 async fn list_older_than_the_report() {
     // The list lags and counts no orders: an entry that comes soon after a report is outdated.
     let (mut r, keys) = roster(&[&["big-0"]]);
-    assert!(r.report(Instant::now(), &report(2, &["big-1"])));
+    assert!(r.report(Instant::now(), &report(2, &["big-1"])).is_news);
     advance(REPORT_PREFERRED / 2).await;
     r.list(Instant::now(), endpoint(0, "a", holding(&["big-0"])));
     assert_eq!(
@@ -70,8 +70,8 @@
 #[test]
 fn report_older_than_the_last_one() {
     let (mut r, keys) = roster(&[&["big-0"]]);
-    assert!(r.report(Instant::now(), &report(3, &["big-2"])));
-    assert!(!r.report(Instant::now(), &report(2, &["big-1"])));
+    assert!(r.report(Instant::now(), &report(3, &["big-2"])).is_news);
+    assert!(!r.report(Instant::now(), &report(2, &["big-1"])).is_news);
     assert_eq!(
         r.get(keys[0]).expect("listed").holdings,
         holding(&["big-2"])
@@ -85,7 +85,7 @@
     for _ in 0..50 {
         r.list(Instant::now(), endpoint(0, "a", holding(&["big-0"])));
     }
-    assert!(r.report(Instant::now(), &report(1, &["big-1"])));
+    assert!(r.report(Instant::now(), &report(1, &["big-1"])).is_news);
     assert_eq!(
         r.get(keys[0]).expect("listed").holdings,
         holding(&["big-1"])
@@ -105,7 +105,10 @@
 fn remove_then_list_is_another_key() {
     let (mut r, keys) = roster(&[&["big-0"]]);
     assert_eq!(r.remove("i-0"), Some(keys[0]));
-    assert!(r.list(Instant::now(), endpoint(0, "a", holding(&[]))));
+    assert!(
+        r.list(Instant::now(), endpoint(0, "a", holding(&[])))
+            .is_news
+    );
     assert_ne!(r.key("i-0"), Some(keys[0]));
     assert!(r.get(keys[0]).is_none());
 }
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -64,7 +64,7 @@
 
 pub fn endpoint(i: usize, zone: &str, holdings: Holdings) -> Endpoint {
     Endpoint {
-        instance: format_smolstr!("i-{i}"),
+        instance: format_smolstr!("i-{i}").into(),
         service: llm(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: zone.into(),
@@ -115,6 +115,7 @@
 
 pub fn report(orders_taken: u64, busy: bool, models: &[&str]) -> EndpointReport {
     EndpointReport {
+        born: None,
         orders_taken,
         busy,
         holdings: holding(models),
