--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -7,16 +7,12 @@
 use crate::edge::{Feed, Protocol};
 use crate::logbook;
 use crate::metrics::{By, Metrics};
-use crate::settings::NodeSettings;
+pub use crate::receiver::hear;
+use crate::sender::GONE_SAID_FOR;
+pub use crate::sender::{Outgoing, Sender};
 use crate::site::{Known, Site};
-use limehollow::balance::{MESSAGE_LIFE, Taken};
-use limehollow::candidacy::Notice;
-use limehollow::id::{EndpointKey, VmName, ZoneName};
-use limehollow::instance::Instance;
-use limehollow::roster::ModelRef;
-use limehollow_wire::gossip::{LeaseNotice, Message, Scope, decode, encode};
-use smol_str::{SmolStr, format_smolstr};
-use std::collections::BTreeMap;
+use limehollow::balance::MESSAGE_LIFE;
+use limehollow_wire::gossip::{Message, decode, encode};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,22 +21,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, interval, sleep, timeout};
 
-/// How often a VM sends inside its zone, and one for it to other zones: a tenth of the tightest objective
-/// of the kinds that run models. What is older than that costs worth: at 120 ms inside and 240 ms between
-/// zones it was 0.02 to 0.04 on quiet days (`docs/design/system.md`).
-const EVERY: Duration = Duration::from_millis(80);
-/// The neighbours up to which it sends that often; with more of them it is slower in proportion, down to
-/// [`SLOWEST`], so that what a VM has to read stays bounded.
-const FEW: usize = 8;
-const SLOWEST: Duration = Duration::from_millis(240);
 /// How often at most a VM sends between its times, when a request waits for something.
 const URGENT_EVERY: Duration = Duration::from_millis(15);
-/// For how long changes of the list are repeated inside the zone; who misses them reads the store.
-const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
-/// For how long VMs are told of a start of an endpoint that is gone: some messages, some of which may be lost.
-const GONE_SAID_FOR: Duration = Duration::from_millis(1000);
-/// How many of them go into one message: a fifth of the endpoints of the largest site.
-const MAX_GONE: usize = 64;
 /// The largest datagram that is read.
 const MAX_MESSAGE: usize = 60 << 10;
 /// After how long what a VM's callers asked for, or waited for, counts no more.
@@ -49,9 +31,6 @@
 /// How often what is kept at rest is swept.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
-/// A message and where it goes.
-pub type Outgoing = (Message, Vec<SocketAddr>);
-
 /// Sends this VM's messages for as long as the process lives.
 pub async fn send<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
@@ -89,239 +68,6 @@
     }
 }
 
-/// Gives where the datagrams of the VMs arrive that the settings name, other than this one's.
-fn seeds(settings: &NodeSettings) -> Vec<SocketAddr> {
-    let named = settings
-        .seeds
-        .iter()
-        .filter_map(|s| s.parse::<SocketAddr>().ok());
-    let others = named.filter(|a| a.ip() != settings.ip);
-    others
-        .map(|a| SocketAddr::new(a.ip(), settings.peer_port))
-        .collect()
-}
-
-/// What one VM says, without the socket that it goes through.
-#[derive(Debug)]
-pub struct Sender<P> {
-    site: Arc<Site<P>>,
-    /// Tells this start of the process from others.
-    start: u64,
-    number: u64,
-    seeds: Vec<SocketAddr>,
-    /// When the zone's sums were said last.
-    summed: Instant,
-}
-
-impl<P> Sender<P>
-where
-    P: Protocol,
-{
-    /// Makes the messages of a VM that has said nothing yet.
-    #[must_use]
-    pub fn new(site: Arc<Site<P>>) -> Self {
-        Self {
-            start: rand::random(),
-            number: 0,
-            seeds: seeds(&site.settings.load()),
-            summed: Instant::now(),
-            site,
-        }
-    }
-
-    /// Gives the time until the next message.
-    #[must_use]
-    pub fn pace(&self) -> Duration {
-        let neighbours = self.site.known().peers.neighbours().len();
-        #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
-        let slower = neighbours as f64 / FEW as f64;
-        EVERY.mul_f64(slower.max(1.0)).min(SLOWEST)
-    }
-
-    /// Gives what is to be said now, and to whom.
-    pub fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
-        self.number += 1;
-        let site = Arc::clone(&self.site);
-        let mut known = site.known();
-        let known = &mut *known;
-        let own = self.own(now, known);
-        let mut to = known.peers.neighbours();
-        if !own.wants.is_empty() {
-            // The controller hears it at once, wherever it is.
-            let controller = known.candidacy.holder(now);
-            let controller = controller.and_then(|g| known.peers.address(g));
-            to.extend(controller.filter(|a| !to.contains(a)));
-        }
-        if known.peers.known() == 1 {
-            to.clone_from(&self.seeds);
-        }
-        let mut outgoing = Vec::new();
-        if !own.reports.is_empty() {
-            outgoing.push((news(&own), known.peers.zone_targets()));
-        }
-        if now.duration_since(self.summed) >= EVERY && known.peers.is_zone_leader(now) {
-            self.summed = now;
-            outgoing.push((sums(&own, now, known), known.peers.zone_targets()));
-        }
-        outgoing.push((own, to));
-        outgoing
-    }
-
-    fn own(&self, now: Instant, known: &mut Known) -> Message {
-        let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
-        known
-            .list_news
-            .retain(|(at, _)| fresh(at, LIST_REPEATED_FOR));
-        let named = |(k, t): (EndpointKey, Taken)| {
-            let e = known.roster.get(k)?;
-            Some((e.instance.clone(), t))
-        };
-        let me = SmolStr::new(self.site.me.as_str());
-        Message {
-            scope: Scope::Vm,
-            forward: false,
-            zone: SmolStr::new(self.site.zone.as_str()),
-            vms: 1,
-            address: format_smolstr!("{}", self.site.settings.load().peer_address()),
-            millicores: self.site.settings.load().millicores(),
-            reaches_store: !known.lease_failing,
-            start: self.start,
-            number: self.number,
-            taken: known.balance.own().filter_map(named).collect(),
-            unreached: unreached(now, known),
-            gone: gone(now, known),
-            demand: rates(known.arrivals.rates(now)),
-            wants: std::mem::take(&mut known.wants).into_iter().collect(),
-            reports: known.reports.take(),
-            list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
-            lease: own_notice(now, known),
-            positions: known.positions,
-            reading: known.readings.told(now),
-            from: me,
-        }
-    }
-}
-
-/// Gives the starts of endpoints that were found to be gone lately. In a message for other zones they are those of all
-/// VMs of this one, since what one VM finds the others take in as found.
-fn gone(now: Instant, known: &Known) -> Vec<Instance> {
-    let fresh = known
-        .gone
-        .iter()
-        .filter(|(_, at)| now.duration_since(**at) < GONE_SAID_FOR);
-    fresh.map(|(i, _)| i.clone()).take(MAX_GONE).collect()
-}
-
-fn unreached(now: Instant, known: &Known) -> Vec<Instance> {
-    let keys = known.balance.unreached(now);
-    keys.filter_map(|k| Some(known.roster.get(k)?.instance.clone()))
-        .collect()
-}
-
-fn rates(rates: Vec<(ModelRef, f64)>) -> Vec<(ModelRef, f32)> {
-    #[expect(clippy::cast_possible_truncation, reason = "rounding is harmless")]
-    let narrow = |(m, r)| (m, r as f32);
-    rates.into_iter().map(narrow).collect()
-}
-
-/// Makes a message that only carries what the controller did.
-fn news(own: &Message) -> Message {
-    Message {
-        scope: Scope::News,
-        forward: true,
-        vms: 0,
-        taken: Vec::new(),
-        unreached: Vec::new(),
-        gone: Vec::new(),
-        demand: Vec::new(),
-        wants: Vec::new(),
-        list: Vec::new(),
-        ..own.clone()
-    }
-}
-
-/// Makes the message of a zone: the sums over its VMs.
-fn sums(own: &Message, now: Instant, known: &Known) -> Message {
-    let here = |vm: &VmName| !is_zone(vm);
-    let fresh = |at: &Instant| now.duration_since(*at) < MESSAGE_LIFE;
-    let mut taken: BTreeMap<Instance, Taken> = own.taken.iter().cloned().collect();
-    for (instance, t) in known
-        .taken
-        .values()
-        .filter(|(at, _)| fresh(at))
-        .flat_map(|(_, t)| t)
-    {
-        taken.entry(instance.clone()).or_default().add(t);
-    }
-    let mut demand: BTreeMap<ModelRef, f32> = own.demand.iter().cloned().collect();
-    let others = known
-        .demand
-        .iter()
-        .filter(|(vm, (at, _))| here(vm) && fresh(at));
-    for (m, d) in others.flat_map(|(_, (_, d))| d) {
-        *demand.entry(m.clone()).or_default() += d;
-    }
-    Message {
-        scope: Scope::Zone,
-        vms: u16::try_from(known.peers.alive_here(now)).unwrap_or(u16::MAX),
-        taken: taken.into_iter().collect(),
-        demand: demand.into_iter().collect(),
-        gone: own.gone.clone(),
-        reports: Vec::new(),
-        lease: zone_notice(now, known),
-        ..news(own)
-    }
-}
-
-/// Gives what this VM says of the lease, if it holds it or has just resigned.
-fn own_notice(now: Instant, known: &Known) -> Option<LeaseNotice> {
-    let (notice, until) = known.lease_notice.as_ref()?;
-    (now < *until).then(|| said(now, notice))
-}
-
-/// Gives what a VM of this zone says of the lease, for the other zones.
-fn zone_notice(now: Instant, known: &Known) -> Option<LeaseNotice> {
-    let heard = known.candidacy.fresh(now);
-    let here = heard.filter(|w| known.peers.is_here(&w.vm));
-    here.map(|w| said(now, w))
-}
-
-fn said(now: Instant, w: &Notice) -> LeaseNotice {
-    let ago = |t: Instant| u32::try_from(now.duration_since(t).as_millis()).unwrap_or(u32::MAX);
-    LeaseNotice {
-        vm: w.vm.clone(),
-        fence: w.fence,
-        holds: w.holds,
-        ordered_ms_ago: w.last_order.map(ago),
-    }
-}
-
-fn heard(now: Instant, w: LeaseNotice) -> Notice {
-    // What is on its way was said earlier, so the last order can only be longer ago than this says.
-    let at = |ms: u32| {
-        now.checked_sub(Duration::from_millis(u64::from(ms)))
-            .unwrap_or(now)
-    };
-    Notice {
-        vm: w.vm,
-        fence: w.fence,
-        holds: w.holds,
-        last_order: w.ordered_ms_ago.map(at),
-    }
-}
-
-/// The name under which a zone's sums are kept beside the messages of VMs.
-fn zone_name(zone: &str) -> VmName {
-    VmName::from(format!("{ZONE_MARK}{zone}"))
-}
-
-/// No VM's name begins with it.
-const ZONE_MARK: &str = "zone/";
-
-fn is_zone(vm: &VmName) -> bool {
-    vm.as_str().starts_with(ZONE_MARK)
-}
-
 /// Takes in other VMs' messages for as long as the process lives.
 pub async fn receive<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
 where
@@ -357,84 +103,6 @@
     sleep(URGENT_EVERY).await;
 }
 
-/// Takes in another VM's message. Gives what is to be passed on, and to whom.
-pub fn hear<P>(site: &Site<P>, mut w: Message) -> Option<Outgoing>
-where
-    P: Protocol,
-{
-    let on = std::mem::take(&mut w.forward).then(|| (w.clone(), site.known().peers.neighbours()));
-    take_in(site, w);
-    on
-}
-
-fn take_in<P>(site: &Site<P>, w: Message)
-where
-    P: Protocol,
-{
-    let now = Instant::now();
-    let zone = ZoneName::from(w.zone.as_str());
-    {
-        let mut known = site.known();
-        let known = &mut *known;
-        if let Ok(address) = w.address.parse()
-            && known
-                .peers
-                .learn(w.from.clone(), zone.clone(), address, w.millicores)
-        {
-            tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
-        }
-        let key = |(i, t): &(Instance, Taken)| Some((known.roster.find(i)?, *t));
-        let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
-        for instance in &w.gone {
-            if known.note_gone(now, instance) {
-                tracing::info!(%instance, by = %w.from, "an endpoint is gone");
-            }
-        }
-        match w.scope {
-            Scope::Vm => {
-                let is_new = known.peers.receive(now, &w.from, w.start, w.number);
-                if is_new && zone == site.zone {
-                    known.peers.note_store(&w.from, w.reaches_store);
-                    known
-                        .peers
-                        .note_list(&w.from, w.reading.endpoints.is_some());
-                    let from = VmName::from(w.from.as_str());
-                    known.balance.receive(now, from.clone(), taken);
-                    for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
-                        known.balance.told_unreached(now, key);
-                    }
-                    known.taken.insert(from.clone(), (now, w.taken));
-                    known.demand.insert(from, (now, w.demand));
-                }
-            }
-            Scope::Zone if zone != site.zone => {
-                known
-                    .peers
-                    .receive_zone(now, zone, w.from.clone(), usize::from(w.vms));
-                let from = zone_name(&w.zone);
-                known.balance.receive(now, from.clone(), taken);
-                known.demand.insert(from, (now, w.demand));
-            }
-            Scope::Zone | Scope::News => {}
-        }
-        known.wanted.extend(w.wants.into_iter().map(|m| (m, now)));
-        // A zone that repeats what is known here says nothing new, but is heard all the same.
-        if let Some(notice) = w.lease
-            && known.candidacy.hear(now, heard(now, notice))
-        {
-            site.lease_free.notify_one();
-        }
-    }
-    for r in &w.reports {
-        site.report(now, r);
-    }
-    // Since when the store is sound decides on removals among the changes.
-    site.note_peer(&w.from, w.positions, w.reading);
-    for l in w.list {
-        site.offer_list(l);
-    }
-}
-
 /// Notes how old the copies of the feeds are that have a bound.
 fn note_ages(now: Instant, known: &Known, metrics: &Metrics) {
     let feeds = [
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! * [`caller`] accepts connections, [`request`] is the life of one request, [`attempt`] one try at an
 //!   endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
-//! * [`follow`] keeps configuration and list up to date, [`gossip`] what other VMs say, [`peer_state`]
+//! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
 //! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
 //! * [`site`] is the state that they share, [`run`] puts all together.
@@ -33,9 +33,11 @@
 pub mod peer_state;
 pub mod pool;
 pub mod reading;
+mod receiver;
 pub mod relay;
 pub mod request;
 pub mod run;
+mod sender;
 pub mod settings;
 pub mod site;
 mod small_server;
--- /dev/null
+++ b/crates/limehollow-node/src/receiver.rs
@@ -0,0 +1,116 @@
+//! How another VM's message is taken in, and what of it is passed on.
+
+use crate::edge::Protocol;
+use crate::sender::Outgoing;
+use crate::site::Site;
+use limehollow::balance::Taken;
+use limehollow::candidacy::Notice;
+use limehollow::id::{EndpointKey, VmName, ZoneName};
+use limehollow::instance::Instance;
+use limehollow_wire::gossip::{LeaseNotice, Message, Scope};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Takes in another VM's message. Gives what is to be passed on, and to whom.
+pub fn hear<P>(site: &Site<P>, mut w: Message) -> Option<Outgoing>
+where
+    P: Protocol,
+{
+    let on = std::mem::take(&mut w.forward).then(|| (w.clone(), site.known().peers.neighbours()));
+    take_in(site, w);
+    on
+}
+
+fn take_in<P>(site: &Site<P>, w: Message)
+where
+    P: Protocol,
+{
+    let now = Instant::now();
+    let zone = ZoneName::from(w.zone.as_str());
+    {
+        let mut known = site.known();
+        let known = &mut *known;
+        if let Ok(address) = w.address.parse()
+            && known
+                .peers
+                .learn(w.from.clone(), zone.clone(), address, w.millicores)
+        {
+            tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
+        }
+        let key = |(i, t): &(Instance, Taken)| Some((known.roster.find(i)?, *t));
+        let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
+        for instance in &w.gone {
+            if known.note_gone(now, instance) {
+                tracing::info!(%instance, by = %w.from, "an endpoint is gone");
+            }
+        }
+        match w.scope {
+            Scope::Vm => {
+                let is_new = known.peers.receive(now, &w.from, w.start, w.number);
+                if is_new && zone == site.zone {
+                    known.peers.note_store(&w.from, w.reaches_store);
+                    known
+                        .peers
+                        .note_list(&w.from, w.reading.endpoints.is_some());
+                    let from = VmName::from(w.from.as_str());
+                    known.balance.receive(now, from.clone(), taken);
+                    for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
+                        known.balance.told_unreached(now, key);
+                    }
+                    known.taken.insert(from.clone(), (now, w.taken));
+                    known.demand.insert(from, (now, w.demand));
+                }
+            }
+            Scope::Zone if zone != site.zone => {
+                known
+                    .peers
+                    .receive_zone(now, zone, w.from.clone(), usize::from(w.vms));
+                let from = zone_name(&w.zone);
+                known.balance.receive(now, from.clone(), taken);
+                known.demand.insert(from, (now, w.demand));
+            }
+            Scope::Zone | Scope::News => {}
+        }
+        known.wanted.extend(w.wants.into_iter().map(|m| (m, now)));
+        // A zone that repeats what is known here says nothing new, but is heard all the same.
+        if let Some(notice) = w.lease
+            && known.candidacy.hear(now, heard(now, notice))
+        {
+            site.lease_free.notify_one();
+        }
+    }
+    for r in &w.reports {
+        site.report(now, r);
+    }
+    // Since when the store is sound decides on removals among the changes.
+    site.note_peer(&w.from, w.positions, w.reading);
+    for l in w.list {
+        site.offer_list(l);
+    }
+}
+
+fn heard(now: Instant, w: LeaseNotice) -> Notice {
+    // What is on its way was said earlier, so the last order can only be longer ago than this says.
+    let at = |ms: u32| {
+        now.checked_sub(Duration::from_millis(u64::from(ms)))
+            .unwrap_or(now)
+    };
+    Notice {
+        vm: w.vm,
+        fence: w.fence,
+        holds: w.holds,
+        last_order: w.ordered_ms_ago.map(at),
+    }
+}
+
+/// The name under which a zone's sums are kept beside the messages of VMs.
+fn zone_name(zone: &str) -> VmName {
+    VmName::from(format!("{ZONE_MARK}{zone}"))
+}
+
+/// No VM's name begins with it.
+const ZONE_MARK: &str = "zone/";
+
+pub(crate) fn is_zone(vm: &VmName) -> bool {
+    vm.as_str().starts_with(ZONE_MARK)
+}
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -284,7 +284,7 @@
         self.loaded.retain(|_, t| now.duration_since(*t) < MIN_STAY);
         self.failed
             .retain(|_, t| now.duration_since(*t) < FAILED_REST);
-        self.recent.find(|| replicas_of(roster, service));
+        self.recent.note_placement(|| replicas_of(roster, service));
         let mut table = Table::new(self, roster, service, spec);
         let mut out = Vec::new();
         while out.len() < MAX_MOVES {
--- a/crates/limehollow/src/rebalance/recent.rs
+++ b/crates/limehollow/src/rebalance/recent.rs
@@ -110,8 +110,8 @@
 
 /// Commands.
 impl Recent {
-    /// Takes in the placement, the first time.
-    pub(super) fn find<F>(&mut self, placement: F)
+    /// Takes in the placement that is found, the first time only.
+    pub(super) fn note_placement<F>(&mut self, placement: F)
     where
         F: FnOnce() -> BTreeMap<SmolStr, usize>,
     {
