--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -50,8 +51,9 @@
         tokio::select! {
             () = &mut stopped => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(connection(Arc::clone(&site), stream, closing.clone()));
+                Ok((stream, from)) => {
+                    let served = connection(Arc::clone(&site), stream, from.ip(), closing.clone());
+                    connections.spawn(served);
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a connection could not be accepted");
@@ -74,8 +76,12 @@
     TURN_AWAY.min(grace.mul_f64(TURN_AWAY_SHARE))
 }
 
-async fn connection<P>(site: Arc<Site<P>>, stream: TcpStream, mut closing: watch::Receiver<bool>)
-where
+async fn connection<P>(
+    site: Arc<Site<P>>,
+    stream: TcpStream,
+    from: IpAddr,
+    mut closing: watch::Receiver<bool>,
+) where
     P: Protocol + Unpin,
 {
     if let Err(e) = stream.set_nodelay(true) {
@@ -84,7 +90,7 @@
     let limits = site.catalog.load().as_ref().map(|c| c.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout);
     let head = limits.map_or(DEFAULT_HEAD, |l| l.head_bytes).max(MIN_HEAD);
-    let service = service_fn(move |req| request::handle(Arc::clone(&site), req));
+    let service = service_fn(move |req| request::handle(Arc::clone(&site), from, req));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use limehollow::balance::{Bounds, Choice};
 use limehollow::catalog::{Catalog, Rule};
+use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::job::Job;
 use limehollow::load::Ending;
@@ -23,6 +24,7 @@
 use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
 use limehollow::verdict::{Failure, Verdict};
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -63,6 +65,7 @@
 /// None: what goes wrong is an answer too.
 pub async fn handle<P>(
     site: Arc<Site<P>>,
+    from: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<Outgoing<P>>, Infallible>
 where
@@ -71,7 +74,7 @@
     let arrived = Instant::now();
     let (head, body) = req.into_parts();
     let closes = site.is_stopping();
-    let mut res = answer(site, arrived, head, body).await;
+    let mut res = answer(site, from, arrived, head, body).await;
     if closes {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
@@ -81,6 +84,7 @@
 
 async fn answer<P>(
     site: Arc<Site<P>>,
+    from: IpAddr,
     arrived: Instant,
     mut head: Parts,
     body: Incoming,
@@ -141,6 +145,7 @@
             );
         }
     };
+    let fingerprint = fingerprint(from, &head, &body);
     passage::clean(&mut head.headers, |n| site.protocol.request_header(n));
     let d = Dispatch {
         job: job(service, rule, &ask),
@@ -150,6 +155,8 @@
         ask: &ask,
         head: &head,
         body,
+        caller: from,
+        fingerprint,
         arrived,
         expiry,
         tried: Vec::new(),
@@ -167,6 +174,17 @@
     host.split_once(':').map_or(host, |(h, _)| h)
 }
 
+fn fingerprint(caller: IpAddr, head: &Parts, body: &Bytes) -> Fingerprint {
+    let path = head.uri.path_and_query();
+    Fingerprint::of(&Identity {
+        caller,
+        method: head.method.as_str(),
+        host: host(head),
+        path: path.map_or("", |p| p.as_str()),
+        body,
+    })
+}
+
 fn job(service: &ServiceName, rule: &Rule, ask: &Ask) -> Job {
     match &ask.model {
         Some(m) => {
@@ -188,6 +206,8 @@
     ask: &'a Ask,
     head: &'a Parts,
     body: Bytes,
+    caller: IpAddr,
+    fingerprint: Fingerprint,
     job: Job,
     arrived: Instant,
     expiry: Instant,
@@ -522,6 +542,8 @@
             let model = self.job.model.as_ref();
             tracing::info!(
                 id = %self.ask.id,
+                request = %self.fingerprint,
+                caller = %self.caller,
                 rule = %self.rule.name,
                 version = self.catalog.version,
                 endpoint = %c.to.instance,
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod demand;
 pub mod error;
 pub mod explain;
+pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
 pub mod group_lease;
