A failing test: a request that crashes endpoints comes again at other VMs

Four VMs in two zones before six endpoints; an endpoint ends 20 ms after it has begun to run the request, and comes back as another start after 300 ms.

--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -74,7 +74,7 @@
 
 impl Known {
     /// Takes in an entry of the list.
-    pub(crate) fn list(&mut self, now: Instant, e: Endpoint) -> Update {
+    pub fn list(&mut self, now: Instant, e: Endpoint) -> Update {
         let update = self.roster.list(now, e);
         self.forget(update.replaced);
         update
@@ -113,7 +113,7 @@
     }
 
     /// Drops an endpoint that is off the list. Gives whether it was there.
-    pub(crate) fn drop_endpoint(&mut self, id: &str) -> bool {
+    pub fn drop_endpoint(&mut self, id: &str) -> bool {
         self.withheld.remove(id);
         let gone = self.roster.remove(id);
         self.forget(gone);
--- /dev/null
+++ b/crates/limehollow-node/tests/rig/crashing.rs
@@ -0,0 +1,237 @@
+//! A site whose endpoints end under a request that crashes whoever runs it, and come back as new starts.
+
+use super::{Gateway, Plain, answer, parse_settings, request, rule};
+use limehollow::id::{ServiceName, ZoneName};
+use limehollow::retry::Repeat;
+use limehollow::roster::Endpoint;
+use limehollow_node::gossip;
+use limehollow_node::site::Site;
+use smol_str::format_smolstr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep};
+
+/// A body that crashes the endpoint that runs it.
+pub const CRASHING: &str = "crash whoever runs this";
+/// How long the endpoint lives once it has begun to run it: it has sent a first piece by then.
+const CRASHES_AFTER: Duration = Duration::from_millis(20);
+/// How long an answer takes that is whole.
+const WORK: Duration = Duration::from_millis(60);
+/// How long an endpoint is gone.
+const RESTARTS_AFTER: Duration = Duration::from_millis(300);
+/// The caller that asks, where a test doesn't say.
+pub const CALLER: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+/// What endpoints saw.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// When requests with a crashing body reached an endpoint.
+    pub arrivals: Mutex<Vec<Instant>>,
+    /// When endpoints ended under one.
+    pub crashes: Mutex<Vec<Instant>>,
+    starts: AtomicUsize,
+}
+
+/// Several VMs in two zones before endpoints that can end.
+#[derive(Debug)]
+pub struct CrashingSite {
+    pub vms: Vec<Gateway>,
+    pub seen: Arc<Seen>,
+    sites: Arc<Vec<Arc<Site<Plain>>>>,
+}
+
+impl CrashingSite {
+    /// Starts so many VMs, whose addresses begin with 127.`net`, and so many endpoints.
+    pub async fn start(net: u8, vms: u8, endpoints: usize) -> Self {
+        let mut started = Vec::new();
+        for i in 0..vms {
+            started.push(start_vm(net, i).await);
+        }
+        let sites: Vec<_> = started.iter().map(|g| Arc::clone(&g.site)).collect();
+        for site in &sites {
+            introduce(site, &sites);
+        }
+        let site = Self {
+            vms: started,
+            seen: Arc::default(),
+            sites: Arc::new(sites),
+        };
+        for _ in 0..endpoints {
+            let (sites, seen) = (Arc::clone(&site.sites), Arc::clone(&site.seen));
+            tokio::spawn(endpoint_lives(sites, seen));
+        }
+        while site.sites[0].known().roster.len() < endpoints {
+            sleep(Duration::from_millis(5)).await;
+        }
+        site
+    }
+
+    /// Starts a VM anew that knows nothing but who the others are.
+    pub async fn restart(&mut self, net: u8, i: u8) {
+        let g = start_vm(net, i + 100).await;
+        introduce(&g.site, &self.sites);
+        let listed: Vec<Endpoint> = {
+            let known = self.sites[0].known();
+            known.roster.iter().map(|(_, e)| e.clone()).collect()
+        };
+        for e in listed {
+            g.site.known().roster.list(Instant::now(), e);
+        }
+        self.vms[usize::from(i)] = g;
+    }
+
+    /// Asks a VM as this caller, and gives all that comes until the connection ends.
+    pub async fn ask(&self, vm: usize, caller: Ipv4Addr, id: &str, body: &str) -> String {
+        ask(self.vms[vm].address, caller, id, body).await
+    }
+
+    /// Counts the crashing requests that reached endpoints later than this after the third endpoint had ended.
+    pub fn arrivals_after_third(&self, slack: Duration) -> usize {
+        let crashes = self.seen.crashes.lock().expect("sound");
+        let Some(third) = crashes.get(2) else {
+            return 0;
+        };
+        let arrivals = self.seen.arrivals.lock().expect("sound");
+        arrivals.iter().filter(|t| **t > *third + slack).count()
+    }
+
+    pub fn crashes(&self) -> usize {
+        self.seen.crashes.lock().expect("sound").len()
+    }
+}
+
+/// Asks at an address as this caller.
+pub async fn ask(to: SocketAddr, caller: Ipv4Addr, id: &str, body: &str) -> String {
+    let socket = TcpSocket::new_v4().expect("a socket is free");
+    socket
+        .bind(SocketAddr::new(IpAddr::V4(caller), 0))
+        .expect("the caller has this address");
+    let mut s = socket.connect(to).await.expect("it accepts");
+    let head = request("/a/x", id, "connection: close\r\n", body);
+    s.write_all(head.as_bytes()).await.expect("it is written");
+    let mut out = Vec::new();
+    // A connection that is reset ends the answer too.
+    let _reset = s.read_to_end(&mut out).await;
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+async fn start_vm(net: u8, i: u8) -> Gateway {
+    let ip = Ipv4Addr::new(127, net, 0, i + 1);
+    let socket = UdpSocket::bind((ip, 0)).await.expect("a port is free");
+    let port = socket.local_addr().expect("it is bound").port();
+    let own = format!(
+        "name = \"vm-{i}\"\navailability_zone = \"z{}\"\nip = \"{ip}\"\npeer_port = {port}\n",
+        i % 2
+    );
+    let site = Site::new(parse_settings(&own), Plain);
+    let mut r = rule("/a/", Repeat::Never, 1);
+    r.stream = true;
+    site.set_catalog(super::catalog(1, vec![r]));
+    let (socket, wanted) = (Arc::new(socket), Arc::new(Notify::new()));
+    tokio::spawn(gossip::send(
+        Arc::clone(&site),
+        Arc::clone(&socket),
+        Arc::clone(&wanted),
+    ));
+    tokio::spawn(gossip::receive(Arc::clone(&site), socket, wanted));
+    Gateway::with(site).await
+}
+
+fn introduce(site: &Arc<Site<Plain>>, others: &[Arc<Site<Plain>>]) {
+    for other in others {
+        let s = other.settings.load();
+        site.known().peers.learn(
+            s.name.as_str().into(),
+            other.zone.clone(),
+            s.peer_address(),
+            s.millicores(),
+        );
+    }
+}
+
+/// One endpoint: start after start, each listed on all VMs for as long as it lives.
+async fn endpoint_lives(sites: Arc<Vec<Arc<Site<Plain>>>>, seen: Arc<Seen>) {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let n = seen.starts.fetch_add(1, Ordering::Relaxed);
+        let e = Endpoint {
+            instance: format_smolstr!("i-{n}").into(),
+            service: ServiceName::from("portal"),
+            address: listener.local_addr().expect("it is bound"),
+            zone: ZoneName::from(format!("z{}", n % 2)),
+            slots: 6,
+            leaving: false,
+            holdings: BTreeMap::new(),
+            copies: BTreeSet::new(),
+        };
+        for site in sites.iter() {
+            site.known().list(Instant::now(), e.clone());
+        }
+        start_until_crash(listener, Arc::clone(&seen)).await;
+        sleep(RESTARTS_AFTER).await;
+        for site in sites.iter() {
+            site.known().drop_endpoint(&e.instance.id);
+        }
+    }
+}
+
+/// Serves until a request crashes it; all its connections end then, and nobody listens any more.
+async fn start_until_crash(listener: TcpListener, seen: Arc<Seen>) {
+    let (crash, crashed) = watch::channel(false);
+    let crash = Arc::new(crash);
+    loop {
+        let mut over = crashed.clone();
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = over.wait_for(|c| *c) => return,
+        };
+        let (stream, _) = accepted.expect("it accepts");
+        let (crash, seen) = (Arc::clone(&crash), Arc::clone(&seen));
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve(stream, &crash, &seen) => {}
+                _ = over.wait_for(|c| *c) => {}
+            }
+        });
+    }
+}
+
+async fn serve(mut stream: TcpStream, crash: &watch::Sender<bool>, seen: &Seen) {
+    let mut buf = vec![0; 4096];
+    loop {
+        let n = match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => n,
+            _ => return,
+        };
+        let text = String::from_utf8_lossy(&buf[..n]).into_owned();
+        let id = text.lines().find_map(|l| l.strip_prefix("x-id: "));
+        let id = id.unwrap_or("").to_owned();
+        if text.contains(CRASHING) {
+            seen.arrivals.lock().expect("sound").push(Instant::now());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 100\r\n\r\npiece"
+            );
+            stream
+                .write_all(head.as_bytes())
+                .await
+                .expect("it is written");
+            sleep(CRASHES_AFTER).await;
+            seen.crashes.lock().expect("sound").push(Instant::now());
+            crash.send_replace(true);
+            return;
+        }
+        sleep(WORK).await;
+        let whole = answer(200, &id, "x-mark: m\r\n", "the draft");
+        if stream.write_all(&whole).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod crashing;
 pub mod fleet;
 
 use bytes::Bytes;
