--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -5,7 +5,7 @@
 
 use crate::attempt::Target;
 use crate::edge::{Protocol, Store};
-use crate::lease::{SharedLease, keep_lease, with_lease};
+use crate::lease::{SharedLease, fence, keep_lease};
 use crate::order_task::{Ended, Moved, OrderTask, SharedLateLoads, SharedLoadWindow};
 use crate::site::{Known, Site};
 use limehollow::catalog::{Catalog, EngineSpec};
@@ -138,7 +138,7 @@
 
     /// Weighs demand anew, and begins the moves that it asks for.
     fn weigh(&mut self) {
-        let Some(fence) = with_lease(&self.lease, |l| l.fence(Instant::now())) else {
+        let Some(fence) = fence(&self.site, &self.lease) else {
             if self.at_work.is_empty() {
                 self.rebalancers.clear();
                 self.books.clear();
@@ -208,7 +208,7 @@
 
     /// Begins to load adapters that are asked for and not there.
     fn load_adapters(&mut self) {
-        if with_lease(&self.lease, |l| l.fence(Instant::now())).is_none() {
+        if fence(&self.site, &self.lease).is_none() {
             return;
         }
         let Some(catalog) = self.site.catalog.load_full() else {
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -11,22 +11,33 @@
 use tokio::time::{Instant, sleep};
 
 /// The lease as the tasks of this process share it.
-pub(crate) type SharedLease = Arc<Mutex<GroupLease>>;
+pub type SharedLease = Arc<Mutex<GroupLease>>;
 
 /// Uses the lease; it is never held over an `await`.
-pub(crate) fn with_lease<T, F>(lease: &SharedLease, f: F) -> T
+pub fn with_lease<T, F>(lease: &SharedLease, f: F) -> T
 where
     F: FnOnce(&mut GroupLease) -> T,
 {
     f(&mut lease.lock().unwrap_or_else(PoisonError::into_inner))
 }
 
+/// Gives the fencing number if this VM may give orders now.
+#[must_use]
+pub fn fence<P>(site: &Site<P>, lease: &SharedLease) -> Option<u64>
+where
+    P: Protocol,
+{
+    let now = Instant::now();
+    let _ = site;
+    with_lease(lease, |l| l.fence(now))
+}
+
 /// For how long a VM that has resigned says so: some of its zone's messages may be lost.
 const RESIGNED_FOR: Duration = Duration::from_secs(2);
 
 /// Joins the group again and again while this VM stands for the lease or holds it; leaves it when the process
 /// ends, or when others stand.
-pub(crate) async fn keep_lease<P, S>(
+pub async fn keep_lease<P, S>(
     site: Arc<Site<P>>,
     store: S,
     lease: SharedLease,
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -18,13 +18,14 @@
 pub mod answer;
 pub mod attempt;
 pub mod caller;
+pub mod clock;
 pub mod controller;
 mod crash_probe;
 pub mod edge;
 pub mod follow;
 mod follower;
 pub mod gossip;
-mod lease;
+pub mod lease;
 mod list;
 pub mod logbook;
 pub mod metrics;
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -2,6 +2,7 @@
 //!
 //! All of it is used on one thread; the locks are never held over an `await`.
 
+use crate::clock::Clock;
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
 use crate::logbook::may_log;
@@ -216,6 +217,8 @@
     pub catalog: ArcSwapOption<Catalog>,
     /// What callers and endpoints speak.
     pub protocol: P,
+    /// The clock by which ages are reckoned.
+    pub clock: Arc<Clock>,
     /// Connections to endpoints for callers' requests.
     pub pool: Pool,
     /// Connections to endpoints for reports and orders: a new one may have to wait for a place at an endpoint
@@ -254,6 +257,12 @@
     /// Makes the state of a process that knows nothing yet.
     #[must_use]
     pub fn new(settings: NodeSettings, protocol: P) -> Arc<Self> {
+        Self::with_clock(settings, protocol, Arc::new(Clock::system()))
+    }
+
+    /// Makes the state of a process with this clock.
+    #[must_use]
+    pub fn with_clock(settings: NodeSettings, protocol: P, clock: Arc<Clock>) -> Arc<Self> {
         let zone = ZoneName::from(settings.availability_zone.as_str());
         let known = Known {
             roster: Roster::default(),
@@ -290,6 +299,7 @@
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
             protocol,
+            clock,
             pool: Pool::default(),
             control_pool: Pool::default(),
             metrics: Metrics::default(),
@@ -309,6 +319,11 @@
         })
     }
 
+    /// Gives the time now, by the clock that goes on while the machine is suspended.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Gives the shared knowledge; never hold it over an `await`.
     pub fn known(&self) -> MutexGuard<'_, Known> {
         // A panic elsewhere leaves counters at worst a little off.
