Ages go on while the machine is suspended

Cause: all ages were reckoned by the steady clock, which stands still with the machine; also the lease's, so that a VM that was away for ten seconds found its renewal 200 ms old and ordered beside the VM that had it by then. Class: an age by a clock that may stop.

Change: one clock for the process, the runtime's plus what the boot clock was ahead of the steady one since the start. All that compares times reads it, all that waits for a time waits with it, and the sender, which runs several times a second anyway, says how much was lost and wakes those who wait. A suspension is then what a freeze is, which the code bears.

Ruled out: shifting what was noted back at a resume: each place forgotten would be wrong, and an order may go before the shift.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::sleep;
 
 /// How long a caller's connection may be at rest as long as no configuration says it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -65,8 +65,8 @@
     }
     drop(listener);
     let _nobody = closing_tx.send(true);
-    let end = Instant::now() + grace.saturating_sub(turn_away + CUT_BEFORE);
-    while let Ok(Some(_ended)) = timeout_at(end, connections.join_next()).await {}
+    let end = site.now() + grace.saturating_sub(turn_away + CUT_BEFORE);
+    while let Ok(Some(_ended)) = site.clock.timeout_at(end, connections.join_next()).await {}
     tracing::info!(left = connections.len(), "callers served");
 }
 
--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -4,6 +4,7 @@
 //! several times a second and begins a task for each move (`order_task`).
 
 use crate::attempt::Target;
+use crate::clock::Clock;
 use crate::edge::{Protocol, Store};
 use crate::lease::{SharedLease, fence, keep_lease};
 use crate::order_task::{Ended, Moved, OrderTask, SharedLateLoads, SharedLoadWindow};
@@ -18,7 +19,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 /// How often demand is weighed for models, and at most for adapters.
 const WEIGH_EVERY: Duration = Duration::from_millis(200);
@@ -53,21 +54,21 @@
         store_loads: BTreeMap::new(),
         fence: 0,
         at_work: BTreeSet::new(),
-        logged: Instant::now(),
+        logged: site.now(),
         ended: ended_tx,
     };
-    tokio::spawn(keep_lease(site, store, lease, stop));
-    let mut models_due = Instant::now();
-    let mut adapters_due = Instant::now();
+    tokio::spawn(keep_lease(Arc::clone(&site), store, lease, stop));
+    let mut models_due = site.now();
+    let mut adapters_due = site.now();
     let mut asked = false;
     loop {
         tokio::select! {
-            () = sleep_until(models_due) => {
-                models_due = next_after(WEIGH_EVERY, || g.weigh());
+            () = site.clock.sleep_until(models_due) => {
+                models_due = next_after(&site.clock, WEIGH_EVERY, || g.weigh());
                 asked = true;
             }
-            () = sleep_until(adapters_due), if asked => {
-                adapters_due = next_after(WEIGH_ADAPTERS_EVERY, || g.load_adapters());
+            () = site.clock.sleep_until(adapters_due), if asked => {
+                adapters_due = next_after(&site.clock, WEIGH_ADAPTERS_EVERY, || g.load_adapters());
                 asked = false;
             }
             () = wanted.notified() => asked = true,
@@ -86,13 +87,13 @@
 }
 
 /// Weighs, and gives when to weigh again.
-fn next_after<F>(every: Duration, weigh: F) -> Instant
+fn next_after<F>(clock: &Clock, every: Duration, weigh: F) -> Instant
 where
     F: FnOnce(),
 {
-    let began = Instant::now();
+    let began = clock.now();
     weigh();
-    let now = Instant::now();
+    let now = clock.now();
     (began + every).max(now + now.duration_since(began) * REST_AFTER)
 }
 
@@ -130,8 +131,8 @@
         };
         if let Some(r) = self.rebalancers.get_mut(&e.service) {
             match e.what {
-                Moved::Model => r.model_ended(Instant::now(), e.key, e.book.is_some()),
-                Moved::Adapter => r.adapter_ended(Instant::now(), e.key, e.book.is_some()),
+                Moved::Model => r.model_ended(self.site.now(), e.key, e.book.is_some()),
+                Moved::Adapter => r.adapter_ended(self.site.now(), e.key, e.book.is_some()),
             }
         }
     }
@@ -150,7 +151,7 @@
         };
         self.forget_former_starts();
         self.note_lease(fence, &catalog);
-        let now = Instant::now();
+        let now = self.site.now();
         let demand = self.demand(now);
         let ceiling = self.site.settings.load().ceiling();
         for (service, spec) in &catalog.services {
@@ -190,7 +191,7 @@
         self.fence = fence;
         let settings = self.site.settings.load();
         let pause = Duration::from_millis(settings.lease_ms);
-        let now = Instant::now();
+        let now = self.site.now();
         let before = now.checked_sub(pause).unwrap_or(now);
         for (service, spec) in &catalog.services {
             let Some(engine) = &spec.engine else { continue };
@@ -214,7 +215,7 @@
         let Some(catalog) = self.site.catalog.load_full() else {
             return;
         };
-        let now = Instant::now();
+        let now = self.site.now();
         let demand = self.demand(now);
         for (service, spec) in &catalog.services {
             let Some(engine) = &spec.engine else { continue };
--- a/crates/limehollow-node/src/crash_probe.rs
+++ b/crates/limehollow-node/src/crash_probe.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 /// How long after the end of a connection another one is tried: the ends of its other connections and of its listening arrive
 /// at about the same time.
@@ -32,7 +32,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let mut known = site.known();
     let known: &mut Known = &mut known;
     let Some(e) = known.roster.get(key) else {
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -6,14 +6,14 @@
 
 use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
-use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState, until};
+use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState};
 use crate::list;
 use crate::site::Site;
 use limehollow::freshness::ReadPace;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 /// How long a call waits for a change: as long as the store holds one, less some time on the way.
 const WAIT: Duration = Duration::from_secs(25);
@@ -41,6 +41,7 @@
     if feed == Feed::Endpoints {
         return list::follow(site, store, states).await;
     }
+    let now = site.now();
     let mut w = WaitingFollower {
         f: Follower::new(site, states, feed),
         store,
@@ -48,7 +49,7 @@
         began: None,
         is_behind: false,
         pause: FIRST_PAUSE,
-        looks: looks(feed),
+        looks: looks(now, feed),
     };
     loop {
         w.wait_for_turn().await;
@@ -59,9 +60,9 @@
 }
 
 /// Gives when a VM that starts now looks at a feed again.
-fn looks(feed: Feed) -> VecDeque<Instant> {
+fn looks(now: Instant, feed: Feed) -> VecDeque<Instant> {
     match feed {
-        Feed::Vms => LOOK_AGAIN_AFTER.map(|t| Instant::now() + t).into(),
+        Feed::Vms => LOOK_AGAIN_AFTER.map(|t| now + t).into(),
         Feed::Configuration | Feed::Endpoints => VecDeque::new(),
     }
 }
@@ -127,7 +128,7 @@
     /// tells it.
     async fn pause_between_reads(&self, began: Instant, pace: ReadPace) {
         tokio::select! {
-            () = sleep_until(began + pace.every()) => {}
+            () = self.f.site.clock.sleep_until(began + pace.every()) => {}
             () = self.f.behind(OWN_TIME) => {}
         }
     }
@@ -139,7 +140,7 @@
         tokio::select! {
             () = self.f.behind(spread) => {}
             () = self.stale() => {}
-            () = until(look) => {
+            () = self.f.until(look) => {
                 self.looks.pop_front();
             }
         }
@@ -148,7 +149,7 @@
     /// Makes one call. Gives none where it was given up, to be made anew without waiting or because another VM has
     /// handed its state over.
     async fn read(&mut self) -> Option<Answer> {
-        let began = Instant::now();
+        let began = self.f.site.now();
         let whole = self.next.is_none();
         // What other VMs have read is there: a call that doesn't wait gets it.
         let wait = if self.is_behind { Duration::ZERO } else { WAIT };
@@ -212,7 +213,7 @@
     /// Gives how this VM follows the feed now.
     fn role(&self) -> Role {
         let known = self.f.site.known();
-        let now = Instant::now();
+        let now = self.f.site.now();
         if known.peers.is_zone_reader(now) {
             Role::Reads
         } else if known.peers.is_zone_waiter(now) {
@@ -231,10 +232,10 @@
                 return std::future::pending().await;
             };
             let due = f.complete_at() + pace.stale_after(luck);
-            if due <= Instant::now() {
+            if due <= self.f.site.now() {
                 return;
             }
-            sleep_until(due).await;
+            self.f.site.clock.sleep_until(due).await;
         }
     }
 
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 /// The time between tries while the store is away: at first, and at most.
 pub(crate) const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -118,7 +118,7 @@
         }
         tracing::info!(feed = ?self.feed, %vm, position = at, "read from another VM");
         self.note_position(at);
-        let now = Instant::now();
+        let now = self.site.now();
         if let Some(ages) = ages(state.reading, self.feed) {
             let mut known = self.site.known();
             self.site.meet(&mut known, self.feed, ages.told(now), true);
@@ -140,7 +140,7 @@
         self.site.known().readings.fail(self.feed, began);
         if self.lost.is_none() {
             tracing::warn!(feed = ?self.feed, error = %e, "store lost");
-            self.lost = Some(Instant::now());
+            self.lost = Some(self.site.now());
         }
     }
 
@@ -152,13 +152,13 @@
             known.readings.read(self.feed, began, pace.longest_gap());
         }
         if let Some(since) = self.lost.take() {
-            let away_ms = since.elapsed().as_millis();
+            let away_ms = self.site.now().saturating_duration_since(since).as_millis();
             tracing::info!(feed = ?self.feed, away_ms, "store regained");
         }
     }
 
     pub(crate) fn apply(&mut self, learnt: Learnt, changes: Vec<Change>, whole: bool) {
-        let now = Instant::now();
+        let now = self.site.now();
         let position = position(self.site.positions(), self.feed);
         let mut seen = BTreeSet::new();
         let mut news = false;
@@ -261,9 +261,17 @@
         }
     }
 
+    /// Waits until a moment, for good if there is none.
+    pub(crate) async fn until(&self, at: Option<Instant>) {
+        match at {
+            Some(t) => self.site.clock.sleep_until(t).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Drops what was held back, once nothing can come back any more.
     pub(crate) fn drop_withheld(&mut self) {
-        let is_settled = self.settled_at().is_none_or(|t| Instant::now() >= t);
+        let is_settled = self.settled_at().is_none_or(|t| self.site.now() >= t);
         if !is_settled || self.site.known().withheld.is_empty() {
             return;
         }
@@ -275,20 +283,13 @@
     }
 
     fn drop_endpoint(&self, id: &SmolStr) {
-        if self.site.known().drop_endpoint(id) {
+        let now = self.site.now();
+        if self.site.known().drop_endpoint(now, id) {
             tracing::info!(instance = %id, "endpoint is off the list");
         }
     }
 }
 
-/// Waits until a moment, for good if there is none.
-pub(crate) async fn until(at: Option<Instant>) {
-    match at {
-        Some(t) => sleep_until(t).await,
-        None => std::future::pending().await,
-    }
-}
-
 pub(crate) fn position(p: Positions, feed: Feed) -> u64 {
     match feed {
         Feed::Configuration => p.configuration,
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -37,21 +37,35 @@
     P: Protocol,
 {
     let mut s = Sender::new(Arc::clone(&site));
-    let mut last = Instant::now();
+    let mut last = site.now();
     loop {
         let urgent = timeout(s.pace(), site.urgent.notified()).await.is_ok();
         if urgent {
             // The controller may be on this VM.
             wanted.notify_one();
-            sleep((last + URGENT_EVERY).saturating_duration_since(Instant::now())).await;
+            sleep((last + URGENT_EVERY).saturating_duration_since(site.now())).await;
         }
-        last = Instant::now();
+        last = site.now();
+        note_lost_time(&site);
         for (message, to) in s.outgoing(last) {
             send_all(&socket, &message, &to).await;
         }
     }
 }
 
+/// Says so if the machine was suspended, once it goes on. What waits for a time reckons anew then.
+///
+/// Ages need no word: they are reckoned by a clock that went on. This is called several times a second.
+fn note_lost_time<P>(site: &Site<P>)
+where
+    P: Protocol,
+{
+    if let Some(lost) = site.clock.look() {
+        site.metrics.suspensions.inc();
+        tracing::warn!(lost_ms = lost.as_millis(), "this machine was suspended");
+    }
+}
+
 async fn send_all(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
     let bytes = match encode(message) {
         Ok(b) => b,
@@ -135,7 +149,7 @@
     let mut ticks = interval(SWEEP_EVERY);
     loop {
         ticks.tick().await;
-        let now = Instant::now();
+        let now = site.now();
         {
             let mut known = site.known();
             let known: &mut Known = &mut known;
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 /// The lease as the tasks of this process share it.
 pub type SharedLease = Arc<Mutex<GroupLease>>;
@@ -27,8 +27,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
-    let _ = site;
+    let now = site.now();
     with_lease(lease, |l| l.fence(now))
 }
 
@@ -51,7 +50,7 @@
     let mut joined = false;
     loop {
         let stopping = *stop.borrow();
-        let sent = Instant::now();
+        let sent = site.now();
         if stopping {
             resign(&site, &lease, sent);
             // Another of the zone may take its place among the candidates.
@@ -117,7 +116,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let mut known = site.known();
     let known = &mut *known;
     with_lease(lease, |l| {
@@ -190,7 +189,7 @@
 where
     P: Protocol,
 {
-    let next = sleep((since + JOIN_EVERY).saturating_duration_since(Instant::now()));
+    let next = site.clock.sleep_until(since + JOIN_EVERY);
     tokio::select! {
         () = next => {}
         () = site.lease_free.notified() => {}
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -7,7 +7,7 @@
 //! neighbours only listened.
 
 use crate::edge::{Change, Changes, Feed, NoAnswerSnafu, Protocol, States, Store, StoreError};
-use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, until};
+use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt};
 use crate::site::Site;
 use limehollow::freshness::ReadPace;
 use limehollow_wire::gossip::{ListChange, ListChanges};
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
 /// Changes of the list that go into one message at most; beyond, each VM reads them itself. With a few hundred
 /// bytes each they fit in a datagram beside the rest.
@@ -67,13 +67,14 @@
         tracing::error!("the list has a follower already");
         return;
     };
+    let now = site.now();
     let mut l = ListFollower {
         f: Follower::new(site, states, Feed::Endpoints),
         store,
         offers,
         next: None,
         began: None,
-        retry_at: Instant::now(),
+        retry_at: now,
         failures: 0,
         luck: rand::random(),
     };
@@ -103,10 +104,10 @@
             tokio::select! {
                 biased;
                 Some(offer) = self.offers.recv() => return Work::Take(offer),
-                () = until(settled_at) => return Work::Settle,
-                () = sleep_until(due) => {
+                () = self.f.until(settled_at) => return Work::Settle,
+                () = self.f.site.clock.sleep_until(due) => {
                     // What others told meanwhile may have put it off.
-                    if self.due() <= Instant::now() {
+                    if self.due() <= self.f.site.now() {
                         return Work::Read;
                     }
                 }
@@ -124,7 +125,7 @@
             return self.retry_at;
         };
         let pace = self.pace();
-        let due = if known.peers.is_zone_reader(Instant::now()) {
+        let due = if known.peers.is_zone_reader(self.f.site.now()) {
             began + pace.every()
         } else {
             freshness.complete_at() + pace.stale_after(self.luck)
@@ -149,7 +150,7 @@
     /// Reads the store, and takes in what others offer or hand over meanwhile: a call that is never answered holds
     /// nothing up.
     async fn read(&mut self) {
-        let began = Instant::now();
+        let began = self.f.site.now();
         self.began = Some(began);
         self.luck = rand::random();
         let (store, from, limit) = (self.store.clone(), self.next, self.answer_within());
@@ -185,7 +186,7 @@
                 // Others may know at once that this VM doesn't read for them.
                 self.f.site.urgent.notify_one();
                 let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures);
-                self.retry_at = Instant::now() + pause.min(LONGEST_PAUSE);
+                self.retry_at = self.f.site.now() + pause.min(LONGEST_PAUSE);
                 self.failures += 1;
                 self.fetch().await;
             }
@@ -211,7 +212,7 @@
             self.f.note_position(read.next);
             self.f.apply(Learnt::Store, read.changes, from.is_none());
         }
-        let reads_for_others = self.f.site.known().peers.is_zone_reader(Instant::now());
+        let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
         if !reads_for_others {
             // The zone's reader was late: the others needn't read as well.
             self.f.site.urgent.notify_one();
@@ -265,7 +266,7 @@
         };
         if news.to > news.from && news.changes.len() <= MAX_PASSED_ON {
             let mut known = self.f.site.known();
-            known.list_news.push_back((Instant::now(), news));
+            known.list_news.push_back((self.f.site.now(), news));
             drop(known);
             self.f.site.urgent.notify_one();
         }
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -50,6 +50,8 @@
     pub requests_suspected: Gauge,
     /// The version of the configuration in force.
     pub catalog: Gauge,
+    /// How often this machine was suspended.
+    pub suspensions: Counter,
     /// Log lines left out for their rate.
     pub lines_left_out: Counter,
 }
@@ -72,6 +74,7 @@
             requests_quarantined: Gauge::default(),
             requests_suspected: Gauge::default(),
             catalog: Gauge::default(),
+            suspensions: Counter::default(),
             lines_left_out: Counter::default(),
         }
     }
@@ -150,6 +153,11 @@
             "Configuration in force",
             self.catalog.clone(),
         );
+        r.register(
+            "suspensions",
+            "Times that this machine was suspended",
+            self.suspensions.clone(),
+        );
         r.register(
             "log_lines_left_out",
             "Log lines left out",
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -86,8 +86,7 @@
 }
 
 impl Progress {
-    fn new(instance: &Instance) -> Self {
-        let now = Instant::now();
+    fn new(now: Instant, instance: &Instance) -> Self {
         Self {
             began: now,
             check: StartCheck::new(instance.clone()),
@@ -155,7 +154,7 @@
 
     /// Carries out a move of a model. Gives what is known of the endpoint then.
     pub(crate) async fn move_model(&self, m: &ModelMove) -> Option<OrderBook> {
-        let mut p = Progress::new(&self.to.instance);
+        let mut p = Progress::new(self.site.now(), &self.to.instance);
         loop {
             if let ControlFlow::Break(end) = self.advance(m, &mut p).await {
                 self.log_move(m, p.began, end.outcome);
@@ -167,7 +166,7 @@
 
     /// Reads the endpoint's report, and gives the order that it asks for.
     async fn advance(&self, m: &ModelMove, p: &mut Progress) -> ControlFlow<MoveEnd> {
-        if p.began.elapsed() >= MOVE_TIMEOUT {
+        if self.since(p.began) >= MOVE_TIMEOUT {
             return MoveEnd::failed("took too long");
         }
         if p.unanswered > MAX_UNANSWERED {
@@ -188,7 +187,7 @@
                 &self.spec,
                 self.reserve(&OrderBook::from(r.clone()), &model(&m.load)),
             )
-        } else if p.ordered.elapsed() < COUNTED_WITHIN {
+        } else if self.since(p.ordered) < COUNTED_WITHIN {
             Step::Wait
         } else {
             return MoveEnd::failed("the order is not counted");
@@ -196,8 +195,8 @@
         match step {
             Step::Wait => {
                 // What is going is still listed until its last run has ended.
-                if p.told.elapsed() >= TELL_EVERY {
-                    p.told = Instant::now();
+                if self.since(p.told) >= TELL_EVERY {
+                    p.told = self.site.now();
                     self.tell(left(&r, m), r.orders_taken.max(p.least));
                 }
                 ControlFlow::Continue(())
@@ -234,7 +233,7 @@
             .store_loads
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        window.try_begin(Instant::now(), &self.spec, ceiling)
+        window.try_begin(self.site.now(), &self.spec, ceiling)
     }
 
     /// Gives one order of a model's move.
@@ -249,7 +248,7 @@
         match self.order(action, &model(name), r.orders_taken).await {
             Some(OrderReply::Taken) => {
                 p.least = r.orders_taken + 1;
-                p.ordered = Instant::now();
+                p.ordered = self.site.now();
                 p.told = p.ordered;
                 self.tell(left(r, m), p.least);
             }
@@ -325,8 +324,8 @@
         least: u64,
         check: &mut StartCheck,
     ) -> Option<OrderBook> {
-        let until = Instant::now() + DROP_TIMEOUT;
-        while Instant::now() < until {
+        let until = self.site.now() + DROP_TIMEOUT;
+        while self.site.now() < until {
             sleep(ASK_EVERY).await;
             let mut book = self.read_book(check).await?;
             if book.orders_taken >= least && !holds(&book.holdings, m) {
@@ -352,12 +351,12 @@
     fn reserve(&self, book: &OrderBook, loading: &ModelRef) -> Reserve {
         let late = self.late.lock().unwrap_or_else(PoisonError::into_inner);
         let id = &self.to.instance.id;
-        late.reserve(Instant::now(), id, book, loading, &self.spec)
+        late.reserve(self.site.now(), id, book, loading, &self.spec)
     }
 
     fn note_late(&self, subject: &ModelRef, expected: u64) {
         let mut late = self.late.lock().unwrap_or_else(PoisonError::into_inner);
-        late.note(Instant::now(), &self.to.instance, subject, expected);
+        late.note(self.site.now(), &self.to.instance, subject, expected);
     }
 
     /// Tells this VM and the others that the endpoint has started again, and what it holds.
@@ -380,7 +379,7 @@
             holdings,
             orders_taken,
         };
-        let now = Instant::now();
+        let now = self.site.now();
         self.site.report(now, &r);
         self.site.known().reports.add(r);
         self.site.urgent.notify_one();
@@ -418,8 +417,8 @@
 
     /// Gives one order, if the lease allows it now. None if it is not known whether it was taken.
     async fn order(&self, action: Action, subject: &ModelRef, expected: u64) -> Option<OrderReply> {
+        let now = self.site.now();
         let fence = with_lease(&self.lease, |l| {
-            let now = Instant::now();
             let fence = l.fence(now)?;
             l.note_order(now);
             Some(fence)
@@ -472,12 +471,16 @@
         reply.ok()
     }
 
+    fn since(&self, t: Instant) -> Duration {
+        self.site.now().saturating_duration_since(t)
+    }
+
     fn log_move(&self, m: &ModelMove, began: Instant, outcome: &'static str) {
         tracing::info!(
             endpoint = %self.to.instance,
             load = %m.load,
             evict = ?m.evict,
-            ms = began.elapsed().as_millis(),
+            ms = self.since(began).as_millis(),
             outcome,
             "move ended"
         );
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 /// What is asked for: what has been read of the store, and the requests under which endpoints crashed.
 const STATE: &str = "/";
@@ -44,7 +44,7 @@
 {
     let body = match path {
         CRASHES => {
-            let records = site.known().quarantine.records(Instant::now());
+            let records = site.known().quarantine.records(site.now());
             encode_crashes(&records)
         }
         _ => encode_state(&site.state()),
--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to endpoints: one request at a time on each, kept as long as the endpoint keeps them.
 
+use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -74,8 +75,9 @@
 }
 
 /// The connections at rest.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
+    clock: Arc<Clock>,
     idle: Arc<Mutex<HashMap<EndpointKey, Vec<Idle>>>>,
 }
 
@@ -87,10 +89,19 @@
 }
 
 impl Pool {
+    /// Makes a pool that has no connection, and reckons by this clock how long they rest.
+    #[must_use]
+    pub fn new(clock: Arc<Clock>) -> Self {
+        Self {
+            clock,
+            idle: Arc::default(),
+        }
+    }
+
     /// Takes the connection that was used last, or none.
     #[must_use]
     pub fn take(&self, key: EndpointKey) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.lock();
         let found = idle.get_mut(&key)?;
         while let Some(i) = found.pop() {
@@ -135,7 +146,7 @@
         if c.keep.is_zero() || c.sender.ready().await.is_err() {
             return;
         }
-        let since = Instant::now();
+        let since = self.clock.now();
         let mut idle = self.lock();
         idle.entry(c.key).or_default().push(Idle {
             connection: c,
@@ -162,7 +173,7 @@
     where
         F: Fn(EndpointKey) -> bool,
     {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.lock();
         for found in idle.values_mut() {
             found.retain(|i| {
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -63,7 +63,7 @@
     P: Protocol,
 {
     let known = site.known();
-    known.quarantine.unchanged_for(Instant::now()).is_none()
+    known.quarantine.unchanged_for(site.now()).is_none()
 }
 
 /// What another VM said last of the records that it has.
@@ -82,7 +82,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let known = site.known();
     let rests = known.quarantine.unchanged_for(now);
     if rests.is_some_and(|t| t < DIFFERS_FOR) {
@@ -102,7 +102,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let mut known = site.known();
     let mut is_news = false;
     for r in records {
@@ -140,7 +140,7 @@
     P: Protocol,
 {
     let known = site.known();
-    known.peers.known() > 1 && known.peers.alive(Instant::now()) == 1
+    known.peers.known() > 1 && known.peers.alive(site.now()) == 1
 }
 
 async fn read<P, S>(site: &Site<P>, store: &S)
@@ -181,7 +181,7 @@
     P: Protocol,
     S: Store,
 {
-    let record = site.known().quarantine.record(Instant::now(), request);
+    let record = site.known().quarantine.record(site.now(), request);
     let record = record.filter(|r| !r.crashes.is_empty());
     match store.keep_crash_record(request, record.as_ref()).await {
         Ok(()) => site.known().quarantine.note_saved(request),
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -34,7 +34,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let mut known = site.known();
     let from = w.from.clone();
     w.crashes.retain(|r| known.merge_crashes(now, &from, r));
@@ -63,7 +63,7 @@
 where
     P: Protocol,
 {
-    let now = Instant::now();
+    let now = site.now();
     let zone = ZoneName::from(w.zone.as_str());
     {
         let mut known = site.known();
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -17,11 +17,12 @@
 use limehollow::verdict::Failure;
 use smol_str::SmolStr;
 use snafu::Snafu;
+use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
 
 /// Why a streamed answer ends before its end. The caller's connection is closed, so that it doesn't
 /// look whole.
@@ -71,23 +72,27 @@
         arrived: Instant,
     ) -> Self {
         Self {
+            began: site.now(),
             site,
             sent: Some(sent),
             id,
             request,
             origin,
             instance,
-            began: Instant::now(),
             arrived,
             last_part: None,
             longest_pause: Duration::ZERO,
         }
     }
 
+    fn elapsed(&self) -> Duration {
+        self.site.now().saturating_duration_since(self.began)
+    }
+
     /// Notes that a part of a streamed answer came.
     pub fn part(&mut self) {
         self.first();
-        let now = Instant::now();
+        let now = self.site.now();
         if let Some(last) = self.last_part.replace(now) {
             self.longest_pause = self.longest_pause.max(now.duration_since(last));
         }
@@ -99,7 +104,7 @@
         if sent.first().is_some() {
             return;
         }
-        let now = Instant::now();
+        let now = self.site.now();
         self.site.known().balance.first(now, sent);
         self.site.eased.notify_waiters();
         let since = now.duration_since(self.arrived);
@@ -109,7 +114,7 @@
     /// Notes that the connection to the endpoint ended before the whole answer was there.
     pub fn cut_off(&mut self) {
         let Some(sent) = &self.sent else { return };
-        let since_first = sent.first().map(|t| self.began.elapsed().saturating_sub(t));
+        let since_first = sent.first().map(|t| self.elapsed().saturating_sub(t));
         let c = CutOff {
             request: self.request,
             origin: self.origin,
@@ -127,7 +132,7 @@
     pub fn whole(&mut self) {
         self.ran_to_end();
         let first = self.sent.as_ref().and_then(Sent::first);
-        let first = first.unwrap_or_else(|| self.began.elapsed());
+        let first = first.unwrap_or_else(|| self.elapsed());
         self.end(Ending::Whole { first }, "whole");
     }
 
@@ -138,7 +143,7 @@
         self.site
             .known()
             .balance
-            .finish(Instant::now(), sent, ending);
+            .finish(self.site.now(), sent, ending);
         if may_log() {
             tracing::info!(
                 id = %self.id,
@@ -146,7 +151,7 @@
                 outcome = what,
                 first_ms,
                 longest_pause_ms = self.last_part.map(|_| millis(self.longest_pause)),
-                ms = millis(self.began.elapsed()),
+                ms = millis(self.elapsed()),
                 "try ended"
             );
         }
@@ -172,7 +177,6 @@
 }
 
 /// The body of a streamed answer.
-#[derive(Debug)]
 pub struct Relay<P>
 where
     P: Protocol,
@@ -180,7 +184,7 @@
     inner: Incoming,
     connection: Option<Connection>,
     running: Running<P>,
-    expiry: Pin<Box<Sleep>>,
+    expiry: Pin<Box<dyn Future<Output = ()> + Send>>,
 }
 
 impl<P> Relay<P>
@@ -195,11 +199,12 @@
         running: Running<P>,
         expiry: Instant,
     ) -> Self {
+        let clock = Arc::clone(&running.site.clock);
         Self {
             inner,
             connection: Some(connection),
             running,
-            expiry: Box::pin(sleep_until(expiry)),
+            expiry: Box::pin(async move { clock.sleep_until(expiry).await }),
         }
     }
 
@@ -219,6 +224,17 @@
     }
 }
 
+impl<P> fmt::Debug for Relay<P>
+where
+    P: Protocol + fmt::Debug,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relay")
+            .field("running", &self.running)
+            .finish_non_exhaustive()
+    }
+}
+
 impl<P> Body for Relay<P>
 where
     P: Protocol + Unpin,
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -29,7 +29,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// A request is refused when its first result is expected later than so many times the service's
 /// tightest objective: an answer that is late is worth a tenth to a third of one in time, and after four times the
@@ -73,7 +73,7 @@
 where
     P: Protocol,
 {
-    let arrived = Instant::now();
+    let arrived = site.now();
     let (head, body) = req.into_parts();
     let closes = site.is_stopping();
     let mut res = answer(site, from, arrived, head, body).await;
@@ -123,7 +123,11 @@
     let time = ask.patience.map_or(rule.timeout, |p| p.min(rule.timeout));
     let expiry = arrived + time;
     let limit = catalog.limits.body_bytes;
-    let body = match timeout_at(expiry, Limited::new(body, limit).collect()).await {
+    let body = match site
+        .clock
+        .timeout_at(expiry, Limited::new(body, limit).collect())
+        .await
+    {
         Ok(Ok(b)) => b.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             Metrics::count(&site.metrics.requests, "too large");
@@ -262,7 +266,7 @@
     }
 
     fn note_arrival(&self) {
-        let now = Instant::now();
+        let now = self.site.now();
         let mut known = self.site.known();
         if let Some(m) = &self.job.model {
             let engine = self.catalog.engine(&self.job.service);
@@ -279,7 +283,7 @@
         let until = self.arrived + self.rule.objective.mul_f64(WAIT_SHARE);
         loop {
             let changed = self.site.changed.notified();
-            let now = Instant::now();
+            let now = self.site.now();
             let choice = {
                 let known = self.site.known();
                 self.job.isolated = match known.quarantine.standing(now, self.fingerprint) {
@@ -310,9 +314,12 @@
             // A time-out only ends the wait: the next round looks again, or refuses.
             let _timed_out = if reason == Reason::Busy {
                 let soon = (now + LOOK_AGAIN).min(until);
-                timeout_at(soon, self.site.eased.notified()).await
+                self.site
+                    .clock
+                    .timeout_at(soon, self.site.eased.notified())
+                    .await
             } else {
-                timeout_at(until, changed).await
+                self.site.clock.timeout_at(until, changed).await
             };
         }
     }
@@ -370,7 +377,7 @@
     }
 
     async fn attempt(&mut self, c: &Chosen) -> Result<Response<Outgoing<P>>, Failed> {
-        let now = Instant::now();
+        let now = self.site.now();
         let sent = {
             let mut known = self.site.known();
             let known = &mut *known;
@@ -387,7 +394,7 @@
         self.log_sent(c);
         let req = self.request(c, now);
         let answer = attempt::send(self.site, &self.site.pool, &c.to, req, &self.ask.id);
-        let Ok(sent) = timeout_at(self.expiry, answer).await else {
+        let Ok(sent) = self.site.clock.timeout_at(self.expiry, answer).await else {
             running.end(Ending::Failed(Failure::Deadline), "expired");
             return Ok(self.expired());
         };
@@ -399,7 +406,12 @@
             return Ok(self.forward(head, Either::Right(relay)));
         }
         running.first();
-        let Ok(collected) = timeout_at(self.expiry, body.collect()).await else {
+        let Ok(collected) = self
+            .site
+            .clock
+            .timeout_at(self.expiry, body.collect())
+            .await
+        else {
             running.end(Ending::Failed(Failure::Deadline), "expired");
             return Ok(self.expired());
         };
@@ -465,7 +477,7 @@
     /// Tells whether another endpoint may be tried after a failure.
     fn may_go_on(&self, f: &Failed) -> bool {
         let may_repeat = self.verdict == Verdict::NotRun || self.rule.repeat == Repeat::Allowed;
-        if !may_repeat || Instant::now() >= self.expiry {
+        if !may_repeat || self.site.now() >= self.expiry {
             return false;
         }
         if !f.reached {
@@ -492,7 +504,7 @@
         let mut known = self.site.known();
         let gateways = known.peers.known();
         let window = known.repeats.entry(self.job.service.clone()).or_default();
-        f(window, Instant::now(), rules, gateways)
+        f(window, self.site.now(), rules, gateways)
     }
 
     fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
@@ -502,7 +514,7 @@
             tracing::info!(
                 id = %self.ask.id,
                 status = head.status.as_u16(),
-                ms = millis(self.arrived.elapsed()),
+                ms = millis(self.waited()),
                 "answer begins"
             );
         }
@@ -510,7 +522,7 @@
     }
 
     fn expired(&self) -> Response<Outgoing<P>> {
-        tracing::info!(id = %self.ask.id, ms = millis(self.arrived.elapsed()), "the request's time has passed");
+        tracing::info!(id = %self.ask.id, ms = millis(self.waited()), "the request's time has passed");
         Metrics::count(&self.site.metrics.requests, "expired");
         plain(
             self.site,
@@ -531,7 +543,7 @@
                     model = model.map(|m| m.model.as_str()),
                     adapter = model.and_then(|m| m.adapter.as_deref()),
                     tries = self.reached + self.unreached,
-                    waited_ms = millis(self.arrived.elapsed()),
+                    waited_ms = millis(self.waited()),
                     "given up"
                 );
             }
@@ -547,11 +559,15 @@
         )
     }
 
+    fn waited(&self) -> Duration {
+        self.site.now().saturating_duration_since(self.arrived)
+    }
+
     /// Gives how old the list is from which the endpoint was chosen.
     fn list_age(&self) -> Option<Duration> {
         let known = self.site.known();
         let freshness = known.readings.freshness(Feed::Endpoints)?;
-        Some(freshness.age(Instant::now()))
+        Some(freshness.age(self.site.now()))
     }
 
     fn log_sent(&self, c: &Chosen) {
@@ -568,7 +584,7 @@
                 adapter = model.and_then(|m| m.adapter.as_deref()),
                 expected_ms = c.expected_ms.round(),
                 tries = self.reached + self.unreached,
-                waited_ms = millis(self.arrived.elapsed()),
+                waited_ms = millis(self.waited()),
                 list_age_ms = self.list_age().map(millis),
                 "sent"
             );
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -71,7 +71,7 @@
             start: rand::random(),
             number: 0,
             seeds: seeds(&site.settings.load()),
-            summed: Instant::now(),
+            summed: site.now(),
             site,
         }
     }
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -131,11 +131,11 @@
     }
 
     /// Drops an endpoint that is off the list. Gives whether it was there.
-    pub fn drop_endpoint(&mut self, id: &str) -> bool {
+    pub fn drop_endpoint(&mut self, now: Instant, id: &str) -> bool {
         self.withheld.remove(id);
         let former = self.start_of(id);
         let gone = self.roster.remove(id);
-        self.forget(Instant::now(), gone, former);
+        self.forget(now, gone, former);
         gone.is_some()
     }
 
@@ -274,7 +274,7 @@
             gone: BTreeMap::new(),
             wants: BTreeSet::new(),
             wanted: BTreeMap::new(),
-            candidacy: Candidacy::new(Instant::now()),
+            candidacy: Candidacy::new(clock.now()),
             lease_notice: None,
             list_news: VecDeque::new(),
             positions: Positions::default(),
@@ -299,9 +299,9 @@
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
             protocol,
+            pool: Pool::new(Arc::clone(&clock)),
+            control_pool: Pool::new(Arc::clone(&clock)),
             clock,
-            pool: Pool::default(),
-            control_pool: Pool::default(),
             metrics: Metrics::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
@@ -385,7 +385,7 @@
 
     /// Takes in how far another VM has read and how fresh that is, and wakes the followers that are behind it.
     pub fn note_peer(&self, vm: &SmolStr, p: Positions, r: Reading) {
-        let now = Instant::now();
+        let now = self.now();
         let mut known = self.known();
         for feed in [Feed::Configuration, Feed::Endpoints] {
             let (theirs, mine) = (position(p, feed), position(known.positions, feed));
@@ -430,7 +430,7 @@
         let listed = listed.filter(|e| !known.withheld.contains(&e.instance.id));
         State {
             positions: known.positions,
-            reading: known.readings.of_state(Instant::now()),
+            reading: known.readings.of_state(self.now()),
             catalog: self.catalog.load().as_deref().cloned(),
             endpoints: listed.cloned().collect(),
             unreadable: known.roster.unreadable().cloned().collect(),
@@ -439,7 +439,7 @@
 
     /// Gives all that the process knows, for operators.
     pub fn dump(&self) -> serde_json::Value {
-        let now = Instant::now();
+        let now = self.now();
         let known = self.known();
         let endpoints = known.roster.iter().map(|(k, e)| {
             serde_json::json!({
@@ -480,7 +480,7 @@
 
     /// Takes in that another start answers at an endpoint's address, and tells the other VMs. Gives whether it is news.
     pub fn note_gone(&self, instance: &Instance) -> bool {
-        let is_news = self.known().note_gone(Instant::now(), instance);
+        let is_news = self.known().note_gone(self.now(), instance);
         if is_news {
             self.urgent.notify_one();
         }
@@ -491,7 +491,7 @@
     pub(crate) fn show_crashing_requests(&self) {
         let known = self.known();
         let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
-        let quarantined = known.quarantine.quarantined(Instant::now()).count();
+        let quarantined = known.quarantine.quarantined(self.now()).count();
         self.metrics.requests_quarantined.set(count(quarantined));
         let suspected = known.quarantine.suspects();
         self.metrics.requests_suspected.set(count(suspected));
@@ -499,7 +499,7 @@
 
     /// Takes in that a start of an endpoint has crashed, and tells the other VMs what it ran.
     pub fn note_crashed(&self, start: &Instance) {
-        let ran_some = self.known().note_crashed(Instant::now(), start);
+        let ran_some = self.known().note_crashed(self.now(), start);
         if ran_some {
             self.urgent.notify_one();
             self.quarantine_unsaved.notify_one();
@@ -508,7 +508,7 @@
 
     /// Clears a request that endpoints crashed under, and tells the other VMs. Gives whether anything spoke against it.
     pub fn clear_request(&self, request: Fingerprint, by: &'static str) -> bool {
-        let was_suspect = self.known().quarantine.clear(Instant::now(), request);
+        let was_suspect = self.known().quarantine.clear(self.now(), request);
         if was_suspect {
             self.tell_cleared(request, by);
         }
@@ -517,7 +517,7 @@
 
     /// Takes in that an endpoint has run a request to its end: it doesn't crash those that run it.
     pub(crate) fn note_answer(&self, request: Fingerprint) {
-        let now = Instant::now();
+        let now = self.now();
         if self.known().quarantine.note_answer(now, request) {
             self.tell_cleared(request, "an endpoint that ran it");
         }
--- a/crates/limehollow-node/tests/rig/crashing.rs
+++ b/crates/limehollow-node/tests/rig/crashing.rs
@@ -151,7 +151,7 @@
             let mut known = vm.site.known();
             let all: Vec<Endpoint> = known.roster.iter().map(|(_, e)| e.clone()).collect();
             for mut e in all {
-                known.drop_endpoint(&e.instance.id);
+                known.drop_endpoint(Instant::now(), &e.instance.id);
                 e.instance.id = format_smolstr!("{}'", e.instance.id);
                 e.leaving = false;
                 known.list(Instant::now(), e);
@@ -240,7 +240,7 @@
         start_until_crash(listener, Arc::clone(&seen)).await;
         sleep(RESTARTS_AFTER).await;
         for site in sites.lock().expect("sound").iter() {
-            site.known().drop_endpoint(&e.instance.id);
+            site.known().drop_endpoint(Instant::now(), &e.instance.id);
         }
     }
 }
--- a/crates/limehollow-node/tests/suspension.rs
+++ b/crates/limehollow-node/tests/suspension.rs
@@ -6,18 +6,30 @@
 mod rig;
 
 use limehollow::group_lease::GroupLease;
+use limehollow::id::EndpointKey;
+use limehollow::retry::Repeat;
 use limehollow_node::clock::Clock;
+use limehollow_node::edge::Feed;
+use limehollow_node::gossip;
 use limehollow_node::lease::{SharedLease, fence, keep_lease};
+use limehollow_node::pool::Pool;
 use limehollow_node::site::Site;
-use rig::{Memory, Plain, settings};
+use rig::{
+    Does, Gateway, Memory, Plain, Server, answer, catalog, endpoint, rule, settings, status,
+};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep};
 
 /// How long the machine is suspended in these tests.
 const AWAY: Duration = Duration::from_secs(10);
 
+/// When a request of two seconds has ended at the latest, since the suspension takes the rest of its time.
+const IN_TIME: Duration = Duration::from_millis(1500);
+
 fn site() -> Arc<Site<Plain>> {
     Site::with_clock(settings(), Plain, Arc::new(Clock::settable()))
 }
@@ -45,3 +57,115 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(fence(&site, &lease), Some(1));
 }
+
+/// Starts a gateway whose clock a test sets, before one endpoint, with a rule of two seconds.
+async fn gateway(to: SocketAddr, is_streamed: bool) -> Gateway {
+    let site = site();
+    let mut r = rule("/a/", Repeat::Never, 1);
+    r.stream = is_streamed;
+    site.set_catalog(catalog(1, vec![r]));
+    site.known().list(site.now(), endpoint(0, to));
+    let socket = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let (socket, wanted) = (Arc::new(socket), Arc::new(Notify::new()));
+    // It is the task that says how much time was lost.
+    tokio::spawn(gossip::send(Arc::clone(&site), socket, wanted));
+    Gateway::with(site).await
+}
+
+/// Asks, lets the machine be suspended meanwhile, and gives the answer and how long it took without that.
+async fn ask_and_suspend(g: &Gateway) -> (String, Duration) {
+    let began = Instant::now();
+    let clock = Arc::clone(&g.site.clock);
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(100)).await;
+        clock.lose(AWAY);
+    });
+    let got = g.ask("/a/x", "").await;
+    (got, began.elapsed())
+}
+
+#[tokio::test]
+async fn request_ends_at_its_time_after_a_suspension() {
+    let s = Server::start(vec![Does::WritesAndWaits(Vec::new())]).await;
+    let g = gateway(s.address, false).await;
+    let (got, took) = ask_and_suspend(&g).await;
+    assert_eq!(status(&got), 504, "{got}");
+    assert!(took < IN_TIME, "{took:?}");
+    assert_eq!(g.site.metrics.suspensions.get(), 1);
+}
+
+#[tokio::test]
+async fn stream_ends_at_its_time_after_a_suspension() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-mark: m\r\ncontent-length: 100\r\n\r\npiece";
+    let s = Server::start(vec![Does::WritesAndWaits(head.into())]).await;
+    let g = gateway(s.address, true).await;
+    let (got, took) = ask_and_suspend(&g).await;
+    assert!(got.ends_with("piece"), "{got}");
+    assert!(took < IN_TIME, "{took:?}");
+}
+
+#[tokio::test]
+async fn kept_connection_isnt_used_after_a_suspension() {
+    let s = Server::start(vec![Does::Writes(answer(200, "1", "x-mark: m\r\n", "x"))]).await;
+    let clock = Arc::new(Clock::settable());
+    let pool = Pool::new(Arc::clone(&clock));
+    let key = EndpointKey::default();
+    let c = pool.open(key, s.address).await.expect("it listens");
+    pool.put(c).await;
+    clock.lose(AWAY);
+    assert!(pool.take(key).is_none(), "it rested for ten seconds");
+    let c = pool.open(key, s.address).await.expect("it listens");
+    pool.put(c).await;
+    assert!(pool.take(key).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn copies_and_neighbours_are_old_after_a_suspension() {
+    let site = site();
+    let mut known = site.known();
+    let gap = Duration::from_secs(1);
+    known.readings.read(Feed::Endpoints, site.now(), gap);
+    known.peers.learn(
+        "vm-2".into(),
+        site.zone.clone(),
+        ([127, 0, 0, 2], 7000).into(),
+        250,
+    );
+    known.peers.receive(site.now(), "vm-2", 1, 1);
+    assert_eq!(known.peers.alive_here(site.now()), 2);
+    site.clock.lose(AWAY);
+    let now = site.now();
+    let f = known
+        .readings
+        .freshness(Feed::Endpoints)
+        .expect("it was read");
+    assert_eq!(f.age(now), AWAY);
+    assert_eq!(known.peers.alive_here(now), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn wait_ends_when_the_machine_goes_on() {
+    let clock = Arc::new(Clock::settable());
+    let due = clock.now() + Duration::from_secs(5);
+    let waiting = {
+        let clock = Arc::clone(&clock);
+        tokio::spawn(async move { clock.sleep_until(due).await })
+    };
+    sleep(Duration::from_secs(1)).await;
+    clock.lose(Duration::from_secs(3));
+    assert_eq!(clock.look(), Some(Duration::from_secs(3)));
+    assert_eq!(clock.look(), None, "it is said once");
+    sleep(Duration::from_millis(900)).await;
+    assert!(!waiting.is_finished());
+    sleep(Duration::from_millis(200)).await;
+    assert!(waiting.is_finished());
+}
+
+#[test]
+fn clock_of_the_system_loses_nothing_while_it_runs() {
+    let clock = Clock::system();
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(clock.look(), None);
+}
