request.rs, site.rs and quarantine.rs are split by job; one reading of what another VM passes on

A change of the list that another VM passes on becomes a change of the feed in one place (From<ListChange>). No behaviour changed.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -6,9 +6,10 @@
 use crate::attempt::Target;
 use crate::clock::Clock;
 use crate::edge::{Protocol, Store};
+use crate::known::Known;
 use crate::lease::{SharedLease, fence, keep_lease};
 use crate::order_task::{Ended, Moved, OrderTask, SharedLateLoads, SharedLoadWindow};
-use crate::site::{Known, Site};
+use crate::site::Site;
 use limehollow::catalog::{Catalog, EngineSpec};
 use limehollow::group_lease::GroupLease;
 use limehollow::id::{EndpointKey, ServiceName};
--- a/crates/limehollow-node/src/crash_probe.rs
+++ b/crates/limehollow-node/src/crash_probe.rs
@@ -2,7 +2,8 @@
 
 use crate::attempt::Target;
 use crate::edge::Protocol;
-use crate::site::{Known, Site};
+use crate::known::Known;
+use crate::site::Site;
 use limehollow::crash_watch::{CutOff, Suspicion};
 use limehollow::id::EndpointKey;
 use limehollow::instance::Instance;
--- /dev/null
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -0,0 +1,449 @@
+//! One request on its way: to which endpoints it goes, how often, and what its caller is told if none answers.
+
+use crate::answer::{Outgoing, Reason, plain, refuse};
+use crate::attempt::{self, Failed, Shows, Target};
+use crate::crash_probe;
+use crate::edge::{Ask, Feed, Protocol, Sending};
+use crate::logbook::may_log;
+use crate::metrics::Metrics;
+use crate::passage;
+use crate::relay::{Relay, Running, millis};
+use crate::site::Site;
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Either, Full};
+use limehollow::balance::{Bounds, Choice};
+use limehollow::catalog::{Catalog, Rule};
+use limehollow::fingerprint::{Fingerprint, OriginTag};
+use limehollow::id::EndpointKey;
+use limehollow::job::Job;
+use limehollow::load::Ending;
+use limehollow::quarantine::Standing;
+use limehollow::retry::Repeat;
+use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
+use limehollow::verdict::{Failure, Verdict};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A request is refused when its first result is expected later than so many times the service's
+/// tightest objective: an answer that is late is worth a tenth to a third of one in time, and after four times the
+/// objective callers have left.
+const PATIENCE: f64 = 2.5;
+/// The part of its objective that a request waits at most for a crowded endpoint or for an adapter, which loads in some
+/// ms: what comes later leaves too little of the objective for the result itself. Half of the objective instead was
+/// worth 0.03 less over 18 days. For a model nothing is waited: the fastest load takes longer than this.
+const WAIT_SHARE: f64 = 0.2;
+/// The part of the longest pause that an endpoint may spend reading prompts: its streams wait meanwhile,
+/// and prompts that are sent by other gateways at the same moment come on top.
+const READING_SHARE: f64 = 0.5;
+/// How often a request that waits for a crowded endpoint looks again, beside when it is told.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// The part of the objective that is left for a caller's second try.
+const SECOND_TRY: f64 = 0.6;
+/// Endpoints that are tried at most when no connection comes about.
+const MAX_UNREACHED: u32 = 4;
+/// When to come back after a refusal: bounds, and where no estimate says it.
+const SOON: Duration = Duration::from_millis(100);
+pub(crate) const LATER: Duration = Duration::from_secs(1);
+const LATEST: Duration = Duration::from_secs(5);
+/// When to come back for a model of which an endpoint has a copy: the order, what makes way, and the load, together 1.4 to
+/// 2.7 s in logs of moves.
+const COPY_SOON: Duration = Duration::from_millis(2500);
+/// What passes before and after a load from the weight store: the demand is told, the order given, the result told.
+const ORDERED_AFTER: Duration = Duration::from_millis(1000);
+/// When to come back for an adapter: it takes some ms to load, behind an order on a model a second.
+const ADAPTER_SOON: Duration = Duration::from_millis(500);
+
+/// One request on its way to endpoints.
+pub(crate) struct Dispatch<'a, P>
+where
+    P: Protocol,
+{
+    pub(crate) site: &'a Arc<Site<P>>,
+    pub(crate) catalog: &'a Catalog,
+    pub(crate) rule: &'a Rule,
+    pub(crate) ask: &'a Ask,
+    pub(crate) head: &'a Parts,
+    pub(crate) body: Bytes,
+    pub(crate) caller: IpAddr,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) job: Job,
+    pub(crate) arrived: Instant,
+    pub(crate) expiry: Instant,
+    pub(crate) tried: Vec<EndpointKey>,
+    pub(crate) reached: u32,
+    pub(crate) unreached: u32,
+    pub(crate) verdict: Verdict,
+}
+
+/// An endpoint that was chosen.
+struct Chosen {
+    to: Target,
+    expected_ms: f64,
+}
+
+impl<P> Dispatch<'_, P>
+where
+    P: Protocol,
+{
+    pub(crate) async fn run(mut self) -> Response<Outgoing<P>> {
+        self.note_arrival();
+        loop {
+            let chosen = match self.choose().await {
+                Ok(c) => c,
+                Err((reason, after)) => return self.give_up(reason, after),
+            };
+            let failed = match self.attempt(&chosen).await {
+                Ok(res) => return res,
+                Err(f) => f,
+            };
+            self.tried.push(chosen.to.key);
+            self.verdict = self.verdict.and(failed.verdict);
+            if failed.reached {
+                self.reached += 1;
+            } else {
+                self.unreached += 1;
+            }
+            if !self.may_go_on(&failed) {
+                let reason = if failed.reached {
+                    Reason::TurnedAway
+                } else {
+                    Reason::Unreached
+                };
+                return self.give_up(reason, SOON);
+            }
+            if failed.shows == Shows::ConnectionEnded {
+                crash_probe::settled(self.site, &chosen.to.instance).await;
+            }
+        }
+    }
+
+    fn note_arrival(&self) {
+        let now = self.site.now();
+        let mut known = self.site.known();
+        if let Some(m) = &self.job.model {
+            let engine = self.catalog.engine(&self.job.service);
+            let places = engine.map_or(1, |e| e.slots);
+            let work = known.balance.demand_ms(&self.job, places);
+            known.arrivals.note(now, m, work);
+        }
+        let window = known.repeats.entry(self.job.service.clone()).or_default();
+        window.request(now);
+    }
+
+    /// Chooses an endpoint, or gives the reason for a refusal and when to come back.
+    async fn choose(&mut self) -> Result<Chosen, (Reason, Duration)> {
+        let until = self.arrived + self.rule.objective.mul_f64(WAIT_SHARE);
+        loop {
+            let changed = self.site.changed.notified();
+            let now = self.site.now();
+            let choice = {
+                let known = self.site.known();
+                self.job.isolated = match known.quarantine.standing(now, self.fingerprint) {
+                    Standing::Clear => false,
+                    Standing::Suspect => true,
+                    Standing::Quarantined(left) => return Err((Reason::Quarantined, left)),
+                };
+                let bounds = self.bounds();
+                known
+                    .balance
+                    .choose(now, &known.roster, bounds, &self.job, &self.tried)
+            };
+            let (reason, after) = match choice {
+                Choice::To(key, expected_ms) => return self.admit(key, expected_ms),
+                Choice::Crowded(expected_ms) => (Reason::Busy, self.come_back(expected_ms)),
+                Choice::NoEndpoint => (Reason::NoEndpoint, LATER),
+                Choice::NoModel => (Reason::NoModel, self.model_comes()),
+                Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_SOON),
+            };
+            if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
+                self.site.known().wants.insert(m.clone());
+                self.site.urgent.notify_one();
+            }
+            let may_come_in_time = matches!(reason, Reason::Busy | Reason::NoAdapter);
+            if !may_come_in_time || now >= until {
+                return Err((reason, after));
+            }
+            // A time-out only ends the wait: the next round looks again, or refuses.
+            let _timed_out = if reason == Reason::Busy {
+                let soon = (now + LOOK_AGAIN).min(until);
+                self.site
+                    .clock
+                    .timeout_at(soon, self.site.eased.notified())
+                    .await
+            } else {
+                self.site.clock.timeout_at(until, changed).await
+            };
+        }
+    }
+
+    fn bounds(&self) -> Bounds {
+        let service = &self.job.service;
+        let pause = self.catalog.tightest_pause(service);
+        Bounds {
+            kv_tokens: self.catalog.engine(service).map(|e| e.kv_tokens),
+            reading_ms: pause.map_or(f64::INFINITY, |p| p.as_secs_f64() * 1000.0 * READING_SHARE),
+        }
+    }
+
+    /// Gives when a caller should come back for a model that is nowhere: once it is loaded, from a copy if an endpoint has
+    /// one at hand, else from the weight store.
+    fn model_comes(&self) -> Duration {
+        let Some(wanted) = &self.job.model else {
+            return LATER;
+        };
+        let known = self.site.known();
+        let mut open = known.roster.open(&self.job.service);
+        if open.any(|(_, e)| e.copies.contains(&wanted.model)) {
+            return COPY_SOON;
+        }
+        let engine = self.catalog.engine(&self.job.service);
+        let spec = engine.and_then(|e| e.models.get(&wanted.model));
+        spec.map_or(LATER, |s| s.cold_load + ORDERED_AFTER)
+    }
+
+    /// Gives when a caller should come back that is refused because the first result would take so long.
+    fn come_back(&self, expected_ms: f64) -> Duration {
+        let objective = self.objective_ms();
+        let excess =
+            Duration::from_secs_f64((expected_ms - objective * SECOND_TRY).max(0.0) / 1000.0);
+        excess.clamp(SOON, LATEST)
+    }
+
+    fn objective_ms(&self) -> f64 {
+        let objective = self.catalog.tightest_objective(&self.job.service);
+        objective.unwrap_or(self.rule.objective).as_secs_f64() * 1000.0
+    }
+
+    fn admit(&self, key: EndpointKey, expected_ms: f64) -> Result<Chosen, (Reason, Duration)> {
+        if expected_ms > self.objective_ms() * PATIENCE {
+            return Err((Reason::Busy, self.come_back(expected_ms)));
+        }
+        let known = self.site.known();
+        let e = known.roster.get(key).ok_or((Reason::NoEndpoint, SOON))?;
+        let to = Target {
+            key,
+            instance: e.instance.clone(),
+            address: e.address,
+        };
+        Ok(Chosen { to, expected_ms })
+    }
+
+    async fn attempt(&mut self, c: &Chosen) -> Result<Response<Outgoing<P>>, Failed> {
+        let now = self.site.now();
+        let sent = {
+            let mut known = self.site.known();
+            let known = &mut *known;
+            let Some(e) = known.roster.get(c.to.key) else {
+                return Err(Failed::gone());
+            };
+            let to = (c.to.key, e);
+            known.balance.start(now, to, &self.job, c.expected_ms)
+        };
+        let names = (self.fingerprint, OriginTag::from(self.caller));
+        let instance = c.to.instance.clone();
+        let (site, id) = (Arc::clone(self.site), self.ask.id.clone());
+        let mut running = Running::new(site, sent, id, names, instance, self.arrived);
+        self.log_sent(c);
+        let req = self.request(c, now);
+        let answer = attempt::send(self.site, &self.site.pool, &c.to, req, &self.ask.id);
+        let Ok(sent) = self.site.clock.timeout_at(self.expiry, answer).await else {
+            running.end(Ending::Failed(Failure::Deadline), "expired");
+            return Ok(self.expired());
+        };
+        let answer = sent.inspect_err(|f| self.note_failure(&mut running, &c.to, f))?;
+        let (head, body) = answer.response.into_parts();
+        let streamed = self.rule.stream && head.status.is_success();
+        if streamed {
+            let relay = Relay::new(body, answer.connection, running, self.expiry);
+            return Ok(self.forward(head, Either::Right(relay)));
+        }
+        running.first();
+        let Ok(collected) = self
+            .site
+            .clock
+            .timeout_at(self.expiry, body.collect())
+            .await
+        else {
+            running.end(Ending::Failed(Failure::Deadline), "expired");
+            return Ok(self.expired());
+        };
+        let body = collected.map_err(|e| {
+            let f = Failed::cut_off(&e);
+            self.note_failure(&mut running, &c.to, &f);
+            f
+        })?;
+        self.site.pool.put_later(answer.connection, None);
+        if head.status.is_server_error() {
+            running.ran_to_end();
+            running.end(Ending::Failed(Failure::ServerError), "the endpoint failed");
+            let f = Failed::broken(smol_str::format_smolstr!("status {}", head.status.as_u16()));
+            let again =
+                self.rule.repeat == Repeat::Allowed && self.reached + 1 < self.rule.max_attempts;
+            if again && self.with_budget(RepeatWindow::has) {
+                return Err(f);
+            }
+        } else {
+            running.whole();
+        }
+        Metrics::count(&self.site.metrics.requests, "answered");
+        Ok(self.forward(head, Either::Left(Full::new(body.to_bytes()))))
+    }
+
+    fn request(&self, c: &Chosen, now: Instant) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.head.method.clone();
+        *req.uri_mut() = self.head.uri.clone();
+        *req.headers_mut() = self.head.headers.clone();
+        let s = Sending {
+            remaining: self.expiry.duration_since(now),
+            instance: &c.to.instance.id,
+            rank: self.rule.rank,
+        };
+        self.site.protocol.address(req.headers_mut(), &s);
+        req
+    }
+
+    fn note_failure(&self, running: &mut Running<P>, to: &Target, f: &Failed) {
+        if f.shows == Shows::ConnectionEnded {
+            running.cut_off();
+        }
+        running.end(Ending::Failed(f.failure), "failed");
+        tracing::info!(
+            id = %self.ask.id,
+            verdict = %f.verdict,
+            reached = f.reached,
+            why = %f.why,
+            "try failed"
+        );
+        match (f.shows, &self.job.model) {
+            (Shows::OtherInstance, _) => {
+                self.site.note_gone(&to.instance);
+                tracing::info!(id = %self.ask.id, "another instance has the endpoint's address");
+            }
+            (Shows::NotHeld, Some(m)) => self.site.known().roster.unhold(to.key, m),
+            (Shows::NobodyListens, _) => self.site.note_crashed(&to.instance),
+            (Shows::NotHeld | Shows::ConnectionEnded | Shows::Nothing, _) => {}
+        }
+    }
+
+    /// Tells whether another endpoint may be tried after a failure.
+    fn may_go_on(&self, f: &Failed) -> bool {
+        let may_repeat = self.verdict == Verdict::NotRun || self.rule.repeat == Repeat::Allowed;
+        if !may_repeat || self.site.now() >= self.expiry {
+            return false;
+        }
+        if !f.reached {
+            return self.unreached < MAX_UNREACHED;
+        }
+        self.reached < self.rule.max_attempts && self.site_takes_repeat()
+    }
+
+    /// Takes a repeat from the budget, if it has one.
+    fn site_takes_repeat(&self) -> bool {
+        let taken = self.with_budget(RepeatWindow::take);
+        if taken {
+            self.site.metrics.repeats.inc();
+        }
+        taken
+    }
+
+    /// Asks the service's budget for repeats with what it needs to answer.
+    fn with_budget<F>(&self, f: F) -> bool
+    where
+        F: FnOnce(&mut RepeatWindow, Instant, RepeatAllowance, usize) -> bool,
+    {
+        let rules = self.site.settings.load().repeats();
+        let mut known = self.site.known();
+        let gateways = known.peers.known();
+        let window = known.repeats.entry(self.job.service.clone()).or_default();
+        f(window, self.site.now(), rules, gateways)
+    }
+
+    fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
+        let protocol = &self.site.protocol;
+        passage::clean(&mut head.headers, |n| protocol.answer_header(n));
+        if may_log() {
+            tracing::info!(
+                id = %self.ask.id,
+                status = head.status.as_u16(),
+                ms = millis(self.waited()),
+                "answer begins"
+            );
+        }
+        Response::from_parts(head, body)
+    }
+
+    fn expired(&self) -> Response<Outgoing<P>> {
+        tracing::info!(id = %self.ask.id, ms = millis(self.waited()), "the request's time has passed");
+        Metrics::count(&self.site.metrics.requests, "expired");
+        plain(
+            self.site,
+            StatusCode::GATEWAY_TIMEOUT,
+            &self.ask.id,
+            "time has passed\n",
+        )
+    }
+
+    /// Gives the final answer of a request that no endpoint has answered.
+    fn give_up(&self, reason: Reason, after: Duration) -> Response<Outgoing<P>> {
+        if self.verdict == Verdict::NotRun {
+            if may_log() {
+                let model = self.job.model.as_ref();
+                tracing::info!(
+                    id = %self.ask.id,
+                    rule = %self.rule.name,
+                    model = model.map(|m| m.model.as_str()),
+                    adapter = model.and_then(|m| m.adapter.as_deref()),
+                    tries = self.reached + self.unreached,
+                    waited_ms = millis(self.waited()),
+                    "given up"
+                );
+            }
+            return refuse(self.site, &self.ask.id, reason, after);
+        }
+        tracing::info!(id = %self.ask.id, reason = reason.as_str(), "no answer; the request may have run");
+        Metrics::count(&self.site.metrics.requests, "lost");
+        plain(
+            self.site,
+            StatusCode::BAD_GATEWAY,
+            &self.ask.id,
+            "the endpoint gave no answer\n",
+        )
+    }
+
+    fn waited(&self) -> Duration {
+        self.site.now().saturating_duration_since(self.arrived)
+    }
+
+    /// Gives how old the list is from which the endpoint was chosen.
+    fn list_age(&self) -> Option<Duration> {
+        let known = self.site.known();
+        let freshness = known.readings.freshness(Feed::Endpoints)?;
+        Some(freshness.age(self.site.now()))
+    }
+
+    fn log_sent(&self, c: &Chosen) {
+        if may_log() {
+            let model = self.job.model.as_ref();
+            tracing::info!(
+                id = %self.ask.id,
+                request = %self.fingerprint,
+                caller = %self.caller,
+                rule = %self.rule.name,
+                version = self.catalog.version,
+                endpoint = %c.to.instance,
+                model = model.map(|m| m.model.as_str()),
+                adapter = model.and_then(|m| m.adapter.as_deref()),
+                expected_ms = c.expected_ms.round(),
+                tries = self.reached + self.unreached,
+                waited_ms = millis(self.waited()),
+                list_age_ms = self.list_age().map(millis),
+                "sent"
+            );
+        }
+    }
+}
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -5,14 +5,14 @@
 use http::{HeaderMap, HeaderName, Request, StatusCode};
 use http_body_util::Full;
 use limehollow::catalog::Catalog;
+use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::Dealt;
 use limehollow::id::ZoneName;
 use limehollow::job::PromptPart;
-use limehollow::quarantine::CrashRecord;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
-use limehollow_wire::gossip::State;
+use limehollow_wire::gossip::{ListChange, State};
 use smol_str::SmolStr;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -63,6 +63,19 @@
     },
 }
 
+impl From<ListChange> for Change {
+    fn from(c: ListChange) -> Self {
+        match c {
+            ListChange::Listed(e) => Self::Endpoint(e),
+            ListChange::Gone(id) => Self::EndpointGone(id),
+            ListChange::Unreadable(key) => Self::Malformed {
+                key,
+                why: "another VM could not read it".to_owned(),
+            },
+        }
+    }
+}
+
 /// Changes of a feed, in order.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Metrics;
 use crate::site::Site;
 use limehollow::roster::Roster;
-use limehollow_wire::gossip::{Ages, Positions, Reading, State};
+use limehollow_wire::gossip::{Ages, ListChange, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -308,12 +308,9 @@
 
 /// Gives another VM's list as changes.
 fn listed(state: State) -> Vec<Change> {
-    let unreadable = state.unreadable.into_iter().map(|key| Change::Malformed {
-        key,
-        why: "another VM could not read it".to_owned(),
-    });
-    let endpoints = state.endpoints.into_iter().map(Change::Endpoint);
-    endpoints.chain(unreadable).collect()
+    let unreadable = state.unreadable.into_iter().map(ListChange::Unreadable);
+    let endpoints = state.endpoints.into_iter().map(ListChange::Listed);
+    endpoints.chain(unreadable).map(Change::from).collect()
 }
 
 fn ids(roster: &Roster) -> BTreeSet<SmolStr> {
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -5,12 +5,13 @@
 //! it did. A lost datagram is made good by the next ([`limehollow::peers`], `docs/design/system.md`).
 
 use crate::edge::{Feed, Protocol};
+use crate::known::Known;
 use crate::logbook;
 use crate::metrics::{By, Metrics};
 pub use crate::receiver::hear;
 use crate::sender::GONE_SAID_FOR;
 pub use crate::sender::{Outgoing, Sender};
-use crate::site::{Known, Site};
+use crate::site::Site;
 use limehollow::balance::MESSAGE_LIFE;
 use limehollow_wire::gossip::{Message, decode, encode};
 use std::io;
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! # A short tour
 //!
-//! * [`caller`] accepts connections, [`request`] is the life of one request, [`attempt`] one try at an
-//!   endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
+//! * [`caller`] accepts connections, [`request`] is the life of one request, `dispatch` its way to endpoints, [`attempt`] one
+//!   try at an endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
+//! * `crash_probe` finds out whether an endpoint has crashed, and [`quarantine_sync`] has all VMs know which requests do that.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
 //! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
-//! * [`site`] is the state that they share, [`run`] puts all together.
+//! * [`site`] is the state that they share, [`known`] what is known in it, [`clock`] the time, [`operator`] what operators can tell;
+//!   [`run`] puts all together.
 //!
 //! The design and what was weighed are in `docs/design/system.md`.
 
@@ -21,10 +23,12 @@
 pub mod clock;
 pub mod controller;
 mod crash_probe;
+mod dispatch;
 pub mod edge;
 pub mod follow;
 mod follower;
 pub mod gossip;
+pub mod known;
 pub mod lease;
 mod list;
 pub mod logbook;
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -237,14 +237,7 @@
         }
         self.next = Some(offer.to);
         self.f.note_position(offer.to);
-        let changes = offer.changes.into_iter().map(|c| match c {
-            ListChange::Listed(e) => Change::Endpoint(e),
-            ListChange::Gone(id) => Change::EndpointGone(id),
-            ListChange::Unreadable(key) => Change::Malformed {
-                key,
-                why: "another VM could not read it".to_owned(),
-            },
-        });
+        let changes = offer.changes.into_iter().map(Change::from);
         self.f.apply(Learnt::Neighbour, changes.collect(), false);
     }
 
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1 as client;
 use hyper_util::rt::TokioIo;
-use limehollow::quarantine::CrashRecord;
+use limehollow::crash_record::CrashRecord;
 use limehollow_wire::gossip::{State, decode_crashes, decode_state, encode_crashes, encode_state};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -7,8 +7,8 @@
 use crate::edge::{Protocol, States, Store};
 use crate::site::Site;
 use limehollow::balance::MESSAGE_LIFE;
+use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
-use limehollow::quarantine::CrashRecord;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -1,14 +1,15 @@
 //! What one VM says to the others, without the socket that it goes through.
 
 use crate::edge::Protocol;
+use crate::known::Known;
 use crate::receiver::is_zone;
 use crate::settings::NodeSettings;
-use crate::site::{Known, Site};
+use crate::site::Site;
 use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::candidacy::Notice;
+use limehollow::crash_record::CrashRecord;
 use limehollow::id::{EndpointKey, VmName};
 use limehollow::instance::Instance;
-use limehollow::quarantine::CrashRecord;
 use limehollow::roster::ModelRef;
 use limehollow_wire::gossip::{LeaseNotice, Message, Scope};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -5,205 +5,27 @@
 use crate::clock::Clock;
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
-use crate::logbook::may_log;
+use crate::known::Known;
 use crate::metrics::Metrics;
-use crate::outbox::Outbox;
 use crate::pool::Pool;
-use crate::quarantine_sync::Said;
-use crate::reading::Readings;
 use crate::settings::NodeSettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use limehollow::arrivals::Arrivals;
-use limehollow::balance::{Balance, Taken};
-use limehollow::candidacy::{Candidacy, Notice};
 use limehollow::catalog::Catalog;
-use limehollow::crash_watch::{CrashWatch, CutOff};
 use limehollow::fingerprint::Fingerprint;
 use limehollow::freshness::Freshness;
-use limehollow::id::{EndpointKey, ServiceName, VmName, ZoneName};
+use limehollow::id::{VmName, ZoneName};
 use limehollow::instance::Instance;
-use limehollow::peers::Peers;
-use limehollow::quarantine::{CrashRecord, Quarantine, StartTag};
-use limehollow::retry_window::RepeatWindow;
-use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
+use limehollow::quarantine::Quarantine;
+use limehollow::roster::{HoldingsReport, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 
-/// What is known of endpoints, load and demand.
-#[derive(Debug)]
-pub struct Known {
-    /// The endpoints.
-    pub roster: Roster,
-    /// What is where.
-    pub balance: Balance,
-    /// The budget for repeats, by service.
-    pub repeats: BTreeMap<ServiceName, RepeatWindow>,
-    /// What this VM's callers ask for.
-    pub arrivals: Arrivals,
-    /// What the callers of other VMs, and of other zones, ask for, and when that was heard.
-    pub demand: BTreeMap<VmName, (Instant, Vec<(ModelRef, f32)>)>,
-    /// What other VMs have at the endpoints, as the VMs of this zone said it last.
-    pub taken: BTreeMap<VmName, (Instant, Vec<(Instance, Taken)>)>,
-    /// Starts of endpoints that are gone, though the list still shows them, and when that was learnt.
-    pub gone: BTreeMap<Instance, Instant>,
-    /// What requests wait for here that isn't loaded, until it is told.
-    pub wants: BTreeSet<ModelRef>,
-    /// What other VMs' requests wait for, and when that was heard.
-    pub wanted: BTreeMap<ModelRef, Instant>,
-    /// Who holds the lease to give orders, as far as is known.
-    pub candidacy: Candidacy,
-    /// What this VM says of the lease itself, and until when.
-    pub lease_notice: Option<(Notice, Instant)>,
-    /// Changes of the list that this VM read lately, for the VMs of its zone.
-    pub list_news: VecDeque<(Instant, ListChanges)>,
-    /// How far this process has read what it follows.
-    pub positions: Positions,
-    /// How fresh that is.
-    pub readings: Readings,
-    /// Endpoints that vanished around an outage and may come back: they are still in use.
-    pub withheld: BTreeSet<SmolStr>,
-    /// The VM that has read each feed furthest, and how far.
-    pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
-    /// What the controller on this VM found out lately, for the other VMs.
-    pub reports: Outbox,
-    /// Whether this VM can't stand for the lease: its last call for it failed, or it was told to end.
-    pub lease_failing: bool,
-    /// The other VMs.
-    pub peers: Peers,
-    /// Which requests crash the endpoints that run them.
-    pub quarantine: Quarantine,
-    /// Endpoints that may have crashed, and what they ran.
-    pub crash_watch: CrashWatch,
-    /// What the other VMs said last of what they know of such requests, and where to ask for it.
-    pub quarantines: BTreeMap<SmolStr, Said>,
-}
-
-impl Known {
-    /// Takes in an entry of the list.
-    pub fn list(&mut self, now: Instant, e: Endpoint) -> Update {
-        let former = self.start_of(&e.instance.id);
-        let update = self.roster.list(now, e);
-        self.forget(now, update.replaced, former);
-        update
-    }
-
-    /// Takes in what the controller knows of an endpoint.
-    pub(crate) fn report(&mut self, now: Instant, r: &HoldingsReport) -> Update {
-        let former = self.start_of(&r.instance.id);
-        let update = self.roster.report(now, r);
-        self.forget(now, update.replaced, former);
-        update
-    }
-
-    /// Takes an endpoint out of use whose entry can't be read. Gives whether it was in use.
-    pub(crate) fn set_unreadable(&mut self, id: &SmolStr) -> bool {
-        self.withheld.remove(id);
-        let gone = self.roster.set_unreadable(id.clone());
-        if let Some(key) = gone {
-            // Its endpoint may well live: this says nothing of a crash.
-            self.balance.forget(key);
-        }
-        gone.is_some()
-    }
-
-    /// Takes in that another start answers at an endpoint's address. Gives whether that is news: the other VMs are told
-    /// then.
-    ///
-    /// The list shows a start that crashed for three heartbeats. While each of 300 VMs had to find out by itself, 805
-    /// requests were sent to a former start within four seconds after 50 endpoints of 240 had crashed and come back.
-    pub(crate) fn note_gone(&mut self, now: Instant, instance: &Instance) -> bool {
-        let Some(key) = self.roster.find(instance) else {
-            return false;
-        };
-        let is_news = self.roster.get(key).is_some_and(|e| !e.leaving);
-        if is_news {
-            self.roster.leave(key);
-            self.gone.insert(instance.clone(), now);
-            self.note_crashed(now, instance);
-        }
-        is_news
-    }
-
-    /// Drops an endpoint that is off the list. Gives whether it was there.
-    pub fn drop_endpoint(&mut self, now: Instant, id: &str) -> bool {
-        self.withheld.remove(id);
-        let former = self.start_of(id);
-        let gone = self.roster.remove(id);
-        self.forget(now, gone, former);
-        gone.is_some()
-    }
-
-    /// Gives the start that is known of an endpoint, unless it has said that it leaves.
-    fn start_of(&self, id: &str) -> Option<Instance> {
-        let e = self.roster.get(self.roster.key(id)?)?;
-        (!e.leaving).then(|| e.instance.clone())
-    }
-
-    /// Forgets what is believed of a start of an endpoint that is gone. If it hadn't said that it leaves, and connections to
-    /// it had ended, it crashed.
-    fn forget(&mut self, now: Instant, gone: Option<EndpointKey>, start: Option<Instance>) {
-        let Some(key) = gone else { return };
-        self.balance.forget(key);
-        if let Some(start) = start {
-            self.note_crashed(now, &start);
-        }
-    }
-
-    /// Takes in that a start of an endpoint has crashed: what it ran is suspect. Gives whether it ran anything.
-    pub(crate) fn note_crashed(&mut self, now: Instant, start: &Instance) -> bool {
-        let cut_off = self.crash_watch.note_crashed(start);
-        for c in &cut_off {
-            self.note_suspect(now, start, *c);
-        }
-        !cut_off.is_empty()
-    }
-
-    /// Takes in that a request ran on a start of an endpoint when that crashed.
-    pub(crate) fn note_suspect(&mut self, now: Instant, start: &Instance, c: CutOff) {
-        let tag = StartTag::from(start);
-        let from = (c.request, c.origin);
-        let outcome = self.quarantine.note_crash(now, from, tag, c.timing);
-        if may_log() {
-            let record = self.quarantine.record(now, c.request);
-            tracing::info!(
-                request = %c.request,
-                endpoint = %start,
-                timing = ?c.timing,
-                crashes = record.map_or(0, |r| r.crashes.len()),
-                "an endpoint crashed under the request"
-            );
-        }
-        if outcome.is_quarantined {
-            self.log_quarantined(now, c.request, "this VM");
-        }
-    }
-
-    /// Takes in what another VM knows of a request that endpoints crashed under.
-    pub(crate) fn merge_crashes(&mut self, now: Instant, by: &str, r: &CrashRecord) -> bool {
-        let outcome = self.quarantine.merge(now, r);
-        if outcome.is_quarantined {
-            self.log_quarantined(now, r.request, by);
-            if self.peers.is_zone_leader(now) {
-                // Which VM's word was the last one needed is another one on each VM.
-                self.quarantine.save(r.request);
-            }
-        }
-        outcome.is_news
-    }
-
-    fn log_quarantined(&self, now: Instant, request: Fingerprint, by: &str) {
-        let record = self.quarantine.record(now, request);
-        let crashes = record.map(|r| r.crashes).unwrap_or_default();
-        tracing::warn!(%request, by, ?crashes, "the request is quarantined");
-    }
-}
-
 /// The state of one process.
 #[derive(Debug)]
 pub struct Site<P> {
@@ -264,34 +86,7 @@
     #[must_use]
     pub fn with_clock(settings: NodeSettings, protocol: P, clock: Arc<Clock>) -> Arc<Self> {
         let zone = ZoneName::from(settings.availability_zone.as_str());
-        let known = Known {
-            roster: Roster::default(),
-            balance: Balance::new(zone.clone()),
-            repeats: BTreeMap::new(),
-            arrivals: Arrivals::default(),
-            demand: BTreeMap::new(),
-            taken: BTreeMap::new(),
-            gone: BTreeMap::new(),
-            wants: BTreeSet::new(),
-            wanted: BTreeMap::new(),
-            candidacy: Candidacy::new(clock.now()),
-            lease_notice: None,
-            list_news: VecDeque::new(),
-            positions: Positions::default(),
-            readings: Readings::default(),
-            withheld: BTreeSet::new(),
-            ahead: BTreeMap::new(),
-            reports: Outbox::default(),
-            lease_failing: false,
-            peers: Peers::new(
-                SmolStr::new(settings.name.as_str()),
-                zone.clone(),
-                settings.millicores(),
-            ),
-            quarantine: Quarantine::default(),
-            crash_watch: CrashWatch::default(),
-            quarantines: BTreeMap::new(),
-        };
+        let known = Known::new(&settings, clock.now());
         let (list_tx, list_rx) = mpsc::unbounded_channel();
         Arc::new(Self {
             me: VmName::from(settings.name.as_str()),
--- a/crates/limehollow-node/tests/quarantine_spread.rs
+++ b/crates/limehollow-node/tests/quarantine_spread.rs
@@ -3,8 +3,8 @@
 
 mod rig;
 
+use limehollow::crash_record::Timing;
 use limehollow::fingerprint::{Fingerprint, Identity};
-use limehollow::quarantine::Timing;
 use rig::fleet::{Fleet, Treats};
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -2,12 +2,13 @@
 //! test says. Messages and states go by memory, so that nothing waits for a socket.
 
 use super::{Memory, Plain, catalog, endpoint, parse_settings};
+use limehollow::crash_record::{CrashRecord, Timing};
 use limehollow::crash_watch::CutOff;
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::Dealt;
 use limehollow::id::ServiceName;
 use limehollow::instance;
-use limehollow::quarantine::{CrashRecord, Standing, Timing};
+use limehollow::quarantine::Standing;
 use limehollow::roster::Endpoint;
 use limehollow_node::edge::{Change, Changes, Feed, States, Store, StoreError, Vm};
 use limehollow_node::follow::follow;
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -3,9 +3,9 @@
 use crate::error::{BinarySnafu, Result, VersionSnafu};
 use limehollow::balance::Taken;
 use limehollow::catalog::Catalog;
+use limehollow::crash_record::CrashRecord;
 use limehollow::freshness::Freshness;
 use limehollow::instance::Instance;
-use limehollow::quarantine::CrashRecord;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/crates/limehollow/src/crash_watch.rs
+++ b/crates/limehollow/src/crash_watch.rs
@@ -4,9 +4,9 @@
 //! So the requests that were cut off wait here until it is known: a crash is when nobody listens at the endpoint's
 //! address any more, another start answers there, or its entry goes, without its having said that it leaves.
 
+use crate::crash_record::Timing;
 use crate::fingerprint::{Fingerprint, OriginTag};
 use crate::instance::Instance;
-use crate::quarantine::Timing;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -12,6 +12,8 @@
 //! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
 //! * [`lease`], [`membership`] and [`order`] drive a controller.
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] drive a gateway.
+//! * [`fingerprint`], [`crash_watch`], [`crash_record`] and [`quarantine`] find out which requests crash the endpoints that run
+//!   them (`docs/design/crashing-requests.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
 //!   [`group_lease`], [`late_loads`], [`load_window`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
@@ -33,6 +35,7 @@
 pub mod candidacy;
 pub mod catalog;
 pub mod claim;
+pub mod crash_record;
 pub mod crash_watch;
 pub mod demand;
 pub mod error;
@@ -60,6 +63,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod rebalance;
+mod recent_answers;
 pub mod record;
 pub mod replay;
 pub mod retry;
--- a/crates/limehollow/src/quarantine.rs
+++ b/crates/limehollow/src/quarantine.rs
@@ -8,9 +8,9 @@
 //! VMs tell each other records, which merge in any order to the same result: the starts that ended under a request are a
 //! set, and a whole answer begins a new generation with an empty one (`docs/design/crashing-requests.md`).
 
+use crate::crash_record::{CrashRecord, StartTag, Timing};
 use crate::fingerprint::{Fingerprint, OriginTag};
-use crate::instance::Instance;
-use serde::{Deserialize, Serialize};
+use crate::recent_answers::RecentAnswers;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 use std::time::Duration;
@@ -20,12 +20,9 @@
 /// Early crashes that show a request to be the cause. A stream that merely runs beside the cause is hit as early as that in one
 /// of six crashes, so three times in a row in one of 200.
 const EARLY_CRASHES: usize = 3;
-/// Crashes of any kind that do: a cause that needs longer than [`EARLY`] is stopped by it, too. Callers who send a
+/// Crashes of any kind that do: a cause that needs longer than [`crate::crash_record::EARLY`] is stopped by it, too. Callers who send a
 /// request again at once lose it after five crashes in a row.
 const ALL_CRASHES: usize = 5;
-/// How long after its first result a crash counts as early. A request that crashes what begins to run it does so in its first
-/// steps, of some tens of ms each; streams go on for 1.4 s and more, so most that run beside it are past this.
-pub const EARLY: Duration = Duration::from_millis(300);
 /// For how long a request is refused after the crash that showed it, the first time. Callers give a request up after half a
 /// minute at most, and what fixes a model or a program is rolled out in minutes.
 const FIRST_TERM: Duration = Duration::from_mins(10);
@@ -37,12 +34,6 @@
 const MAX_CRASHES: usize = 8;
 /// Records that are kept at most: all that ran on 64 full endpoints; 0.7 MB in memory, 0.13 MB to tell another VM.
 pub const MAX_RECORDS: usize = 4096;
-/// For how long a request that ran to its end can't be the cause of a crash: what is asked again and again, by many callers, runs on
-/// several endpoints that may crash together. What an endpoint runs well may crash it under a new version of the model, so it is
-/// no more than this.
-const ANSWER_LIFE: Duration = Duration::from_mins(1);
-/// Answers that are remembered at most: those of a minute at 68 a second, twice what a VM takes at the largest site.
-const MAX_ANSWERS: usize = 4096;
 /// How many messages to the VMs of the zone carry a record after an early crash, since some datagrams in a row may be lost. Records
 /// of late ones, which are most, and those for other zones go once: who misses them sees it by the digest.
 const TOLD_TIMES: u32 = 3;
@@ -51,57 +42,6 @@
 /// Records in one message at most, so that it fits in few packets.
 const MAX_TOLD: usize = 16;
 
-/// When in its run an endpoint's end hit a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Timing {
-    /// Before its first result, or up to [`EARLY`] after it.
-    Early,
-    /// Later.
-    Late,
-}
-
-impl Timing {
-    /// Gives the timing of a crash, by how long before it the first result came.
-    #[must_use]
-    pub fn of(since_first: Option<Duration>) -> Self {
-        match since_first {
-            Some(t) if t >= EARLY => Self::Late,
-            _ => Self::Early,
-        }
-    }
-}
-
-/// Names one start of an endpoint, as far as crashes have to be told apart: two that have the same tag, one pair of 65,536, count
-/// as one, and the request needs one crash more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct StartTag(u16);
-
-impl From<&Instance> for StartTag {
-    fn from(i: &Instance) -> Self {
-        let mut h = Xxh3::new();
-        h.write(i.id.as_bytes());
-        h.write_u64(i.born.unwrap_or(0));
-        let [low, high, ..] = h.digest().to_le_bytes();
-        Self(u16::from_le_bytes([low, high]))
-    }
-}
-
-/// What VMs tell each other of one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// The request.
-    pub request: Fingerprint,
-    /// Where it came from when an endpoint crashed under it; of several the least.
-    pub origin: OriginTag,
-    /// Rises when it is cleared; what was known of a lower one counts no more.
-    pub generation: u32,
-    /// The starts of endpoints that ended under it, each once, and when in its run.
-    pub crashes: BTreeMap<StartTag, Timing>,
-    /// How long ago the last of them ended or it was cleared, in ms.
-    pub age_ms: u32,
-}
-
 /// How a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -177,7 +117,7 @@
         h.write(request.as_bytes());
         h.write_u32(self.generation);
         for (start, timing) in &self.crashes {
-            h.write_u16(start.0);
+            start.hash_into(&mut h);
             h.write_u8(u8::from(*timing == Timing::Early));
         }
         h.digest()
@@ -224,9 +164,8 @@
     contained: VecDeque<u64>,
     /// When the digest changed last.
     changed: Option<Instant>,
-    /// What ran to its end lately, in order, and when it did last.
-    answers: VecDeque<(Instant, Fingerprint)>,
-    answered: BTreeMap<Fingerprint, Instant>,
+    /// What ran to its end lately.
+    answers: RecentAnswers,
     /// What is still to be told.
     untold: VecDeque<Untold>,
     /// What was quarantined or cleared and isn't kept outside this process yet.
@@ -335,30 +274,10 @@
 
     /// Notes that an endpoint has run a request to its end. Gives whether anything spoke against it, which it does no more.
     pub fn note_answer(&mut self, now: Instant, request: Fingerprint) -> bool {
-        self.answers.push_back((now, request));
-        self.answered.insert(request, now);
-        self.forget_answers(now);
+        self.answers.note(now, request);
         self.clear(now, request)
     }
 
-    fn forget_answers(&mut self, now: Instant) {
-        while let Some((at, request)) = self.answers.front().copied() {
-            let is_old = now.saturating_duration_since(at) >= ANSWER_LIFE;
-            if !is_old && self.answers.len() <= MAX_ANSWERS {
-                return;
-            }
-            self.answers.pop_front();
-            if self.answered.get(&request) == Some(&at) {
-                self.answered.remove(&request);
-            }
-        }
-    }
-
-    fn ran_lately(&self, now: Instant, request: Fingerprint) -> bool {
-        let at = self.answered.get(&request);
-        at.is_some_and(|t| now.saturating_duration_since(*t) < ANSWER_LIFE)
-    }
-
     /// Clears a request: an endpoint has run it to its end, or an operator says so. Gives whether anything spoke against
     /// it.
     pub fn clear(&mut self, now: Instant, request: Fingerprint) -> bool {
@@ -422,7 +341,7 @@
         }
         let has_crashes = !row.crashes.is_empty();
         let is_news = self.put(now, other.request, row.clone());
-        if has_crashes && self.ran_lately(now, other.request) {
+        if has_crashes && self.answers.contains(now, other.request) {
             self.clear(now, other.request);
             return Outcome {
                 is_news,
--- a/crates/limehollow/tests/crash_watch.rs
+++ b/crates/limehollow/tests/crash_watch.rs
@@ -1,9 +1,9 @@
 //! What tells an endpoint's crash from the end of a connection.
 
+use limehollow::crash_record::Timing;
 use limehollow::crash_watch::{CrashWatch, CutOff, Suspicion};
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::instance::Instance;
-use limehollow::quarantine::Timing;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/limehollow/tests/isolation.rs
+++ b/crates/limehollow/tests/isolation.rs
@@ -7,10 +7,11 @@
 mod site;
 
 use limehollow::balance::{Balance, Bounds, Choice, Sent};
+use limehollow::crash_record::{StartTag, Timing};
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::id::EndpointKey;
 use limehollow::load::Ending;
-use limehollow::quarantine::{Quarantine, Standing, StartTag, Timing};
+use limehollow::quarantine::{Quarantine, Standing};
 use limehollow::roster::Roster;
 use limehollow::verdict::Failure;
 use rand::rngs::StdRng;
--- a/crates/limehollow/tests/quarantine.rs
+++ b/crates/limehollow/tests/quarantine.rs
@@ -1,10 +1,9 @@
 //! What VMs know of requests that crash endpoints: who is sure when, who is cleared, and what is kept.
 
+use limehollow::crash_record::{CrashRecord, EARLY, StartTag, Timing};
 use limehollow::fingerprint::{Fingerprint, Identity, OriginTag};
 use limehollow::instance::Instance;
-use limehollow::quarantine::{
-    CrashRecord, EARLY, MAX_RECORDS, Outcome, Quarantine, Standing, StartTag, Timing,
-};
+use limehollow::quarantine::{MAX_RECORDS, Outcome, Quarantine, Standing};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 use tokio::time::Instant;
