--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -24,6 +24,12 @@
     Busy,
     TurnedAway,
     Unreached,
+    /// Whether its key counts can't be told now.
+    KeyUnconfirmed,
+    /// Its workspace has used what it may.
+    OverLimit,
+    /// Whether its workspace has used what it may can't be told now.
+    LimitUnknown,
     /// It has crashed endpoints that ran it.
     Quarantined,
 }
@@ -38,11 +44,23 @@
             Self::Busy => "the endpoints are busy",
             Self::TurnedAway => "the endpoint refused it",
             Self::Unreached => "no endpoint could be reached",
+            Self::KeyUnconfirmed => "the key can't be confirmed now",
+            Self::OverLimit => "the workspace is over its limit",
+            Self::LimitUnknown => "the workspace's limit can't be looked up now",
             Self::Quarantined => "the request crashes the endpoints that run it",
         }
     }
 }
 
+impl Reason {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
 /// Refuses a request that did not run.
 pub(crate) fn refuse<P>(
     site: &Site<P>,
@@ -64,7 +82,7 @@
         );
     }
     let text = format!("{}\n", reason.as_str());
-    let mut res = plain(site, StatusCode::SERVICE_UNAVAILABLE, id, &text);
+    let mut res = plain(site, reason.status(), id, &text);
     let after = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()));
     if let Ok(after) = after {
         res.headers_mut().insert(header::RETRY_AFTER, after);
--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One try at an endpoint.
 
 use crate::edge::{Judgement, Protocol};
+use crate::keys::{self, Pass};
 use crate::pool::{ConnectError, Connection, Pool};
 use crate::site::Site;
 use bytes::Bytes;
@@ -28,6 +29,8 @@
     OtherInstance,
     /// It doesn't hold what was asked for.
     NotHeld,
+    /// Nothing of the endpoint: the caller's key doesn't count any more.
+    KeyGone,
 }
 
 /// How a try failed.
@@ -74,6 +77,12 @@
         Self::unsent(Shows::Nothing, SmolStr::new_static("it leaves"))
     }
 
+    /// Makes the failure of a try before which the caller's key was taken away, or could not be confirmed any more.
+    #[must_use]
+    pub fn key_gone() -> Self {
+        Self::unsent(Shows::KeyGone, SmolStr::new_static("the key doesn't count"))
+    }
+
     /// Makes the failure of a try whose request left and whose answer can't be used.
     #[must_use]
     pub fn broken(why: SmolStr) -> Self {
@@ -129,7 +138,7 @@
 /// Sends a request to an endpoint, on a kept connection if there is one, and reads the answer's head.
 ///
 /// Opening a connection takes up to [`crate::pool::CONNECT_TIMEOUT`], so the endpoint is looked up again after it: one that
-/// began to leave meanwhile gets nothing.
+/// began to leave meanwhile gets nothing. The caller's key is looked up again before each send.
 ///
 /// # Errors
 ///
@@ -140,10 +149,15 @@
     to: &Target,
     mut req: Request<Full<Bytes>>,
     id: &str,
+    pass: Option<&Pass>,
 ) -> Result<Answer, Failed>
 where
     P: Protocol,
 {
+    let key_counts = || pass.is_none_or(|p| keys::holds(site, p));
+    if !key_counts() {
+        return Err(Failed::key_gone());
+    }
     // A kept connection that turns out to be closed gives the request back unsent.
     while let Some(mut c) = pool.take(to.key) {
         match c.sender.try_send_request(req).await {
@@ -160,6 +174,9 @@
     if !takes_work(site, to.key) {
         return Err(Failed::gone());
     }
+    if !key_counts() {
+        return Err(Failed::key_gone());
+    }
     match c.sender.try_send_request(req).await {
         Ok(response) => judge(site, pool, response, c, (id, &to.instance.id)),
         Err(mut e) => Err(match e.take_message() {
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{self, Failed, Shows, Target};
 use crate::crash_probe;
 use crate::edge::{Ask, Feed, Protocol, Sending};
+use crate::keys::Pass;
 use crate::logbook::may_log;
 use crate::metrics::Metrics;
 use crate::passage;
@@ -20,6 +21,7 @@
 use limehollow::job::Job;
 use limehollow::load::Ending;
 use limehollow::quarantine::Standing;
+use limehollow::quota::ON_THE_WAY;
 use limehollow::retry::Repeat;
 use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
 use limehollow::verdict::{Failure, Verdict};
@@ -66,6 +68,10 @@
     pub(crate) catalog: &'a Catalog,
     pub(crate) rule: &'a Rule,
     pub(crate) ask: &'a Ask,
+    /// What lets it go on, where it needs a key.
+    pub(crate) pass: Option<&'a Pass>,
+    /// What it has taken of its workspace's limit.
+    pub(crate) taken: f64,
     pub(crate) head: &'a Parts,
     pub(crate) body: Bytes,
     pub(crate) caller: IpAddr,
@@ -108,10 +114,10 @@
                 self.unreached += 1;
             }
             if !self.may_go_on(&failed) {
-                let reason = if failed.reached {
-                    Reason::TurnedAway
-                } else {
-                    Reason::Unreached
+                let reason = match failed.shows {
+                    Shows::KeyGone => Reason::KeyUnconfirmed,
+                    _ if failed.reached => Reason::TurnedAway,
+                    _ => Reason::Unreached,
                 };
                 return self.give_up(reason, SOON);
             }
@@ -249,7 +255,14 @@
         let mut running = Running::new(site, sent, id, names, instance, self.arrived);
         self.log_sent(c);
         let req = self.request(c, now);
-        let answer = attempt::send(self.site, &self.site.pool, &c.to, req, &self.ask.id);
+        let answer = attempt::send(
+            self.site,
+            &self.site.pool,
+            &c.to,
+            req,
+            &self.ask.id,
+            self.pass,
+        );
         let Ok(sent) = self.site.clock.timeout_at(self.expiry, answer).await else {
             running.end(Ending::Failed(Failure::Deadline), "expired");
             return Ok(self.expired());
@@ -301,7 +314,8 @@
         let s = Sending {
             remaining: self.expiry.duration_since(now),
             instance: &c.to.instance.id,
-            rank: self.rule.rank,
+            rank: self.job.rank,
+            workspace: self.pass.map(|p| p.workspace.as_str()),
         };
         self.site.protocol.address(req.headers_mut(), &s);
         req
@@ -326,14 +340,14 @@
             }
             (Shows::NotHeld, Some(m)) => self.site.known().roster.unhold(to.key, m),
             (Shows::NobodyListens, _) => self.site.note_crashed(&to.instance),
-            (Shows::NotHeld | Shows::ConnectionEnded | Shows::Nothing, _) => {}
+            (Shows::NotHeld | Shows::ConnectionEnded | Shows::KeyGone | Shows::Nothing, _) => {}
         }
     }
 
     /// Tells whether another endpoint may be tried after a failure.
     fn may_go_on(&self, f: &Failed) -> bool {
         let may_repeat = self.verdict == Verdict::NotRun || self.rule.repeat == Repeat::Allowed;
-        if !may_repeat || self.site.now() >= self.expiry {
+        if !may_repeat || f.shows == Shows::KeyGone || self.site.now() >= self.expiry {
             return false;
         }
         if !f.reached {
@@ -391,6 +405,7 @@
     /// Gives the final answer of a request that no endpoint has answered.
     fn give_up(&self, reason: Reason, after: Duration) -> Response<Outgoing<P>> {
         if self.verdict == Verdict::NotRun {
+            self.give_back();
             if may_log() {
                 let model = self.job.model.as_ref();
                 tracing::info!(
@@ -415,6 +430,16 @@
         )
     }
 
+    /// Gives back what the request took of its workspace's limit, if that was so recently that the sum over all VMs allows it.
+    fn give_back(&self) {
+        if let Some(p) = self.pass.filter(|_| self.waited() <= ON_THE_WAY) {
+            let mut known = self.site.known();
+            known
+                .quotas
+                .give_back(self.site.now(), &p.workspace, self.taken);
+        }
+    }
+
     fn waited(&self) -> Duration {
         self.site.now().saturating_duration_since(self.arrived)
     }
@@ -434,6 +459,7 @@
                 request = %self.fingerprint,
                 caller = %self.caller,
                 rule = %self.rule.name,
+                workspace = self.pass.map(|p| p.workspace.as_str()),
                 version = self.catalog.version,
                 endpoint = %c.to.instance,
                 model = model.map(|m| m.model.as_str()),
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -12,6 +12,7 @@
 use limehollow::job::PromptPart;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
+use limehollow::workspace::KeyDigest;
 use limehollow_wire::gossip::{ListChange, State};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -221,8 +222,8 @@
 pub struct Ask {
     /// The request's id.
     pub id: SmolStr,
-    /// Who asks, where the protocol names it. An address names nobody: callers stand behind several, and several behind one.
-    pub caller: Option<SmolStr>,
+    /// The key with which it is asked. An address names nobody: callers stand behind several, and several behind one.
+    pub key: Option<KeyDigest>,
     /// How long the caller waits.
     pub patience: Option<Duration>,
     /// The model, where one is asked for.
@@ -235,6 +236,15 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Ask {
+    /// Gives the tokens that the request says of itself; none where it says none.
+    #[must_use]
+    pub fn tokens(&self) -> Option<u64> {
+        let sum = u64::from(self.prompt_tokens) + u64::from(self.max_output);
+        Some(sum).filter(|n| *n > 0)
+    }
+}
+
 /// A request that can't be understood.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{header}: {why}"), visibility(pub))]
@@ -254,6 +264,8 @@
     pub instance: &'a str,
     /// The request's rank; 0 is the most urgent.
     pub rank: u8,
+    /// The workspace whose key it came with.
+    pub workspace: Option<&'a str>,
 }
 
 /// What becomes of a header on its way through the gateway.
@@ -263,6 +275,8 @@
     Kept,
     /// It goes on, unless it concerns one connection only.
     Passes,
+    /// It says who asks, for the gateway where workspaces have keys; an endpoint doesn't see it then.
+    Credential,
     /// It is the gateway's to say: what the other side sent is taken out.
     Ours,
 }
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -128,7 +128,7 @@
     /// tells it.
     async fn pause_between_reads(&self, began: Instant, pace: ReadPace) {
         tokio::select! {
-            () = self.f.site.clock.sleep_until(began + pace.every()) => {}
+            () = self.f.site.clock.sleep_until(began + self.read_every(pace)) => {}
             () = self.f.behind(OWN_TIME) => {}
         }
     }
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Gives the time between two reads of the VM that reads for its zone.
+    fn read_every(&self, pace: ReadPace) -> Duration {
+        let keys = self.f.site.settings.load().key_bound();
+        keys.map_or(pace.every(), |b| pace.every().min(b.read_every()))
+    }
+
     fn pace(&self) -> Option<ReadPace> {
         self.f.site.settings.load().pace(self.f.feed)
     }
@@ -227,11 +233,9 @@
     async fn stale(&self) {
         let luck = rand::random();
         loop {
-            let freshness = self.f.site.known().readings.freshness(self.f.feed);
-            let (Some(pace), Some(f)) = (self.pace(), freshness) else {
+            let Some(due) = self.stale_at(luck) else {
                 return std::future::pending().await;
             };
-            let due = f.complete_at() + pace.stale_after(luck);
             if due <= self.f.site.now() {
                 return;
             }
@@ -239,6 +243,17 @@
         }
     }
 
+    /// Gives when the copy is too old: for its own bound, or for keys to count.
+    fn stale_at(&self, luck: f64) -> Option<Instant> {
+        let known = self.f.site.known();
+        let freshness = known.readings.freshness(self.f.feed)?;
+        let due = freshness.complete_at() + self.pace()?.stale_after(luck);
+        let keys = self.f.site.settings.load().key_bound();
+        let keys = keys.filter(|_| self.f.feed == Feed::Configuration);
+        let keys = keys.and_then(|b| Some(known.confirmation.at()? + b.read_after(luck)));
+        Some(keys.map_or(due, |t| due.min(t)))
+    }
+
     /// Gives what another VM has read, once the store has not answered for [`ASK_PEER_AFTER`]; waits for as
     /// long as no VM is further.
     async fn fetch_late(&self) -> PeerState {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -147,6 +147,9 @@
     /// Notes that a read that began at this moment was answered.
     pub(crate) fn regained(&mut self, began: Instant) {
         Metrics::count(&self.site.metrics.store_calls, "answered");
+        if self.feed == Feed::Configuration {
+            self.site.known().confirmation.confirm(began);
+        }
         if let Some(pace) = self.site.settings.load().pace(self.feed) {
             let mut known = self.site.known();
             known.readings.read(self.feed, began, pace.longest_gap());
@@ -201,6 +204,11 @@
                 }
             }
         }
+        if whole && self.feed == Feed::Vms {
+            let mut known = self.site.known();
+            known.has_vms = true;
+            known.note_vms(now, 0);
+        }
         if whole && self.feed == Feed::Endpoints {
             self.site.known().roster.retain_unreadable(&seen);
             let known = ids(&self.site.known().roster);
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -8,12 +8,13 @@
 use crate::known::Known;
 use crate::logbook;
 use crate::metrics::{By, Metrics};
+use crate::question;
 pub use crate::receiver::hear;
 use crate::sender::GONE_SAID_FOR;
 pub use crate::sender::{Outgoing, Sender};
 use crate::site::Site;
 use limehollow::balance::MESSAGE_LIFE;
-use limehollow_wire::gossip::{Message, decode, encode};
+use limehollow_wire::gossip::{Answer, Datagram, Message, decode, encode};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,7 +50,7 @@
         last = site.now();
         note_lost_time(&site);
         for (message, to) in s.outgoing(last) {
-            send_all(&socket, &message, &to).await;
+            send_all(&socket, message, &to).await;
         }
     }
 }
@@ -67,8 +68,12 @@
     }
 }
 
-async fn send_all(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
-    let bytes = match encode(message) {
+async fn send_all(socket: &UdpSocket, message: Message, to: &[SocketAddr]) {
+    send_datagram(socket, &Datagram::Message(Box::new(message)), to).await;
+}
+
+async fn send_datagram(socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
+    let bytes = match encode(datagram) {
         Ok(b) => b,
         Err(e) => {
             tracing::error!(error = %e, "a message can't be written");
@@ -90,15 +95,24 @@
 {
     let mut buf = vec![0; MAX_MESSAGE];
     loop {
-        let n = match socket.recv_from(&mut buf).await {
-            Ok((n, _)) => n,
+        let (n, from) = match socket.recv_from(&mut buf).await {
+            Ok(came) => came,
             Err(e) => {
                 pause_after(&e).await;
                 continue;
             }
         };
         let w = match decode(&buf[..n]) {
-            Ok(w) => w,
+            Ok(Datagram::Message(w)) => *w,
+            Ok(Datagram::Question(q)) => {
+                let answer: Answer = question::answer(&site, q);
+                send_datagram(&socket, &Datagram::Answer(answer), &[from]).await;
+                continue;
+            }
+            Ok(Datagram::Answer(a)) => {
+                site.questions.answered(a);
+                continue;
+            }
             Err(e) => {
                 tracing::debug!(error = %e, "a message can't be read");
                 continue;
@@ -108,11 +122,24 @@
             wanted.notify_one();
         }
         if let Some((message, to)) = hear(&site, w) {
-            send_all(&socket, &message, &to).await;
+            send_all(&socket, message, &to).await;
         }
     }
 }
 
+/// Sends this VM's questions to other VMs for as long as the process lives.
+pub async fn send_questions<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>)
+where
+    P: Protocol,
+{
+    let Some(mut rx) = site.questions.take_outgoing() else {
+        return;
+    };
+    while let Some((to, q)) = rx.recv().await {
+        send_datagram(&socket, &Datagram::Question(q), &[to]).await;
+    }
+}
+
 async fn pause_after(e: &io::Error) {
     tracing::debug!(error = %e, "no message could be read");
     sleep(URGENT_EVERY).await;
@@ -156,6 +183,10 @@
             let known: &mut Known = &mut known;
             known.balance.refresh(now);
             forget_crashes(now, known);
+            known.note_vms(now, 0);
+            known
+                .quotas
+                .set_allowance(now, site.settings.load().quota_allowance());
             note_ages(now, known, &site.metrics);
             if known.roster.settle(now) {
                 site.changed.notify_waiters();
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -9,6 +9,7 @@
 use limehollow::arrivals::Arrivals;
 use limehollow::balance::{Balance, Taken};
 use limehollow::candidacy::{Candidacy, Notice};
+use limehollow::confirmation::Confirmation;
 use limehollow::crash_record::{CrashRecord, StartTag};
 use limehollow::crash_watch::{CrashWatch, CutOff};
 use limehollow::fingerprint::Fingerprint;
@@ -16,11 +17,13 @@
 use limehollow::instance::Instance;
 use limehollow::peers::Peers;
 use limehollow::quarantine::Quarantine;
+use limehollow::quota::Quotas;
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use tokio::time::Instant;
 
 /// What is known of endpoints, load and demand.
@@ -68,6 +71,14 @@
     pub quarantine: Quarantine,
     /// Endpoints that may have crashed, and what they ran.
     pub crash_watch: CrashWatch,
+    /// Until when the configuration is known to have been the newest.
+    pub confirmation: Confirmation,
+    /// What this VM has of workspaces' limits.
+    pub quotas: Quotas,
+    /// Whether the VMs of the site were read from the store.
+    pub has_vms: bool,
+    /// VMs that keep pools and were silent lately, and until when they aren't asked.
+    pub silent_keepers: BTreeMap<SocketAddr, Instant>,
     /// What the other VMs said last of what they know of such requests, and where to ask for it.
     pub quarantines: BTreeMap<SmolStr, Said>,
 }
@@ -102,10 +113,21 @@
             ),
             quarantine: Quarantine::default(),
             crash_watch: CrashWatch::default(),
+            confirmation: Confirmation::default(),
+            quotas: Quotas::new(settings.quota_allowance()),
+            has_vms: false,
+            silent_keepers: BTreeMap::new(),
             quarantines: BTreeMap::new(),
         }
     }
 
+    /// Takes in how many VMs another one knows of; limits are shared among the most that any knows. It is zero where that
+    /// one doesn't know yet.
+    pub fn note_vms(&mut self, now: Instant, told: usize) {
+        let read = if self.has_vms { self.peers.known() } else { 0 };
+        self.quotas.set_vms(now, told.max(read));
+    }
+
     /// Takes in an entry of the list.
     pub fn list(&mut self, now: Instant, e: Endpoint) -> Update {
         let former = self.start_of(&e.instance.id);
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! * [`caller`] accepts connections, [`request`] is the life of one request, `dispatch` its way to endpoints, [`attempt`] one
 //!   try at an endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
+//! * [`keys`] says which requests may go on by their caller's key, [`limits`] whether their workspace's limit allows it, and
+//!   [`question`] is how VMs ask each other.
 //! * `crash_probe` finds out whether an endpoint has crashed, and [`quarantine_sync`] has all VMs know which requests do that.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
@@ -28,8 +30,10 @@
 pub mod follow;
 mod follower;
 pub mod gossip;
+pub mod keys;
 pub mod known;
 pub mod lease;
+pub mod limits;
 mod list;
 pub mod logbook;
 pub mod metrics;
@@ -40,6 +44,7 @@
 pub mod peer_state;
 pub mod pool;
 pub mod quarantine_sync;
+pub mod question;
 pub mod reading;
 mod receiver;
 pub mod relay;
--- /dev/null
+++ b/crates/limehollow-node/src/limits.rs
@@ -0,0 +1,214 @@
+//! Takes tokens of workspaces' limits for requests, and collects what VMs have earned of them.
+//!
+//! What holds is [`limehollow::quota`]; this asks the VM that keeps a workspace's pool. Which VM that is each reckons for
+//! itself: the leader of the first zone, in an order by the workspace's name, that is heard.
+
+use crate::edge::Protocol;
+use crate::site::Site;
+use limehollow::quota::{COLLECT_EVERY, Grant};
+use limehollow_wire::gossip::{About, Reply};
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// How long the keeper of a pool is waited for: a third of the shortest objective is left for the request at the least.
+const KEEPER_WITHIN: Duration = Duration::from_millis(60);
+/// For how long a keeper that was silent isn't asked again: another takes over in a second.
+const SILENT_FOR: Duration = Duration::from_millis(400);
+/// How long answers to a collection are waited for; less than tokens may be on their way.
+const COLLECT_WITHIN: Duration = Duration::from_millis(150);
+/// How many keepers a request asks at most.
+const MOST_ASKED: usize = 2;
+/// When to come back where no keeper answers: another has taken over then.
+pub(crate) const NO_KEEPER: Duration = Duration::from_millis(1000);
+
+/// What became of a request's wish for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wish {
+    /// It has them, or its workspace has no limit.
+    Granted,
+    /// The workspace is over its limit; when there is room.
+    Over(Duration),
+    /// No VM that keeps the pool has answered.
+    Unanswered,
+}
+
+/// Takes tokens of a workspace for a request.
+pub(crate) async fn take<P>(site: &Site<P>, workspace: &SmolStr, tokens: f64) -> Wish
+where
+    P: Protocol,
+{
+    if site.known().quotas.take(site.now(), workspace, tokens) {
+        return Wish::Granted;
+    }
+    for keeper in keepers(site, workspace) {
+        let Some(address) = keeper else {
+            return wish(site.known().quotas.grant(site.now(), workspace, tokens));
+        };
+        let about = About::Tokens {
+            workspace: workspace.clone(),
+            tokens,
+        };
+        match ask_keeper(site, address, about).await {
+            Some(Reply::Granted) => return Wish::Granted,
+            Some(Reply::Short(ms)) => return Wish::Over(Duration::from_millis(u64::from(ms))),
+            Some(Reply::Configuration { .. } | Reply::Earnings(_)) | None => {}
+        }
+    }
+    Wish::Unanswered
+}
+
+fn wish(g: Grant) -> Wish {
+    match g {
+        Grant::Granted => Wish::Granted,
+        Grant::Short(wait) => Wish::Over(wait),
+    }
+}
+
+/// Gives the VMs to ask for tokens of a workspace, the one first that should keep its pool; none stands for this VM.
+fn keepers<P>(site: &Site<P>, workspace: &str) -> Vec<Option<SocketAddr>>
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let known = site.known();
+    let silent = |a: &SocketAddr| {
+        known
+            .silent_keepers
+            .get(a)
+            .is_some_and(|until| now < *until)
+    };
+    let all = known.peers.keepers(now, workspace).into_iter();
+    let speaking = all.filter(|k| !k.as_ref().is_some_and(silent));
+    speaking.take(MOST_ASKED).collect()
+}
+
+async fn ask_keeper<P>(site: &Site<P>, to: SocketAddr, about: About) -> Option<Reply>
+where
+    P: Protocol,
+{
+    let reply = site
+        .questions
+        .ask(&site.clock, to, about, KEEPER_WITHIN)
+        .await;
+    if reply.is_none() {
+        let until = site.now() + SILENT_FOR;
+        site.known().silent_keepers.insert(to, until);
+    }
+    reply
+}
+
+/// Grants another VM tokens of a pool.
+pub(crate) fn grant<P>(site: &Site<P>, workspace: &str, tokens: f64) -> Reply
+where
+    P: Protocol,
+{
+    let mut known = site.known();
+    if !known.quotas.is_limited(workspace) {
+        // The limit is new, and this VM's configuration older than that of the one that asks.
+        return Reply::Short(millis(NO_KEEPER));
+    }
+    match known.quotas.grant(site.now(), workspace, tokens) {
+        Grant::Granted => Reply::Granted,
+        Grant::Short(wait) => Reply::Short(millis(wait)),
+    }
+}
+
+fn millis(d: Duration) -> u32 {
+    u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Hands over to the keeper of some pools what this VM has earned.
+pub(crate) fn hand_over<P>(
+    site: &Site<P>,
+    keeper: &SmolStr,
+    vms_known: usize,
+    workspaces: &[SmolStr],
+) -> Reply
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let mut known = site.known();
+    known.note_vms(now, vms_known);
+    let handed = workspaces
+        .iter()
+        .map(|w| known.quotas.hand_over(now, w, keeper));
+    Reply::Earnings(handed.collect())
+}
+
+/// Collects what VMs have earned, where this one keeps a pool, for as long as the process lives.
+pub async fn keep_pools<P>(site: Arc<Site<P>>)
+where
+    P: Protocol,
+{
+    let mut ticks = interval(COLLECT_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let (workspaces, others) = begin_round(&site);
+        if workspaces.is_empty() {
+            continue;
+        }
+        let mut asking = JoinSet::new();
+        for to in others {
+            asking.spawn(collect(Arc::clone(&site), to, Arc::clone(&workspaces)));
+        }
+        while asking.join_next().await.is_some() {}
+    }
+}
+
+/// Begins a round of collections: gives the workspaces whose pools this VM keeps, and the VMs to collect from.
+fn begin_round<P>(site: &Site<P>) -> (Arc<[SmolStr]>, Vec<SocketAddr>)
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let mut known = site.known();
+    let known = &mut *known;
+    known.quotas.begin_round(now);
+    known.silent_keepers.retain(|_, until| now < *until);
+    let all = known.quotas.workspaces();
+    let is_mine = |w: &&SmolStr| matches!(known.peers.keepers(now, w).first(), Some(None));
+    let mine: Arc<[SmolStr]> = all.filter(is_mine).cloned().collect();
+    let me = SmolStr::new(site.me.as_str());
+    for w in mine.iter() {
+        if let Some(tokens) = known.quotas.hand_over(now, w, &me) {
+            known.quotas.collect(now, w, tokens);
+        }
+    }
+    let others = if mine.is_empty() {
+        Vec::new()
+    } else {
+        known.peers.addresses()
+    };
+    (mine, others)
+}
+
+async fn collect<P>(site: Arc<Site<P>>, from: SocketAddr, workspaces: Arc<[SmolStr]>)
+where
+    P: Protocol,
+{
+    let about = About::Earnings {
+        keeper: SmolStr::new(site.me.as_str()),
+        vms_known: u16::try_from(site.known().quotas.vms()).unwrap_or(u16::MAX),
+        workspaces: workspaces.to_vec(),
+    };
+    let reply = site
+        .questions
+        .ask(&site.clock, from, about, COLLECT_WITHIN)
+        .await;
+    let Some(Reply::Earnings(handed)) = reply else {
+        return;
+    };
+    let now = site.now();
+    let mut known = site.known();
+    for (w, tokens) in workspaces.iter().zip(handed) {
+        if let Some(tokens) = tokens {
+            known.quotas.collect(now, w, tokens);
+        }
+    }
+}
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -14,6 +14,13 @@
     pub what: &'static str,
 }
 
+/// The label of a workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByWorkspace {
+    /// Its name; what a configuration names is few.
+    pub workspace: String,
+}
+
 /// Upper bounds of the latency histograms, in seconds: around the objectives of both users.
 const BOUNDS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.8, 1.0, 2.0, 4.0, 10.0];
 
@@ -24,6 +31,8 @@
     pub requests: Family<By, Counter>,
     /// Refusals by reason.
     pub refusals: Family<By, Counter>,
+    /// Requests refused because their workspace was over its limit.
+    pub over_limit: Family<ByWorkspace, Counter>,
     /// Requests sent to another endpoint.
     pub repeats: Counter,
     /// Connections opened to endpoints.
@@ -61,6 +70,7 @@
         Self {
             requests: Family::default(),
             refusals: Family::default(),
+            over_limit: Family::default(),
             repeats: Counter::default(),
             connections_opened: Counter::default(),
             first_byte: Histogram::new(BOUNDS),
@@ -86,6 +96,14 @@
         family.get_or_create(&By { what }).inc();
     }
 
+    /// Counts a request that was refused because its workspace was over its limit.
+    pub fn count_over_limit(&self, workspace: &str) {
+        let by = ByWorkspace {
+            workspace: workspace.to_owned(),
+        };
+        self.over_limit.get_or_create(&by).inc();
+    }
+
     /// Gives the registry that the administration port shows.
     #[must_use]
     pub fn registry(&self) -> Registry {
@@ -96,6 +114,11 @@
             self.requests.clone(),
         );
         r.register("refusals", "Refusals by reason", self.refusals.clone());
+        r.register(
+            "over_limit",
+            "Requests refused because their workspace was over its limit",
+            self.over_limit.clone(),
+        );
         r.register(
             "repeats",
             "Requests sent to another endpoint",
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -388,7 +388,8 @@
     async fn report(&self) -> Option<EndpointReport> {
         let req = self.site.protocol.report(&self.to.instance.id);
         let call = async {
-            let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "").await;
+            let sent =
+                attempt::send(&self.site, &self.site.control_pool, &self.to, req, "", None).await;
             let answer = sent.map_err(|f| f.why)?;
             let (head, body) = answer.response.into_parts();
             let body = body
@@ -433,7 +434,7 @@
             fence,
         };
         let req = self.site.protocol.order(&o);
-        let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "");
+        let sent = attempt::send(&self.site, &self.site.control_pool, &self.to, req, "", None);
         let reply = match timeout(CALL_TIMEOUT, sent).await {
             Ok(Ok(answer)) => {
                 let reply = self.site.protocol.order_reply(answer.response.status());
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -75,6 +75,7 @@
         {
             tracing::info!(vm = %w.from, %address, "a VM was heard of first from itself");
         }
+        known.note_vms(now, usize::from(w.vms_known));
         let key = |(i, t): &(Instance, Taken)| Some((known.roster.find(i)?, *t));
         let taken: Vec<(EndpointKey, Taken)> = w.taken.iter().filter_map(key).collect();
         for instance in &w.gone {
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -2,9 +2,13 @@
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
 use crate::dispatch::{Dispatch, LATER};
-use crate::edge::{Ask, Protocol};
+use crate::edge::{Ask, Passage, Protocol};
+use crate::keys::{self, Denied};
+use crate::limits::{self, Wish};
+use crate::logbook::may_log;
 use crate::metrics::Metrics;
 use crate::passage;
+use crate::relay::millis;
 use crate::site::Site;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
@@ -17,9 +21,12 @@
 use limehollow::id::ServiceName;
 use limehollow::job::Job;
 use limehollow::verdict::Verdict;
+use limehollow::workspace::Workspace;
+use smol_str::SmolStr;
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Answers a request.
@@ -78,6 +85,11 @@
             "no rule for this path\n",
         );
     };
+    let pass = match keys::admit(&site, &catalog, rule, &ask) {
+        Ok(p) => p,
+        Err(Denied::Unconfirmed) => return refuse(&site, &ask.id, Reason::KeyUnconfirmed, LATER),
+        Err(Denied::Unknown) => return unknown_key(&site, catalog.version, &ask),
+    };
     let hash = xxhash_rust::xxh3::xxh3_64(ask.id.as_bytes());
     let Some(service) = rule.service(hash) else {
         return refuse(&site, &ask.id, Reason::NoEndpoint, LATER);
@@ -85,38 +97,35 @@
     let time = ask.patience.map_or(rule.timeout, |p| p.min(rule.timeout));
     let expiry = arrived + time;
     let limit = catalog.limits.body_bytes;
-    let body = match site
-        .clock
-        .timeout_at(expiry, Limited::new(body, limit).collect())
-        .await
-    {
-        Ok(Ok(b)) => b.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Metrics::count(&site.metrics.requests, "too large");
-            return plain(
-                &site,
-                StatusCode::PAYLOAD_TOO_LARGE,
-                &ask.id,
-                "body too large\n",
-            );
-        }
-        Ok(Err(e)) => {
-            tracing::debug!(id = %ask.id, error = %e, "the request's body broke off");
-            return plain(&site, StatusCode::BAD_REQUEST, &ask.id, "body broke off\n");
+    let body = match read_body(&site, &ask.id, body, limit, expiry).await {
+        Ok(b) => b,
+        Err(res) => return res,
+    };
+    let workspace = pass
+        .as_ref()
+        .and_then(|p| catalog.workspaces.get(&p.workspace));
+    let taken = workspace.map_or(0.0, |w| w.cost.of(ask.tokens()));
+    if let Some(w) = workspace {
+        match limits::take(&site, &w.name, taken).await {
+            Wish::Granted => {}
+            Wish::Over(after) => return over_limit(&site, &ask.id, &w.name, after),
+            Wish::Unanswered => {
+                return refuse(&site, &ask.id, Reason::LimitUnknown, limits::NO_KEEPER);
+            }
         }
-        Err(_) => {
-            return plain(
-                &site,
-                StatusCode::REQUEST_TIMEOUT,
-                &ask.id,
-                "body too slow\n",
-            );
+    }
+    let fingerprint = fingerprint(workspace, &ask, &head, &body);
+    let hides_keys = !catalog.workspaces.is_empty();
+    passage::clean(&mut head.headers, |n| {
+        match site.protocol.request_header(n) {
+            Passage::Credential if hides_keys => Passage::Ours,
+            p => p,
         }
-    };
-    let fingerprint = fingerprint(&ask, &head, &body);
-    passage::clean(&mut head.headers, |n| site.protocol.request_header(n));
+    });
     let d = Dispatch {
-        job: job(service, rule, &ask),
+        job: job(service, rule, pass.as_ref().and_then(|p| p.rank), &ask),
+        pass: pass.as_ref(),
+        taken,
         site: &site,
         catalog: &catalog,
         rule,
@@ -135,6 +144,64 @@
     d.run().await
 }
 
+/// Reads a request's body whole, or gives the answer for one that is too large, breaks off or comes too slowly.
+async fn read_body<P>(
+    site: &Site<P>,
+    id: &str,
+    body: Incoming,
+    limit: usize,
+    expiry: Instant,
+) -> Result<Bytes, Response<Outgoing<P>>>
+where
+    P: Protocol,
+{
+    let read = Limited::new(body, limit).collect();
+    let (status, text) = match site.clock.timeout_at(expiry, read).await {
+        Ok(Ok(b)) => return Ok(b.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Metrics::count(&site.metrics.requests, "too large");
+            (StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")
+        }
+        Ok(Err(e)) => {
+            tracing::debug!(id, error = %e, "the request's body broke off");
+            (StatusCode::BAD_REQUEST, "body broke off\n")
+        }
+        Err(_elapsed) => (StatusCode::REQUEST_TIMEOUT, "body too slow\n"),
+    };
+    Err(plain(site, status, id, text))
+}
+
+/// Answers a request whose key no workspace has.
+fn unknown_key<P>(site: &Site<P>, version: u64, ask: &Ask) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    Metrics::count(&site.metrics.requests, "unknown key");
+    if may_log() {
+        let key = ask.key.map(|k| k.to_string());
+        tracing::info!(id = %ask.id, version, key, "no workspace has this key");
+    }
+    let text = "a key of a workspace is needed\n";
+    plain(site, StatusCode::UNAUTHORIZED, &ask.id, text)
+}
+
+/// Refuses a request whose workspace is over its limit.
+fn over_limit<P>(
+    site: &Site<P>,
+    id: &str,
+    workspace: &SmolStr,
+    after: Duration,
+) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    site.metrics.count_over_limit(workspace);
+    if may_log() {
+        tracing::info!(id, %workspace, retry_after_ms = millis(after), "over the limit");
+    }
+    refuse(site, id, Reason::OverLimit, after)
+}
+
 fn host(head: &Parts) -> &str {
     let named = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let named = named.or_else(|| head.uri.authority().map(http::uri::Authority::as_str));
@@ -142,10 +209,13 @@
     host.split_once(':').map_or(host, |(h, _)| h)
 }
 
-fn fingerprint(ask: &Ask, head: &Parts, body: &Bytes) -> Fingerprint {
+/// Takes a request's fingerprint. Who asks is the workspace, whichever of its keys came along.
+fn fingerprint(w: Option<&Workspace>, ask: &Ask, head: &Parts, body: &Bytes) -> Fingerprint {
+    let key = ask.key.filter(|_| w.is_none()).map(|k| k.to_string());
+    let caller = w.map_or(key.as_deref(), |w| Some(&w.name));
     let path = head.uri.path_and_query();
     Fingerprint::of(&Identity {
-        caller: ask.caller.as_deref().unwrap_or(""),
+        caller: caller.unwrap_or(""),
         method: head.method.as_str(),
         host: host(head),
         path: path.map_or("", |p| p.as_str()),
@@ -153,12 +223,14 @@
     })
 }
 
-fn job(service: &ServiceName, rule: &Rule, ask: &Ask) -> Job {
+/// Makes the job of a request. A workspace's rank goes before the rule's.
+fn job(service: &ServiceName, rule: &Rule, rank: Option<u8>, ask: &Ask) -> Job {
+    let rank = rank.unwrap_or(rule.rank);
     match &ask.model {
         Some(m) => {
             let tokens = (ask.prompt_tokens, ask.max_output);
-            Job::generation(service.clone(), m.clone(), rule.rank, tokens, &ask.parts)
+            Job::generation(service.clone(), m.clone(), rank, tokens, &ask.parts)
         }
-        None => Job::plain(service.clone(), rule.rank),
+        None => Job::plain(service.clone(), rank),
     }
 }
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -4,7 +4,9 @@
 use crate::peer_state::HttpStates;
 use crate::settings::NodeSettings;
 use crate::site::Site;
-use crate::{caller, controller, follow, gossip, operator, peer_state, quarantine_sync};
+use crate::{
+    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync,
+};
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
@@ -67,6 +69,12 @@
         Arc::clone(&socket),
         Arc::clone(&wanted),
     ));
+    tokio::spawn(gossip::send_questions(
+        Arc::clone(&site),
+        Arc::clone(&socket),
+    ));
+    tokio::spawn(keys::confirm(Arc::clone(&site)));
+    tokio::spawn(limits::keep_pools(Arc::clone(&site)));
     tokio::spawn(gossip::receive(
         Arc::clone(&site),
         socket,
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -151,6 +151,7 @@
             reading: known.readings.told(now),
             crashes,
             crashes_digest: known.quarantine.digest(),
+            vms_known: u16::try_from(known.quotas.vms()).unwrap_or(u16::MAX),
             from: me,
         }
     }
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -1,7 +1,9 @@
 //! The settings of the process; see `docs/settings.md`.
 
 use crate::edge::Feed;
+use limehollow::confirmation::KeyBound;
 use limehollow::freshness::ReadPace;
+use limehollow::quota::Allowance;
 use limehollow::rebalance::LoadCeiling;
 use limehollow::retry_window::RepeatAllowance;
 use limehollow_edge::settings::{Invalid, Settings, check_address, check_name, check_range};
@@ -44,6 +46,19 @@
     /// The time after which a configuration is in force on all VMs, in ms.
     #[serde(default = "default_in_force_ms")]
     pub configuration_ms: u64,
+    /// The time after which a key that operators took away is of no use on any VM, in ms; none where only VMs that reach the
+    /// store are bound.
+    #[serde(default)]
+    pub key_removal_ms: Option<u64>,
+    /// The window over which what a workspace uses is summed, in ms.
+    #[serde(default = "default_quota_window_ms")]
+    pub quota_window_ms: u64,
+    /// The part of a workspace's limit that all VMs together may use beyond it.
+    #[serde(default)]
+    pub quota_over: f64,
+    /// Tokens that they may use on top.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Repeats that are allowed for each request.
     pub repeat_ratio: f64,
     /// Repeats that are allowed on top, over all VMs.
@@ -69,6 +84,11 @@
     2_000
 }
 
+/// Long enough that the burst counts little, short enough that callers notice no gap.
+fn default_quota_window_ms() -> u64 {
+    10_000
+}
+
 /// What the site's rules allow on top of the weight store's rate.
 fn default_load_slack() -> f64 {
     3.0
@@ -115,6 +135,23 @@
         ReadPace::configuration(Duration::from_millis(self.configuration_ms))
     }
 
+    /// Gives for how long keys count, where that is bound.
+    #[must_use]
+    pub fn key_bound(&self) -> Option<KeyBound> {
+        let bound = self.key_removal_ms.map(Duration::from_millis);
+        bound.map(KeyBound::new)
+    }
+
+    /// Gives how far all VMs together may go beyond workspaces' limits.
+    #[must_use]
+    pub fn quota_allowance(&self) -> Allowance {
+        Allowance {
+            window: Duration::from_millis(self.quota_window_ms),
+            over: self.quota_over,
+            slack: self.quota_slack,
+        }
+    }
+
     /// Gives the budget for repeats.
     #[must_use]
     pub fn repeats(&self) -> RepeatAllowance {
@@ -150,6 +187,10 @@
         check_range("lease_ms", self.lease_ms, 0..=600_000)?;
         check_range("leaving_ms", self.leaving_ms, 500..=600_000)?;
         check_range("configuration_ms", self.configuration_ms, 500..=600_000)?;
+        if let Some(ms) = self.key_removal_ms {
+            check_range("key_removal_ms", ms, 1_000..=600_000)?;
+        }
+        check_range("quota_window_ms", self.quota_window_ms, 1_000..=600_000)?;
         check_range("repeat_window_ms", self.repeat_window_ms, 100..=600_000)?;
         check_range("load_window_ms", self.load_window_ms, 100..=600_000)?;
         let ratios = [
@@ -158,6 +199,8 @@
             ("repeat_slack", self.repeat_slack),
             ("load_over", self.load_over),
             ("load_slack", self.load_slack),
+            ("quota_over", self.quota_over),
+            ("quota_slack", self.quota_slack),
         ];
         for (key, value) in ratios {
             if !(value.is_finite() && value >= 0.0) {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -8,6 +8,7 @@
 use crate::known::Known;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::question::Questions;
 use crate::settings::NodeSettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limehollow::catalog::Catalog;
@@ -16,6 +17,7 @@
 use limehollow::id::{VmName, ZoneName};
 use limehollow::instance::Instance;
 use limehollow::quarantine::Quarantine;
+use limehollow::quota::Quotas;
 use limehollow::roster::{HoldingsReport, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
@@ -64,6 +66,8 @@
     pub quarantine_unsaved: Notify,
     /// Told when a request waits for something that isn't loaded.
     pub urgent: Notify,
+    /// Questions to other VMs.
+    pub questions: Questions,
     /// Told when the holder of the lease has resigned.
     pub lease_free: Notify,
     list_tx: UnboundedSender<ListChanges>,
@@ -103,6 +107,7 @@
             crash_known: Notify::new(),
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
+            questions: Questions::default(),
             lease_free: Notify::new(),
             eased: Notify::new(),
             configuration_behind: Notify::new(),
@@ -136,6 +141,9 @@
             rules = c.rules().len(),
             "configuration in force"
         );
+        let limits = c.workspaces.all().iter();
+        let limits = limits.filter_map(|w| Some((w.name.clone(), w.limit?)));
+        self.known().quotas.set_limits(self.now(), limits);
         self.catalog.store(Some(Arc::new(c)));
         self.changed.notify_waiters();
         true
@@ -151,9 +159,29 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Tells whether callers should come here.
+    /// Tells whether callers should come here. Where keys are needed and don't count, another VM may serve them.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.catalog.load().is_some() && !self.known().roster.is_empty()
+        let catalog = self.catalog.load();
+        let Some(c) = catalog.as_ref().filter(|_| !self.is_stopping()) else {
+            return false;
+        };
+        let keys = c.workspaces.is_empty() || self.keys_count();
+        keys && !self.known().roster.is_empty()
+    }
+
+    /// Tells whether this VM's configuration is fresh enough for its keys to count.
+    pub fn keys_count(&self) -> bool {
+        let Some(bound) = self.settings.load().key_bound() else {
+            return true;
+        };
+        self.known().confirmation.allows(self.now(), bound)
+    }
+
+    /// Tells whether another VM has read the configuration further than this one.
+    pub fn is_behind(&self) -> bool {
+        let known = self.known();
+        let theirs = known.ahead.get(&Feed::Configuration);
+        theirs.is_some_and(|(_, at)| *at > known.positions.configuration)
     }
 
     /// Offers changes of the list that another VM of the zone has read to the follower of the list.
@@ -260,6 +288,9 @@
             "endpoints": endpoints.collect::<Vec<_>>(),
             "unreadable_entries": known.roster.unreadable().collect::<Vec<_>>(),
             "requests_quarantined": quarantined(&known.quarantine, now),
+            "configuration_confirmed_ms_ago": known.confirmation.age(now).map(|a| a.as_millis()),
+            "limits_shared_by_vms": known.quotas.vms(),
+            "limits": limits(&known.quotas),
             "requests_suspected": known.quarantine.suspects(),
         })
     }
@@ -333,6 +364,18 @@
     }
 }
 
+/// Gives what this VM has of workspaces' limits, for operators.
+fn limits(q: &Quotas) -> Vec<serde_json::Value> {
+    let rows = q.holdings().map(|(workspace, own, pool)| {
+        serde_json::json!({
+            "workspace": workspace,
+            "earned": own.round(),
+            "pool": pool.round(),
+        })
+    });
+    rows.collect()
+}
+
 /// Gives the quarantined requests, for operators.
 fn quarantined(q: &Quarantine, now: Instant) -> Vec<serde_json::Value> {
     let rows = q.quarantined(now).map(|(request, left, crashes)| {
--- a/crates/limehollow-node/tests/requests.rs
+++ b/crates/limehollow-node/tests/requests.rs
@@ -221,7 +221,7 @@
         instance: "i-0".into(),
         address: s.address,
     };
-    let sent = send(&g.site, &g.site.pool, &to, Request::default(), "1").await;
+    let sent = send(&g.site, &g.site.pool, &to, Request::default(), "1", None).await;
     assert_eq!(sent.expect_err("it isn't sent"), Failed::gone());
     assert_eq!(s.requests(), 0);
 }
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -2,6 +2,7 @@
 //! test says. Messages and states go by memory, so that nothing waits for a socket.
 
 use super::{Memory, Plain, catalog, endpoint, parse_settings};
+use limehollow::catalog::Catalog;
 use limehollow::crash_record::{CrashRecord, Timing};
 use limehollow::crash_watch::CutOff;
 use limehollow::fingerprint::Fingerprint;
@@ -15,7 +16,8 @@
 use limehollow_node::gossip::{Outgoing, Sender, hear};
 use limehollow_node::quarantine_sync::follow_peers;
 use limehollow_node::site::Site;
-use limehollow_wire::gossip::{State, encode_crashes};
+use limehollow_node::{keys, limits, question};
+use limehollow_wire::gossip::{About, Question, State, encode_crashes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::pending;
 use std::net::SocketAddr;
@@ -31,6 +33,9 @@
 /// How long it looks at most.
 const LOOK_FOR: Duration = Duration::from_secs(60);
 
+/// After how long a key that was taken away must be of no use.
+pub const KEY_REMOVAL_MS: u64 = 5000;
+
 /// How the store treats one VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Treats {
@@ -183,6 +188,10 @@
     /// Of so many messages one arrives; all do where it is zero.
     arrives_one_in: usize,
     sent: usize,
+    /// VMs that stand still: what reaches them waits.
+    still: BTreeSet<SocketAddr>,
+    /// Questions that were sent, by what they are about.
+    questions: BTreeMap<&'static str, usize>,
     /// Bytes of records of crashing requests that reached each VM.
     crash_bytes: BTreeMap<SocketAddr, usize>,
 }
@@ -208,6 +217,46 @@
         *ways.crash_bytes.entry(to).or_default() += bytes;
     }
 
+    fn stands_still(&self, vm: SocketAddr) -> bool {
+        self.0.lock().expect("sound").still.contains(&vm)
+    }
+
+    /// Waits for as long as a VM stands still.
+    async fn goes_on(&self, vm: SocketAddr) {
+        while self.stands_still(vm) {
+            sleep(WAY).await;
+        }
+    }
+
+    fn note_question(&self, q: &Question) {
+        let about = match q.about {
+            About::Configuration => "configuration",
+            About::Tokens { .. } => "tokens",
+            About::Earnings { .. } => "earnings",
+        };
+        let mut ways = self.0.lock().expect("sound");
+        *ways.questions.entry(about).or_default() += 1;
+    }
+
+    /// Brings a question to another VM and its answer back.
+    async fn question(self, from: (usize, SocketAddr), to: SocketAddr, q: Question) {
+        self.note_question(&q);
+        sleep(WAY).await;
+        self.goes_on(to).await;
+        let Some((_, site)) = self.reach(from.0, to) else {
+            return;
+        };
+        if self.loses() {
+            return;
+        }
+        let answer = question::answer(&site, q);
+        sleep(WAY).await;
+        self.goes_on(from.1).await;
+        if let Some((_, asker)) = self.reach(from.0, from.1) {
+            asker.questions.answered(answer);
+        }
+    }
+
     fn deliver(&self, from_zone: usize, (message, to): Outgoing) {
         for address in to {
             let Some((zone, site)) = self.reach(from_zone, address) else {
@@ -222,6 +271,7 @@
             let (net, message) = (self.clone(), message.clone());
             tokio::spawn(async move {
                 sleep(WAY).await;
+                net.goes_on(address).await;
                 if let Some(on) = hear(&site, message) {
                     net.deliver(zone, on);
                 }
@@ -294,7 +344,8 @@
         let cores = if is_strong { 0.5 } else { 0.25 };
         let own = format!(
             "name = \"{name}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = 7000\ncores = {cores}\n\
-             leaving_ms = {leaving_ms}\nconfiguration_ms = {leaving_ms}\n"
+             leaving_ms = {leaving_ms}\nconfiguration_ms = {leaving_ms}\nkey_removal_ms = {KEY_REMOVAL_MS}\n\
+             quota_window_ms = 8000\nquota_over = 0.1\nquota_slack = 11000.0\n"
         );
         let site = Site::new(parse_settings(&own), Plain);
         let address = site.settings.load().peer_address();
@@ -334,6 +385,7 @@
 
     fn introduce_to(&self, vm: &Entry) {
         let mut known = vm.site.known();
+        known.has_vms = true;
         for other in &self.vms {
             let s = other.site.settings.load();
             known.peers.learn(
@@ -343,6 +395,7 @@
                 s.millicores(),
             );
         }
+        known.note_vms(Instant::now(), 0);
     }
 
     fn run(&mut self, i: usize) {
@@ -359,6 +412,20 @@
             vm.tasks
                 .push(tokio::spawn(follow(site, link, states, feed)));
         }
+        let (net, site, from) = (self.net.clone(), Arc::clone(&vm.site), (vm.zone, address));
+        vm.tasks.push(tokio::spawn(async move {
+            let mut rx = site
+                .questions
+                .take_outgoing()
+                .expect("nobody else takes it");
+            while let Some((to, q)) = rx.recv().await {
+                tokio::spawn(net.clone().question(from, to, q));
+            }
+        }));
+        vm.tasks
+            .push(tokio::spawn(keys::confirm(Arc::clone(&vm.site))));
+        vm.tasks
+            .push(tokio::spawn(limits::keep_pools(Arc::clone(&vm.site))));
         let (net, site, zone) = (self.net.clone(), Arc::clone(&vm.site), vm.zone);
         vm.tasks.push(tokio::spawn(async move {
             let mut sender = Sender::new(Arc::clone(&site));
@@ -456,7 +523,34 @@
 
     /// Puts a configuration into the store.
     pub fn configure(&self, version: u64) {
-        let c = catalog(version, Vec::new());
+        self.configure_with(catalog(version, Vec::new()));
+    }
+
+    /// A VM stands still until it goes on: what reaches it waits.
+    pub fn set_still(&self, vm: usize, is_still: bool) {
+        let address = self.vms[vm].site.settings.load().peer_address();
+        let mut ways = self.net.0.lock().expect("sound");
+        if is_still {
+            ways.still.insert(address);
+        } else {
+            ways.still.remove(&address);
+        }
+    }
+
+    /// Gives how many questions about something were sent so far.
+    pub fn questions(&self, about: &str) -> usize {
+        let ways = self.net.0.lock().expect("sound");
+        ways.questions.get(about).copied().unwrap_or(0)
+    }
+
+    /// Counts the VMs whose keys count.
+    pub fn trusting(&self) -> usize {
+        let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
+        running.filter(|v| v.site.keys_count()).count()
+    }
+
+    /// Puts this configuration into the store.
+    pub fn configure_with(&self, c: Catalog) {
         self.store
             .add(Feed::Configuration, Change::Catalog(Box::new(c)));
     }
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -17,6 +17,7 @@
 use limehollow::rebalance::EndpointReport;
 use limehollow::retry::Repeat;
 use limehollow::roster::{Endpoint, ModelRef};
+use limehollow::workspace::KeyDigest;
 use limehollow_edge::settings::parse;
 use limehollow_node::caller;
 use limehollow_node::edge::{
@@ -55,7 +56,10 @@
         };
         Ok(Ask {
             id: SmolStr::new(id),
-            caller: None,
+            key: head
+                .headers
+                .get("x-key")
+                .map(|v| KeyDigest::of(v.to_str().expect("text"))),
             patience: None,
             model: head.headers.get("x-model").map(|v| ModelRef {
                 model: SmolStr::new(v.to_str().expect("text")),
@@ -70,7 +74,8 @@
     fn request_header(&self, name: &HeaderName) -> Passage {
         match name.as_str() {
             "x-id" | "host" => Passage::Kept,
-            "x-instance" | "x-reserve" => Passage::Ours,
+            "x-instance" | "x-reserve" | "x-workspace" => Passage::Ours,
+            "x-key" => Passage::Credential,
             _ => Passage::Passes,
         }
     }
@@ -86,6 +91,10 @@
     fn address(&self, headers: &mut HeaderMap, s: &Sending<'_>) {
         let instance = HeaderValue::from_str(s.instance).expect("valid");
         headers.insert("x-instance", instance);
+        if let Some(w) = s.workspace {
+            let w = HeaderValue::from_str(w).expect("valid");
+            headers.insert("x-workspace", w);
+        }
     }
 
     fn judge(&self, status: StatusCode, headers: &HeaderMap, id: &str, _: &str) -> Judgement {
@@ -259,6 +268,7 @@
         pause: None,
         rank: 0,
         max_attempts,
+        open: false,
     }
 }
 
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 5;
+pub const SCHEMA: u8 = 6;
 
 /// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,6 +151,80 @@
     pub crashes: Vec<CrashRecord>,
     /// The digest of all such requests that it knows.
     pub crashes_digest: u64,
+    /// How many VMs it knows of, this one too: limits are shared among so many.
+    pub vms_known: u16,
+}
+
+/// What one VM asks of another by datagram, to be answered at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Question {
+    /// Names the question in its answer.
+    pub number: u64,
+    /// What is asked.
+    pub about: About,
+}
+
+/// What a question is about.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum About {
+    /// How old the other's configuration is at most.
+    Configuration,
+    /// Tokens of a workspace for a request.
+    Tokens {
+        /// The workspace.
+        workspace: SmolStr,
+        /// How many.
+        tokens: f64,
+    },
+    /// What the other has earned of these workspaces' limits.
+    Earnings {
+        /// The VM that keeps their pools.
+        keeper: SmolStr,
+        /// How many VMs that one knows of.
+        vms_known: u16,
+        /// The workspaces.
+        workspaces: Vec<SmolStr>,
+    },
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The question's number.
+    pub number: u64,
+    /// What is said.
+    pub reply: Reply,
+}
+
+/// What is answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// How far the configuration was read, and how long ago it was known to be the newest, in ms; none if it isn't known.
+    Configuration {
+        /// The position.
+        position: u64,
+        /// The age.
+        confirmed_ms: Option<u32>,
+        /// How many VMs the other knows of.
+        vms_known: u16,
+    },
+    /// The tokens were taken out of the pool for who asked.
+    Granted,
+    /// The pool has too few; in how many ms it has enough.
+    Short(u32),
+    /// What was handed over of each workspace, in the order of the question; none where another VM keeps the pool.
+    Earnings(Vec<Option<f64>>),
+}
+
+/// A datagram between VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What a VM tells others several times a second.
+    Message(Box<Message>),
+    /// A question.
+    Question(Question),
+    /// An answer.
+    Answer(Answer),
 }
 
 /// How far a process has read what it follows; zero where it has read nothing yet.
@@ -214,21 +288,21 @@
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
-/// Writes a message.
+/// Writes a datagram.
 ///
 /// # Errors
 ///
-/// [`crate::Error::Binary`] if the message can't be written.
-pub fn encode(w: &Message) -> Result<Vec<u8>> {
+/// [`crate::Error::Binary`] if it can't be written.
+pub fn encode(w: &Datagram) -> Result<Vec<u8>> {
     postcard::to_extend(w, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
 }
 
-/// Reads a message.
+/// Reads a datagram.
 ///
 /// # Errors
 ///
 /// [`crate::Error::Version`] or [`crate::Error::Binary`].
-pub fn decode(bytes: &[u8]) -> Result<Message> {
+pub fn decode(bytes: &[u8]) -> Result<Datagram> {
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -5,6 +5,7 @@
 
 use crate::id::ServiceName;
 use crate::retry::Repeat;
+use crate::workspace::Workspaces;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, HashMap};
@@ -37,6 +38,8 @@
     pub rank: u8,
     /// How many endpoints one request may be sent to at most.
     pub max_attempts: u32,
+    /// Whether requests need no key, also where there are workspaces.
+    pub open: bool,
 }
 
 /// A service's part of a rule's requests.
@@ -133,6 +136,8 @@
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// What callers may do.
     pub limits: CallerLimits,
+    /// Who callers are; where there are none, no request needs a key.
+    pub workspaces: Workspaces,
     rules: Vec<Rule>,
     /// The rules of each host, those with the longest prefix first.
     by_host: HashMap<SmolStr, Vec<usize>>,
@@ -174,6 +179,7 @@
             version,
             services,
             limits,
+            workspaces: Workspaces::default(),
             rules,
             by_host,
             tightest,
@@ -181,6 +187,18 @@
         }
     }
 
+    /// Gives the same catalog with these workspaces.
+    #[must_use]
+    pub fn with_workspaces(self, workspaces: Workspaces) -> Self {
+        Self { workspaces, ..self }
+    }
+
+    /// Tells whether requests of a rule need a key.
+    #[must_use]
+    pub fn needs_key(&self, rule: &Rule) -> bool {
+        !rule.open && !self.workspaces.is_empty()
+    }
+
     /// Gives the rule for a request: of its host's rules, the one with the longest prefix that fits.
     #[must_use]
     pub fn rule(&self, host: &str, path: &str) -> Option<&Rule> {
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -14,6 +14,8 @@
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] drive a gateway.
 //! * [`fingerprint`], [`crash_watch`], [`crash_record`] and [`quarantine`] find out which requests crash the endpoints that run
 //!   them (`docs/design/crashing-requests.md`).
+//! * [`workspace`], [`confirmation`] and [`quota`] say who callers are, for how long a key counts and what a workspace may use
+//!   (`docs/design/workspaces.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
 //!   [`group_lease`], [`late_loads`], [`load_window`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
@@ -35,6 +37,7 @@
 pub mod candidacy;
 pub mod catalog;
 pub mod claim;
+pub mod confirmation;
 pub mod crash_record;
 pub mod crash_watch;
 pub mod demand;
@@ -62,6 +65,7 @@
 pub mod placement;
 pub mod plan;
 pub mod quarantine;
+pub mod quota;
 pub mod rebalance;
 mod recent_answers;
 pub mod record;
@@ -71,5 +75,6 @@
 pub mod roster;
 pub mod routing;
 pub mod verdict;
+pub mod workspace;
 
 pub use error::{Category, Error, Result};
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 /// After how long without a message a VM counts as silent: eight messages.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1000);
@@ -33,6 +34,18 @@
 /// After how long without a sum a zone counts as silent.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
 
+/// After how long without a sum the leader of another zone is no keeper: three of the sums that a large zone sends.
+const KEEPER_SILENT_AFTER: Duration = Duration::from_millis(800);
+
+/// Orders zones for a name, each name in another way.
+fn weight(zone: &ZoneName, name: &str) -> u64 {
+    let mut h = Xxh3::new();
+    h.update(zone.as_str().as_bytes());
+    h.update(&[0]);
+    h.update(name.as_bytes());
+    h.digest()
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
@@ -191,6 +204,45 @@
         here.map(|p| p.address).collect()
     }
 
+    /// Gives the addresses of all other VMs, the silent ones too.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.rows.values().map(|p| p.address).collect()
+    }
+
+    /// Gives the address of another VM, by any number.
+    #[must_use]
+    pub fn any(&self, number: usize) -> Option<SocketAddr> {
+        let n = number.checked_rem(self.rows.len())?;
+        self.rows.values().nth(n).map(|p| p.address)
+    }
+
+    /// Gives the VM that reads the store for the own zone, unless it is this one.
+    #[must_use]
+    pub fn zone_reader(&self, now: Instant) -> Option<&SmolStr> {
+        let readers = self.heard_here(now).filter(|(_, p)| p.reads_list);
+        let rank = |(name, p): &(&SmolStr, &Peer)| (Reverse(p.millicores), (*name).clone());
+        let (name, p) = readers.min_by_key(rank)?;
+        let reads = (Reverse(p.millicores), name) < (Reverse(self.millicores), &self.me);
+        reads.then_some(name)
+    }
+
+    /// Gives the VMs that may keep something of this name for the whole site, the one first that should: the leaders of
+    /// the zones that are heard, in an order by the name. None stands for this VM.
+    ///
+    /// VMs may differ in this for a second; what is kept so must bear it.
+    #[must_use]
+    pub fn keepers(&self, now: Instant, name: &str) -> Vec<Option<SocketAddr>> {
+        let heard = |z: &&OtherZone| now.duration_since(z.heard) < KEEPER_SILENT_AFTER;
+        let others = self.zones.iter().filter(|(_, z)| heard(z));
+        let others = others.filter_map(|(zone, z)| Some((zone, Some(self.address(&z.from)?))));
+        let own = self.zone_leader(now).map(|vm| self.address(vm));
+        let mut all: Vec<_> = others.collect();
+        all.push((&self.zone, own.flatten()));
+        all.sort_by_key(|(zone, _)| (weight(zone, name), *zone));
+        all.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Gives for each VM how long ago it was heard, for a dump.
     pub fn silences(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, Option<Duration>)> {
         let rows = self.rows.iter();
--- /dev/null
+++ b/crates/limehollow/src/quota.rs
@@ -0,0 +1,393 @@
+//! How much of its limit each workspace has left, with a sum over all VMs that holds whatever happens to them.
+//!
+//! Nobody has to be in charge for the sum to hold. Each VM earns the same part of each limit, into an account of its own, and
+//! a token is always in one place: who hands tokens over takes them out of its account before they leave, and what is lost on
+//! the way is lost. The VM that keeps a workspace's pool collects what the others have earned, several times a second, and
+//! grants from it, so that a workspace whose part on each VM is less than a request is served up to its limit, and one whose
+//! callers all come to one VM too. Who is cut off has what it earns itself. Where two VMs take themselves for the keeper, each
+//! VM hands over to one of them only, and a pool holds no more than the part of those who fill it.
+//!
+//! [`Allowance::terms`] has the worst case of the sum, `docs/design/workspaces.md` the other designs and their figures.
+//!
+//! ```
+//! use limehollow::quota::{Allowance, Limit, Quotas};
+//! use std::time::Duration;
+//! use tokio::time::Instant;
+//!
+//! let now = Instant::now();
+//! let limit = Limit { rate: 1000.0, burst: 2000.0 };
+//! let mut mine = Quotas::new(Allowance::default());
+//! let mut theirs = Quotas::new(Allowance::default());
+//! for vm in [&mut mine, &mut theirs] {
+//!     vm.set_limits(now, [("bookkeeping".into(), limit)]);
+//!     vm.set_vms(now, 2);
+//! }
+//! let later = now + Duration::from_secs(1);
+//! assert!(!mine.take(later, "bookkeeping", 600.0));
+//! // Another VM hands over what it has earned.
+//! mine.begin_round(later);
+//! let more = theirs.hand_over(later, "bookkeeping", &"vm-1".into()).unwrap();
+//! mine.collect(later, "bookkeeping", more);
+//! assert!(mine.take(later, "bookkeeping", 600.0));
+//! ```
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long tokens may be on their way, from one account to the next and until a request is sent: an answer to a
+/// collection that takes longer is thrown away, and what didn't run is given back only within it.
+pub const ON_THE_WAY: Duration = Duration::from_millis(250);
+/// The time between two collections. Half a second of what VMs earn lies with them unused then if a collection is lost.
+pub const COLLECT_EVERY: Duration = Duration::from_millis(250);
+/// For how long VMs keep what they earn: three collections, so that two may be lost. While nobody collects, a VM of a
+/// workspace with two requests a VM and second gathers one request's worth in that time.
+const OWN_FOR: f64 = 0.75;
+/// The part of what the rules allow beyond the limit that may lie in accounts, beside the burst: the rest is for tokens on
+/// their way and for VMs that count each other differently.
+const STORED_SHARE: f64 = 0.4;
+/// By how much the parts of all VMs may add up to more than the whole, while some know of a new VM and others don't.
+const UNEVEN: f64 = 0.02;
+/// For how long a VM that has handed over to one keeper gives nothing to another: longer than a pool lasts that is no
+/// longer filled.
+const ONE_KEEPER_FOR: Duration = Duration::from_millis(1000);
+/// After how long without a round of collections a pool is void: its keeper stood still, and another has taken over.
+const POOL_LASTS: Duration = Duration::from_millis(750);
+/// The longest time that a refused caller is asked to stay away.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// The shortest one: less is gone on the way.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
+
+/// What the requests of a workspace may use.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Tokens, or requests, a second.
+    pub rate: f64,
+    /// What may be used on top at once.
+    pub burst: f64,
+}
+
+/// How far all VMs together may go beyond a limit, which is what keeps the work of agreeing small.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// The span over which use is summed.
+    pub window: Duration,
+    /// The part of the limit that may be used beyond it.
+    pub over: f64,
+    /// Tokens that may be used on top.
+    pub slack: f64,
+}
+
+impl Default for Allowance {
+    /// Allows nothing beyond the limit in a window of ten seconds.
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            over: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// What a limit comes to for accounts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// What all VMs together earn, in tokens a second.
+    pub rate: f64,
+    /// What all VMs together may keep of what they earn themselves.
+    pub own: f64,
+    /// What may be in a pool.
+    pub pool: f64,
+}
+
+impl Allowance {
+    /// Gives the most that all VMs together may use of a limit within the window.
+    #[must_use]
+    pub fn bound(&self, limit: Limit) -> f64 {
+        self.nominal(limit) * (1.0 + self.over) + self.slack
+    }
+
+    fn nominal(&self, limit: Limit) -> f64 {
+        limit.rate * self.window.as_secs_f64() + limit.burst
+    }
+
+    /// Gives the terms for accounts under which the bound holds.
+    ///
+    /// What is used within a window was in an account at its beginning, on its way then, or was earned in it. Tokens on
+    /// their way were in an account so short a time before. So the sum is at most what accounts hold, and what is earned in
+    /// the window and [`ON_THE_WAY`] twice (to the pool, and from it).
+    #[must_use]
+    pub fn terms(&self, limit: Limit) -> Terms {
+        let beyond = self.nominal(limit) * self.over + self.slack;
+        let stored = limit.burst + beyond * STORED_SHARE;
+        let earning = (self.window + ON_THE_WAY * 2).as_secs_f64() * (1.0 + UNEVEN);
+        let rate = limit
+            .rate
+            .min((self.bound(limit) - stored) / earning)
+            .max(0.0);
+        let own = (rate * OWN_FOR).min(stored);
+        Terms {
+            rate,
+            own,
+            pool: stored - own,
+        }
+    }
+}
+
+/// What one VM has of a workspace's limit.
+#[derive(Clone, Debug)]
+struct Account {
+    limit: Limit,
+    terms: Terms,
+    /// What this VM has earned and not used.
+    own: f64,
+    /// What it has collected.
+    pool: f64,
+    /// The VMs that handed over in the last round of collections, and in this one.
+    lenders: usize,
+    counted: usize,
+    /// When this round began.
+    round: Instant,
+    /// To whom this VM handed over last, and when.
+    keeper: Option<(SmolStr, Instant)>,
+    /// When it last earned.
+    at: Instant,
+    /// What callers who were refused were told to come back for.
+    promised: f64,
+}
+
+impl Account {
+    fn new(now: Instant, limit: Limit, terms: Terms) -> Self {
+        Self {
+            limit,
+            terms,
+            own: 0.0,
+            pool: 0.0,
+            lenders: 0,
+            counted: 0,
+            round: now,
+            keeper: None,
+            at: now,
+            promised: 0.0,
+        }
+    }
+
+    fn earn(&mut self, now: Instant, vms: usize) {
+        let s = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.promised = (self.promised - s * self.terms.rate).max(0.0);
+        if vms > 0 {
+            let part = share(vms);
+            self.own = (self.own + s * self.terms.rate * part).min(self.terms.own * part);
+        }
+        if now.saturating_duration_since(self.round) > POOL_LASTS {
+            self.pool = 0.0;
+        }
+        self.pool = self.pool.min(self.pool_room(vms));
+    }
+
+    /// Gives what the pool may hold: the part of the VMs that fill it.
+    fn pool_room(&self, vms: usize) -> f64 {
+        let lenders = self.lenders.max(self.counted).min(vms);
+        if lenders == 0 {
+            return 0.0;
+        }
+        self.terms.pool * (share(vms) / share(lenders))
+    }
+
+    fn left(&self) -> f64 {
+        self.own + self.pool
+    }
+
+    fn spend(&mut self, tokens: f64) {
+        let from_own = tokens.min(self.own);
+        self.own -= from_own;
+        self.pool -= tokens - from_own;
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a site has few VMs")]
+fn share(vms: usize) -> f64 {
+    1.0 / vms as f64
+}
+
+/// What became of a wish for tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Grant {
+    /// The tokens were taken out of the account.
+    Granted,
+    /// There are too few; when there are enough, by what is known now.
+    Short(Duration),
+}
+
+/// What one VM has of all limits.
+#[derive(Debug)]
+pub struct Quotas {
+    allowance: Allowance,
+    /// How many VMs share the limits; zero while that isn't known, and then nothing is earned.
+    vms: usize,
+    accounts: BTreeMap<SmolStr, Account>,
+}
+
+/// Queries.
+impl Quotas {
+    /// Makes the accounts of a VM that knows no limit yet. It begins with nothing: what it had before a restart may have
+    /// been used.
+    #[must_use]
+    pub fn new(allowance: Allowance) -> Self {
+        Self {
+            allowance,
+            vms: 0,
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// Tells whether a workspace has a limit here.
+    #[must_use]
+    pub fn is_limited(&self, workspace: &str) -> bool {
+        self.accounts.contains_key(workspace)
+    }
+
+    /// Gives the workspaces with a limit.
+    pub fn workspaces(&self) -> impl Iterator<Item = &SmolStr> {
+        self.accounts.keys()
+    }
+
+    /// Gives how many VMs share the limits, as far as is known.
+    #[must_use]
+    pub fn vms(&self) -> usize {
+        self.vms
+    }
+
+    /// Gives for each workspace what this VM has earned itself and what it has collected, in tokens.
+    pub fn holdings(&self) -> impl Iterator<Item = (&SmolStr, f64, f64)> {
+        self.accounts.iter().map(|(w, a)| (w, a.own, a.pool))
+    }
+}
+
+/// Commands.
+impl Quotas {
+    /// Changes how far all VMs may go beyond the limits.
+    pub fn set_allowance(&mut self, now: Instant, allowance: Allowance) {
+        if allowance == self.allowance {
+            return;
+        }
+        self.allowance = allowance;
+        let limits: Vec<_> = self
+            .accounts
+            .iter()
+            .map(|(w, a)| (w.clone(), a.limit))
+            .collect();
+        self.set_limits(now, limits);
+    }
+
+    /// Puts limits in force: a lower one takes away at once what is too much.
+    pub fn set_limits<I>(&mut self, now: Instant, limits: I)
+    where
+        I: IntoIterator<Item = (SmolStr, Limit)>,
+    {
+        let mut former = std::mem::take(&mut self.accounts);
+        for (workspace, limit) in limits {
+            let terms = self.allowance.terms(limit);
+            let account = former.remove(&workspace);
+            let mut account = account.unwrap_or_else(|| Account::new(now, limit, terms));
+            account.earn(now, self.vms);
+            (account.limit, account.terms) = (limit, terms);
+            account.earn(now, self.vms);
+            self.accounts.insert(workspace, account);
+        }
+    }
+
+    /// Notes how many VMs share the limits. Fewer than before are not believed: each VM that counts fewer takes a larger
+    /// part, and one that is silent may be cut off and go on.
+    pub fn set_vms(&mut self, now: Instant, vms: usize) {
+        if vms <= self.vms {
+            return;
+        }
+        for a in self.accounts.values_mut() {
+            a.earn(now, self.vms);
+        }
+        self.vms = vms;
+        for a in self.accounts.values_mut() {
+            a.earn(now, vms);
+        }
+    }
+
+    /// Takes tokens of a workspace for a request. Gives whether there were enough, which is so where it has no limit.
+    pub fn take(&mut self, now: Instant, workspace: &str, tokens: f64) -> bool {
+        let Some(a) = self.accounts.get_mut(workspace) else {
+            return true;
+        };
+        a.earn(now, self.vms);
+        let enough = a.left() >= tokens;
+        if enough {
+            a.spend(tokens);
+        }
+        enough
+    }
+
+    /// Grants another VM tokens for a request, or says when it may come again.
+    ///
+    /// Who is refused is told the time at which those who were refused before have had their turn: with one time for all
+    /// of them, all would come back at once and all but the first be refused again.
+    pub fn grant(&mut self, now: Instant, workspace: &str, tokens: f64) -> Grant {
+        if self.take(now, workspace, tokens) {
+            return Grant::Granted;
+        }
+        let Some(a) = self.accounts.get_mut(workspace) else {
+            return Grant::Granted;
+        };
+        let missing = a.promised + tokens - a.left();
+        a.promised += tokens;
+        let wait = missing / a.terms.rate.max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_WAIT);
+        Grant::Short(wait.clamp(SHORTEST_WAIT, LONGEST_WAIT))
+    }
+
+    /// Takes back what a request took that didn't run, into the account of what this VM earns and up to its bound.
+    pub fn give_back(&mut self, now: Instant, workspace: &str, tokens: f64) {
+        let vms = self.vms;
+        if let Some(a) = self.accounts.get_mut(workspace) {
+            a.own += tokens;
+            a.earn(now, vms);
+        }
+    }
+
+    /// Begins a round of collections. Every VM does so each [`COLLECT_EVERY`], whether it keeps a pool or not.
+    pub fn begin_round(&mut self, now: Instant) {
+        for a in self.accounts.values_mut() {
+            (a.lenders, a.counted) = (a.counted, 0);
+            a.round = now;
+            a.earn(now, self.vms);
+        }
+    }
+
+    /// Hands over what this VM has of a workspace to the VM that keeps its pool; gives none to a second one that asks so
+    /// soon.
+    pub fn hand_over(&mut self, now: Instant, workspace: &str, keeper: &SmolStr) -> Option<f64> {
+        let vms = self.vms;
+        let a = self.accounts.get_mut(workspace)?;
+        let is_taken = a.keeper.as_ref().is_some_and(|(other, at)| {
+            other != keeper && now.saturating_duration_since(*at) < ONE_KEEPER_FOR
+        });
+        if is_taken {
+            return None;
+        }
+        a.earn(now, vms);
+        a.keeper = Some((keeper.clone(), now));
+        Some(std::mem::take(&mut a.own))
+    }
+
+    /// Takes in what a VM has handed over; what is too much for the pool is lost.
+    pub fn collect(&mut self, now: Instant, workspace: &str, tokens: f64) {
+        let vms = self.vms;
+        if let Some(a) = self.accounts.get_mut(workspace) {
+            a.counted += 1;
+            // Tokens are counts: what is no number, or negative, is none.
+            a.pool += tokens.max(0.0);
+            a.earn(now, vms);
+        }
+    }
+}
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -144,5 +144,6 @@
         pause: None,
         rank: 0,
         max_attempts: 1,
+        open: false,
     }
 }
