A VM that leads its zone and keeps no pool doesn't say that a workspace is over its limit

Cause: where the keeper of a pool was silent and this VM was the next in order, it answered from its own account, which is short by nature, with 429 and a time that meant nothing. Change: the same check as for questions of others (503, the limit can't be looked up).

--- a/crates/limehollow-node/src/limits.rs
+++ b/crates/limehollow-node/src/limits.rs
@@ -49,28 +49,22 @@
         return Wish::Granted;
     }
     for keeper in keepers(site, workspace) {
-        let Some(address) = keeper else {
-            return wish(site.known().quotas.grant(site.now(), workspace, tokens));
+        let reply = match keeper {
+            Some(address) => ask_keeper(site, address, workspace, tokens).await,
+            None => Some(grant(site, workspace, tokens)),
         };
-        match ask_keeper(site, address, workspace, tokens).await {
+        match reply {
             Some(Reply::Granted) => return Wish::Granted,
             Some(Reply::Short(ms)) => return Wish::Over(Duration::from_millis(u64::from(ms))),
             Some(_other) => {
-                tracing::debug!(%workspace, %address, "it doesn't keep the pool");
+                tracing::debug!(%workspace, ?keeper, "it doesn't keep the pool");
             }
-            None => tracing::debug!(%workspace, %address, "the keeper of a pool is silent"),
+            None => tracing::debug!(%workspace, ?keeper, "the keeper of a pool is silent"),
         }
     }
     Wish::Unanswered
 }
 
-fn wish(g: Grant) -> Wish {
-    match g {
-        Grant::Granted => Wish::Granted,
-        Grant::Short(wait) => Wish::Over(wait),
-    }
-}
-
 /// Gives the VMs to ask for tokens of a workspace, the one first that should keep its pool; none stands for this VM.
 fn keepers<P>(site: &Site<P>, workspace: &str) -> Vec<Option<SocketAddr>>
 where
