--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -76,9 +76,7 @@
 
     /// Tells whether another VM has read further.
     pub(crate) fn is_behind(&self) -> bool {
-        let known = self.site.known();
-        let theirs = known.ahead.get(&self.feed).map_or(0, |(_, at)| *at);
-        theirs > position(known.positions, self.feed)
+        self.site.known().is_behind(self.feed)
     }
 
     pub(crate) fn note_position(&self, next: u64) {
--- a/crates/limehollow-node/src/keys.rs
+++ b/crates/limehollow-node/src/keys.rs
@@ -4,7 +4,7 @@
 //! The VM that reads for its zone knows it by its reads; the others ask it, or any other VM, once in a while, and read the
 //! store themselves if none can say.
 
-use crate::edge::{Ask, Protocol};
+use crate::edge::{Ask, Feed, Protocol};
 use crate::site::Site;
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::workspace::{KeyDigest, Workspace};
@@ -65,7 +65,7 @@
     match found {
         Some(p) => Ok(Some(p)),
         // Another VM has read further: the key may be a new one.
-        None if site.is_behind() => Err(Denied::Unconfirmed),
+        None if site.known().is_behind(Feed::Configuration) => Err(Denied::Unconfirmed),
         None => Err(Denied::Unknown),
     }
 }
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -1,11 +1,13 @@
 //! What a process knows of endpoints, load, demand, the other VMs and requests that crash endpoints.
 
 use crate::edge::Feed;
+use crate::follower::position;
 use crate::logbook::may_log;
 use crate::outbox::Outbox;
 use crate::quarantine_sync::Said;
 use crate::reading::Readings;
 use crate::settings::NodeSettings;
+use crate::silence::Silences;
 use limehollow::arrivals::Arrivals;
 use limehollow::balance::{Balance, Taken};
 use limehollow::candidacy::{Candidacy, Notice};
@@ -23,7 +25,6 @@
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use tokio::time::Instant;
 
 /// What is known of endpoints, load and demand.
@@ -77,10 +78,10 @@
     pub quotas: Quotas,
     /// Whether the VMs of the site were read from the store.
     pub has_vms: bool,
-    /// VMs that keep pools and were silent lately, and until when they aren't asked.
-    pub silent_keepers: BTreeMap<SocketAddr, Instant>,
-    /// VMs that keep places and were silent lately, and until when they aren't asked.
-    pub slow_keepers: BTreeMap<SocketAddr, Instant>,
+    /// VMs that keep pools and were silent lately.
+    pub silent_for_tokens: Silences,
+    /// VMs that keep places and were silent lately; these are waited for less long.
+    pub silent_for_places: Silences,
     /// What the other VMs said last of what they know of such requests, and where to ask for it.
     pub quarantines: BTreeMap<SmolStr, Said>,
 }
@@ -118,12 +119,18 @@
             confirmation: Confirmation::default(),
             quotas: Quotas::new(settings.quota_allowance()),
             has_vms: false,
-            silent_keepers: BTreeMap::new(),
-            slow_keepers: BTreeMap::new(),
+            silent_for_tokens: Silences::default(),
+            silent_for_places: Silences::default(),
             quarantines: BTreeMap::new(),
         }
     }
 
+    /// Tells whether another VM has read a feed further than this one.
+    pub(crate) fn is_behind(&self, feed: Feed) -> bool {
+        let theirs = self.ahead.get(&feed).map_or(0, |(_, at)| *at);
+        theirs > position(self.positions, feed)
+    }
+
     /// Takes in how many VMs another one knows of; limits are shared among the most that any knows. It is zero where that
     /// one doesn't know yet.
     pub fn note_vms(&mut self, now: Instant, told: usize) {
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -53,5 +53,6 @@
 pub mod run;
 mod sender;
 pub mod settings;
+mod silence;
 pub mod site;
 mod small_server;
--- a/crates/limehollow-node/src/limits.rs
+++ b/crates/limehollow-node/src/limits.rs
@@ -72,12 +72,7 @@
 {
     let now = site.now();
     let known = site.known();
-    let silent = |a: &SocketAddr| {
-        known
-            .silent_keepers
-            .get(a)
-            .is_some_and(|until| now < *until)
-    };
+    let silent = |a: &SocketAddr| known.silent_for_tokens.contains(now, *a);
     let all = known.peers.keepers(now, workspace).into_iter();
     let speaking = all.filter(|k| !k.as_ref().is_some_and(silent));
     speaking.take(MOST_ASKED).collect()
@@ -104,8 +99,8 @@
             return Some(reply);
         }
     }
-    let until = site.now() + SILENT_FOR;
-    site.known().silent_keepers.insert(to, until);
+    let now = site.now();
+    site.known().silent_for_tokens.note(now, to, SILENT_FOR);
     None
 }
 
@@ -120,11 +115,13 @@
         return Reply::Short(millis(NO_KEEPER));
     }
     let now = site.now();
-    if known.quotas.take(now, workspace, tokens) {
-        return Reply::Granted;
-    }
     if !is_keeper(&known.peers, now, workspace) {
-        return Reply::NotKeeper;
+        let granted = known.quotas.take(now, workspace, tokens);
+        return if granted {
+            Reply::Granted
+        } else {
+            Reply::NotKeeper
+        };
     }
     match known.quotas.grant(now, workspace, tokens) {
         Grant::Granted => Reply::Granted,
@@ -190,7 +187,6 @@
     let mut known = site.known();
     let known = &mut *known;
     known.quotas.begin_round(now);
-    known.silent_keepers.retain(|_, until| now < *until);
     let all = known.quotas.workspaces();
     let is_mine = |w: &&SmolStr| is_keeper(&known.peers, now, w);
     let mine: Arc<[SmolStr]> = all.filter(is_mine).cloned().collect();
--- a/crates/limehollow-node/src/place.rs
+++ b/crates/limehollow-node/src/place.rs
@@ -10,6 +10,7 @@
 //! play each: 0.575, 0.443, 0.576 by each VM's own choice, 0.606, 0.484, 0.609 by a keeper's (`docs/design/shifted-work.md`).
 
 use crate::edge::Protocol;
+use crate::known::Known;
 use crate::settings::ChoicePolicy;
 use crate::site::Site;
 use limehollow::balance::{Bounds, Choice};
@@ -20,6 +21,7 @@
 use limehollow_wire::gossip::{About, Place, Reply};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long the keeper of places is waited for: many times an answer's way, and a part of the shortest objective that isn't missed.
 const KEEPER_WITHIN: Duration = Duration::from_millis(25);
@@ -48,11 +50,19 @@
         }
         Chooser::Alone => {}
     }
-    let known = site.known();
+    choose_here(site.now(), &site.known(), catalog, job, tried)
+}
+
+/// Chooses by what this VM knows.
+fn choose_here(
+    now: Instant,
+    known: &Known,
+    catalog: &Catalog,
+    job: &Job,
+    tried: &[EndpointKey],
+) -> Choice {
     let bounds = bounds(catalog, job);
-    known
-        .balance
-        .choose(site.now(), &known.roster, bounds, job, tried)
+    known.balance.choose(now, &known.roster, bounds, job, tried)
 }
 
 /// Who says where a request goes.
@@ -81,7 +91,7 @@
     let known = site.known();
     match known.peers.keepers(now, &m.model).first() {
         Some(None) => Chooser::Keeper,
-        Some(Some(a)) if known.slow_keepers.get(a).is_none_or(|t| now >= *t) => Chooser::Other(*a),
+        Some(Some(a)) if !known.silent_for_places.contains(now, *a) => Chooser::Other(*a),
         _ => Chooser::Alone,
     }
 }
@@ -104,8 +114,8 @@
         .ask(&site.clock, to, about, KEEPER_WITHIN)
         .await;
     let Some(Reply::Place(place)) = reply else {
-        let until = site.now() + SILENT_FOR;
-        site.known().slow_keepers.insert(to, until);
+        let now = site.now();
+        site.known().silent_for_places.note(now, to, SILENT_FOR);
         return None;
     };
     match place {
@@ -129,9 +139,7 @@
 {
     let now = site.now();
     let mut known = site.known();
-    let known = &mut *known;
-    let bounds = bounds(catalog, job);
-    let choice = known.balance.choose(now, &known.roster, bounds, job, tried);
+    let choice = choose_here(now, &known, catalog, job, tried);
     if let Choice::To(key, _) = choice {
         known.balance.promise(now, key, job);
     }
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -177,13 +177,6 @@
         self.known().confirmation.allows(self.now(), bound)
     }
 
-    /// Tells whether another VM has read the configuration further than this one.
-    pub fn is_behind(&self) -> bool {
-        let known = self.known();
-        let theirs = known.ahead.get(&Feed::Configuration);
-        theirs.is_some_and(|(_, at)| *at > known.positions.configuration)
-    }
-
     /// Offers changes of the list that another VM of the zone has read to the follower of the list.
     pub fn offer_list(&self, l: ListChanges) {
         if l.to <= self.known().positions.endpoints {
--- a/crates/limehollow-node/tests/rig/crashing.rs
+++ b/crates/limehollow-node/tests/rig/crashing.rs
@@ -278,26 +278,14 @@
         let id = id.unwrap_or("").to_owned();
         if text.contains(CRASHING) {
             seen.arrivals.lock().expect("sound").push(Instant::now());
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 100\r\n\r\npiece"
-            );
-            stream
-                .write_all(head.as_bytes())
-                .await
-                .expect("it is written");
+            write_piece(&mut stream, &id).await;
             sleep(CRASHES_AFTER).await;
             seen.crashes.lock().expect("sound").push(Instant::now());
             crash.send_replace(true);
             return;
         }
         if text.contains(CUT_OFF) {
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 100\r\n\r\npiece"
-            );
-            stream
-                .write_all(head.as_bytes())
-                .await
-                .expect("it is written");
+            write_piece(&mut stream, &id).await;
             return;
         }
         sleep(WORK).await;
@@ -308,6 +296,16 @@
     }
 }
 
+/// Writes the head of an answer and a piece of its body.
+async fn write_piece(stream: &mut TcpStream, id: &str) {
+    let head =
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 100\r\n\r\npiece");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("it is written");
+}
+
 /// Starts a VM's administration port.
 pub async fn operators(site: &Arc<Site<Plain>>) -> u16 {
     let free = TcpListener::bind("127.0.0.1:0")
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -151,10 +151,17 @@
     /// Gives the VM that speaks for the own zone, unless it is this one.
     #[must_use]
     pub fn zone_leader(&self, now: Instant) -> Option<&SmolStr> {
-        let rank = |(name, p): &(&SmolStr, &Peer)| (Reverse(p.millicores), (*name).clone());
-        let (name, p) = self.heard_here(now).min_by_key(rank)?;
-        let leads = (Reverse(p.millicores), name) < (Reverse(self.millicores), &self.me);
-        leads.then_some(name)
+        self.strongest(self.heard_here(now))
+    }
+
+    /// Gives the strongest of some VMs, unless this one is stronger than all of them.
+    fn strongest<'a, I>(&'a self, vms: I) -> Option<&'a SmolStr>
+    where
+        I: Iterator<Item = (&'a SmolStr, &'a Peer)>,
+    {
+        let ranks = vms.map(|(name, p)| (Reverse(p.millicores), name));
+        let best = ranks.min()?;
+        (best < (Reverse(self.millicores), &self.me)).then_some(best.1)
     }
 
     /// Tells whether this VM stands for the lease: few of each zone do, the strongest first.
@@ -220,11 +227,7 @@
     /// Gives the VM that reads the store for the own zone, unless it is this one.
     #[must_use]
     pub fn zone_reader(&self, now: Instant) -> Option<&SmolStr> {
-        let readers = self.heard_here(now).filter(|(_, p)| p.reads_list);
-        let rank = |(name, p): &(&SmolStr, &Peer)| (Reverse(p.millicores), (*name).clone());
-        let (name, p) = readers.min_by_key(rank)?;
-        let reads = (Reverse(p.millicores), name) < (Reverse(self.millicores), &self.me);
-        reads.then_some(name)
+        self.strongest(self.heard_here(now).filter(|(_, p)| p.reads_list))
     }
 
     /// Gives the VMs that may keep something of this name for the whole site, the one first that should: the leaders of
@@ -239,7 +242,7 @@
         let own = self.zone_leader(now).map(|vm| self.address(vm));
         let mut all: Vec<_> = others.collect();
         all.push((&self.zone, own.flatten()));
-        all.sort_by_key(|(zone, _)| (weight(zone, name), *zone));
+        all.sort_by_cached_key(|(zone, _)| (weight(zone, name), *zone));
         all.into_iter().map(|(_, address)| address).collect()
     }
 
