Lines, metrics and the dump say what endpoints want to be sent

Change: what an answer says of leaving, of a limit and of rest is decoded once in platform/ into one type, remembered with the endpoint's start (which of two words counts is decided by when their requests were sent) and shown: a line when a limit begins and ends, for each rest and each answer that says that its endpoint leaves; metrics; takes_per_s and rests_ms in the dump. No choice depends on it yet.

--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One try at an endpoint.
 
 use crate::edge::{Judgement, Protocol};
+use crate::hearing;
 use crate::keys::{self, Pass};
 use crate::pool::{ConnectError, Connection, Pool};
 use crate::site::Site;
@@ -15,6 +16,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// What a failed try shows of the endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,8 +162,9 @@
     }
     // A kept connection that turns out to be closed gives the request back unsent.
     while let Some(mut c) = pool.take(to.key) {
+        let asked = site.now();
         match c.sender.try_send_request(req).await {
-            Ok(response) => return judge(site, pool, response, c, (id, &to.instance.id)),
+            Ok(response) => return judge(site, pool, response, c, (to, id, asked)),
             Err(mut e) => match e.take_message() {
                 Some(unsent) => req = unsent,
                 None => return Err(Failed::cut_off(e.error())),
@@ -177,8 +180,9 @@
     if !key_counts() {
         return Err(Failed::key_gone());
     }
+    let asked = site.now();
     match c.sender.try_send_request(req).await {
-        Ok(response) => judge(site, pool, response, c, (id, &to.instance.id)),
+        Ok(response) => judge(site, pool, response, c, (to, id, asked)),
         Err(mut e) => Err(match e.take_message() {
             Some(_) => Failed::unsent(Shows::Nothing, format_smolstr!("{}", e.error())),
             None => Failed::cut_off(e.error()),
@@ -194,19 +198,39 @@
     site.known().roster.get(key).is_some_and(|e| !e.leaving)
 }
 
+/// Tells whether an answer is from the endpoint that was asked, so that what it says of itself counts.
+fn is_from(j: Judgement) -> bool {
+    match j {
+        Judgement::Genuine
+        | Judgement::NotRun
+        | Judgement::Invalid
+        | Judgement::Misdirected {
+            other_instance: false,
+        } => true,
+        Judgement::Foreign
+        | Judgement::Misdirected {
+            other_instance: true,
+        } => false,
+    }
+}
+
 fn judge<P>(
     site: &Site<P>,
     pool: &Pool,
     response: Response<Incoming>,
     mut connection: Connection,
-    (id, instance): (&str, &str),
+    (to, id, asked): (&Target, &str, Instant),
 ) -> Result<Answer, Failed>
 where
     P: Protocol,
 {
     let (status, headers) = (response.status(), response.headers());
     connection.set_keep(keep(headers));
-    match site.protocol.judge(status, headers, id, instance) {
+    let judgement = site.protocol.judge(status, headers, id, &to.instance.id);
+    if is_from(judgement) {
+        hearing::hear(site, to, asked, site.protocol.signals(status, headers));
+    }
+    match judgement {
         Judgement::Genuine => Ok(Answer {
             response,
             connection,
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -4,6 +4,7 @@
 use http::request::Parts as RequestParts;
 use http::{HeaderMap, HeaderName, Request, StatusCode};
 use http_body_util::Full;
+use limehollow::backpressure::Signals;
 use limehollow::catalog::Catalog;
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
@@ -360,6 +361,9 @@
     fn judge(&self, status: StatusCode, headers: &HeaderMap, id: &str, instance: &str)
     -> Judgement;
 
+    /// Reads what an answer says of what its endpoint wants to be sent, whatever became of the request.
+    fn signals(&self, status: StatusCode, headers: &HeaderMap) -> Signals;
+
     /// Marks an answer of the gateway's own with the request's id.
     fn sign(&self, headers: &mut HeaderMap, id: &str);
 
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -53,6 +53,12 @@
     pub unreadable_records: Counter,
     /// Endpoints that were seen to start again under their id.
     pub endpoint_restarts: Counter,
+    /// Answers in which an endpoint asked this VM for rest.
+    pub rests: Counter,
+    /// Answers in which an endpoint said that it leaves.
+    pub endpoints_said_leaving: Counter,
+    /// Endpoints that name a limit of requests a second.
+    pub endpoints_limited: Gauge,
     /// Requests that are refused because they crash the endpoints that run them.
     pub requests_quarantined: Gauge,
     /// Requests that ran on an endpoint when it crashed, those that are refused too.
@@ -81,6 +87,9 @@
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
             unreadable_records: Counter::default(),
             endpoint_restarts: Counter::default(),
+            rests: Counter::default(),
+            endpoints_said_leaving: Counter::default(),
+            endpoints_limited: Gauge::default(),
             requests_quarantined: Gauge::default(),
             requests_suspected: Gauge::default(),
             catalog: Gauge::default(),
@@ -161,6 +170,21 @@
             "Endpoints that were seen to start again under their id",
             self.endpoint_restarts.clone(),
         );
+        r.register(
+            "rests",
+            "Answers in which an endpoint asked this VM for rest",
+            self.rests.clone(),
+        );
+        r.register(
+            "endpoints_said_leaving",
+            "Answers in which an endpoint said that it leaves",
+            self.endpoints_said_leaving.clone(),
+        );
+        r.register(
+            "endpoints_limited",
+            "Endpoints that name a limit of requests a second",
+            self.endpoints_limited.clone(),
+        );
         r.register(
             "requests_quarantined",
             "Requests refused because they crash the endpoints that run them",
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -155,6 +155,7 @@
                 };
                 ready_tx.send_replace(now);
                 site.show_crashing_requests();
+                site.show_backpressure();
             }
             Some(d) = asked.recv() => {
                 // Who asked may have gone.
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -264,6 +264,8 @@
                 "service": e.service,
                 "zone": e.zone,
                 "leaving": e.leaving,
+                "takes_per_s": known.balance.backpressure.rate(k),
+                "rests_ms": known.balance.backpressure.opens_in(now, k).map(|t| t.as_millis()),
                 "ejected": known.balance.is_ejected(now, k),
                 "holdings": e.holdings,
                 "copies": e.copies,
@@ -316,6 +318,13 @@
         self.metrics.requests_suspected.set(count(suspected));
     }
 
+    /// Brings the metric on endpoints that name a limit up to date.
+    pub(crate) fn show_backpressure(&self) {
+        let limited = self.known().balance.backpressure.limited().count();
+        let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+        self.metrics.endpoints_limited.set(limited);
+    }
+
     /// Takes in that a start of an endpoint has crashed, and tells the other VMs what it ran.
     pub fn note_crashed(&self, start: &Instance) {
         let ran_some = self.known().note_crashed(self.now(), start);
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
+use limehollow::backpressure::{RateSignal, Signals};
 use limehollow::catalog::{CallerLimits, Catalog, Rule, Share};
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
@@ -109,6 +110,21 @@
         }
     }
 
+    fn signals(&self, status: StatusCode, headers: &HeaderMap) -> Signals {
+        let number = |name| {
+            let v: Option<&HeaderValue> = headers.get(name);
+            v.map(|v| v.to_str().expect("text").parse().expect("a number"))
+        };
+        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+        Signals {
+            leaving: headers.contains_key("x-leaving"),
+            rate: number("x-rate").map_or(RateSignal::Unnamed, RateSignal::Named),
+            rest: number("x-rest")
+                .filter(|_| turned_away)
+                .map(Duration::from_secs_f64),
+        }
+    }
+
     fn sign(&self, headers: &mut HeaderMap, id: &str) {
         headers.insert(ID, HeaderValue::from_str(id).expect("valid"));
     }
--- /dev/null
+++ b/crates/limehollow/src/backpressure.rs
@@ -0,0 +1,287 @@
+//! What endpoints say of what they want to be sent, and for how long it counts.
+//!
+//! An endpoint says three things in its answers: that it leaves, which is final for its start; how many requests a second it
+//! takes of all VMs together, as long as it says so; that it wants nothing of this VM for some time. The first belongs to the
+//! [`crate::roster`], the sum over all VMs to [`crate::quota`]; here is what one VM has heard of the other two
+//! (`docs/design/backpressure.md`).
+//!
+//! ```
+//! use limehollow::backpressure::{Backpressure, RateSignal, Signals};
+//! use limehollow::id::EndpointKey;
+//! use std::time::Duration;
+//! use tokio::time::Instant;
+//!
+//! let (now, key) = (Instant::now(), EndpointKey::default());
+//! let mut b = Backpressure::default();
+//! let s = Signals { rate: RateSignal::Named(2.5), rest: Some(Duration::from_secs(3)), ..Signals::default() };
+//! b.hear(now, key, now, s);
+//! assert_eq!(b.rate(key), Some(2.5));
+//! assert_eq!(b.opens_in(now, key), Some(Duration::from_secs(3)));
+//! ```
+
+use crate::id::EndpointKey;
+use slotmap::SecondaryMap;
+use std::cmp::Ordering;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The longest rest that is granted at a word. An endpoint that wants more says so again at the request that comes then.
+pub const LONGEST_REST: Duration = Duration::from_secs(3600);
+/// The lowest rate at which an endpoint is asked, in requests a second: with none at all nobody would hear that its limit has
+/// ended.
+pub const LEAST_RATE: f64 = 0.1;
+/// From which rate on a limit binds nobody, in requests a second: many times what a whole site is asked.
+const UNLIMITED_FROM: f64 = 1e6;
+/// When to look again at an endpoint whose rest is over and of which the first answer is awaited.
+const TRIAL_AGAIN: Duration = Duration::from_millis(100);
+
+/// What an answer says of the endpoint's rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateSignal {
+    /// It names no limit.
+    #[default]
+    Unnamed,
+    /// It takes so many requests a second of all VMs together.
+    Named(f64),
+    /// It names a limit that can't be read, which neither sets a limit nor ends one.
+    Unreadable,
+}
+
+/// What one answer says of what the endpoint wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Signals {
+    /// Whether it leaves: this start wants no more requests.
+    pub leaving: bool,
+    /// How many requests it takes.
+    pub rate: RateSignal,
+    /// For how long it wants nothing of this VM.
+    pub rest: Option<Duration>,
+}
+
+/// The rate that an endpoint named in one answer, and when it did.
+///
+/// Answers come on several connections, so the one that is heard last need not be the one that was written last. It was
+/// written between the sending of its request and its hearing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateWord {
+    /// Requests a second of all VMs together; none if it named no limit.
+    pub rate: Option<f64>,
+    /// When the request was sent.
+    pub asked: Instant,
+    /// When the answer was heard.
+    pub heard: Instant,
+}
+
+impl RateWord {
+    /// Gives which of two words of an endpoint counts: the one that was certainly written later, and the stricter one where
+    /// that can't be told.
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        if other.asked >= self.heard {
+            return other;
+        }
+        if self.asked >= other.heard {
+            return self;
+        }
+        let rate = |w: &Self| w.rate.unwrap_or(f64::INFINITY);
+        match rate(&other).total_cmp(&rate(&self)) {
+            Ordering::Less => other,
+            Ordering::Equal if other.heard > self.heard => other,
+            Ordering::Equal | Ordering::Greater => self,
+        }
+    }
+}
+
+/// What a word changed of an endpoint's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateChange {
+    /// Nothing.
+    #[default]
+    Unchanged,
+    /// From now on it takes so many requests a second.
+    Limited(f64),
+    /// It has no limit any more.
+    Ended,
+}
+
+/// What is new after an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Heard {
+    /// What changed of its limit.
+    pub rate: RateChange,
+    /// The rest that was asked for.
+    pub rest: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Instant,
+    /// Whether a request is under way that shows whether the endpoint takes requests again.
+    trial: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Row {
+    word: Option<RateWord>,
+    /// When another VM still had a limit that has ended.
+    contradicted: Option<Instant>,
+    rest: Option<Rest>,
+}
+
+/// What one VM has heard of endpoints' wishes.
+#[derive(Debug, Default)]
+pub struct Backpressure {
+    rows: SecondaryMap<EndpointKey, Row>,
+}
+
+/// Queries.
+impl Backpressure {
+    /// Gives the requests a second that an endpoint takes of all VMs together, where it names a limit.
+    #[must_use]
+    pub fn rate(&self, key: EndpointKey) -> Option<f64> {
+        self.rows.get(key)?.word?.rate
+    }
+
+    /// Gives in how long an endpoint that rests takes a request of this VM; none if it does now.
+    #[must_use]
+    pub fn opens_in(&self, now: Instant, key: EndpointKey) -> Option<Duration> {
+        let rest = self.rows.get(key)?.rest?;
+        let left = rest.until.saturating_duration_since(now);
+        match (left.is_zero(), rest.trial) {
+            (false, _) => Some(left),
+            (true, true) => Some(TRIAL_AGAIN),
+            (true, false) => None,
+        }
+    }
+
+    /// Gives the endpoints that rest now.
+    pub fn resting(&self, now: Instant) -> impl Iterator<Item = EndpointKey> {
+        let keys = self.rows.keys();
+        keys.filter(move |k| self.opens_in(now, *k).is_some())
+    }
+
+    /// Gives the endpoints that name a limit.
+    pub fn limited(&self) -> impl Iterator<Item = (EndpointKey, f64)> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(k, r)| Some((k, r.word?.rate?)))
+    }
+
+    /// Gives what the other VMs are told: all limits, and for some time that one has ended.
+    ///
+    /// A VM that starts again knows no limit, and without a limit it hands out no requests; so limits are told for as long as
+    /// they last.
+    pub fn words(
+        &self,
+        now: Instant,
+        ends_for: Duration,
+    ) -> impl Iterator<Item = (EndpointKey, RateWord)> {
+        let rows = self.rows.iter();
+        rows.filter_map(move |(k, r)| {
+            let w = r.word?;
+            let recent = |t: Instant| now.saturating_duration_since(t) < ends_for;
+            let told = w.rate.is_some() || recent(w.heard) || r.contradicted.is_some_and(recent);
+            told.then_some((k, w))
+        })
+    }
+}
+
+/// Commands.
+impl Backpressure {
+    /// Takes in what an answer says to a request that was sent at `asked`.
+    pub fn hear(&mut self, now: Instant, key: EndpointKey, asked: Instant, s: Signals) -> Heard {
+        let rest = s.rest.filter(|r| !r.is_zero()).map(|r| r.min(LONGEST_REST));
+        if let Some(rest) = rest {
+            self.rest(now + rest, key);
+        }
+        let rate = match s.rate {
+            RateSignal::Unreadable => RateChange::Unchanged,
+            RateSignal::Unnamed => self.end_limit(now, key, asked),
+            RateSignal::Named(rate) => {
+                let rate = (rate < UNLIMITED_FROM).then_some(rate.max(LEAST_RATE));
+                let word = RateWord {
+                    rate,
+                    asked,
+                    heard: now,
+                };
+                self.join(now, key, word)
+            }
+        };
+        Heard { rate, rest }
+    }
+
+    /// Takes in an answer without a limit, which is of matter only where one was heard.
+    fn end_limit(&mut self, now: Instant, key: EndpointKey, asked: Instant) -> RateChange {
+        if self.rate(key).is_none() {
+            return RateChange::Unchanged;
+        }
+        let word = RateWord {
+            rate: None,
+            asked,
+            heard: now,
+        };
+        self.join(now, key, word)
+    }
+
+    /// Takes in a word of an endpoint, heard here or by another VM. Gives what changed.
+    pub fn join(&mut self, now: Instant, key: EndpointKey, word: RateWord) -> RateChange {
+        let Some(row) = self.rows.entry(key) else {
+            return RateChange::Unchanged;
+        };
+        let row = row.or_default();
+        let before = row.word.and_then(|w| w.rate);
+        let joined = row.word.map_or(word, |w| w.join(word));
+        if joined.rate.is_none() && word.rate.is_some() {
+            row.contradicted = Some(now);
+        }
+        row.word = Some(joined);
+        match joined.rate {
+            rate if rate == before => RateChange::Unchanged,
+            Some(rate) => RateChange::Limited(rate),
+            None => RateChange::Ended,
+        }
+    }
+
+    /// A rest that was asked for in an answer that comes late counts as well: each of them was meant.
+    fn rest(&mut self, until: Instant, key: EndpointKey) {
+        let Some(row) = self.rows.entry(key) else {
+            return;
+        };
+        let row = row.or_default();
+        let rest = row.rest.get_or_insert(Rest {
+            until,
+            trial: false,
+        });
+        rest.until = rest.until.max(until);
+    }
+
+    /// Notes that a request is sent to an endpoint. Gives whether it shows if a rest is over.
+    pub(crate) fn start(&mut self, now: Instant, key: EndpointKey) -> bool {
+        let rest = self.rows.get_mut(key).and_then(|r| r.rest.as_mut());
+        let Some(rest) = rest.filter(|r| now >= r.until && !r.trial) else {
+            return false;
+        };
+        rest.trial = true;
+        true
+    }
+
+    /// Notes that an endpoint whose rest was over has answered a request, or that the request came to nothing.
+    ///
+    /// One request at a time is sent until one is answered: all VMs whose rest ends at the same moment would else send at once
+    /// what had gathered meanwhile.
+    pub(crate) fn end_trial(&mut self, now: Instant, key: EndpointKey, answered: bool) {
+        let Some(row) = self.rows.get_mut(key) else {
+            return;
+        };
+        if let Some(rest) = &mut row.rest {
+            rest.trial = false;
+            if answered && now >= rest.until {
+                row.rest = None;
+            }
+        }
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub(crate) fn forget(&mut self, key: EndpointKey) {
+        self.rows.remove(key);
+    }
+}
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -5,6 +5,7 @@
 //! it, at the pace that was measured, and the places that are taken. The endpoint that is soonest gets
 //! the request; another zone, failures and recent refusals count as time (`docs/design/system.md`).
 
+use crate::backpressure::Backpressure;
 use crate::health::{Health, ZoneWays};
 use crate::id::{EndpointKey, ServiceName, VmName, ZoneName};
 use crate::job::{Job, RANKS};
@@ -165,6 +166,8 @@
     expected_ms: f64,
     first: Option<Duration>,
     job_model: Option<SmolStr>,
+    /// Whether it shows if the endpoint's rest is over.
+    trial: bool,
     max_output: u32,
     service: ServiceName,
     zone: ZoneName,
@@ -240,6 +243,8 @@
     paces: BTreeMap<SmolStr, Pace>,
     /// Time that a request is held, in ms, by service.
     held_ms: BTreeMap<ServiceName, f64>,
+    /// What endpoints said that they want to be sent.
+    pub backpressure: Backpressure,
 }
 
 /// Queries.
@@ -254,6 +259,7 @@
             messages: BTreeMap::new(),
             paces: BTreeMap::new(),
             held_ms: BTreeMap::new(),
+            backpressure: Backpressure::default(),
         }
     }
 
@@ -472,6 +478,7 @@
             expected_ms,
             first: None,
             job_model: job.model.as_ref().map(|m| m.model.clone()),
+            trial: self.backpressure.start(now, key),
             max_output: job.max_output,
             service: job.service.clone(),
             zone: e.zone.clone(),
@@ -507,6 +514,9 @@
             pace.first(sent.unread, took_ms);
         }
         self.ways.answer(&sent.zone);
+        if std::mem::take(&mut sent.trial) {
+            self.backpressure.end_trial(now, sent.key, true);
+        }
         if let Some(row) = self.rows.get_mut(sent.key) {
             row.health.answer(now);
             let sample = took_ms / sent.expected_ms.max(1.0);
@@ -531,6 +541,9 @@
     /// Notes how a request ended.
     pub fn finish(&mut self, now: Instant, mut sent: Sent, ending: Ending) {
         self.read(&mut sent);
+        if sent.trial {
+            self.backpressure.end_trial(now, sent.key, false);
+        }
         if matches!(ending, Ending::Whole { .. }) {
             let held = now.duration_since(sent.at).as_secs_f64() * 1000.0;
             let v = self.held_ms.entry(sent.service.clone()).or_insert(held);
@@ -597,6 +610,7 @@
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, key: EndpointKey) {
         self.rows.remove(key);
+        self.backpressure.forget(key);
         for (_, taken) in self.messages.values_mut() {
             taken.retain(|(k, _)| *k != key);
         }
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -16,6 +16,7 @@
 //!   them (`docs/design/crashing-requests.md`).
 //! * [`workspace`], [`confirmation`] and [`quota`] say who callers are, for how long a key counts and what a workspace may use
 //!   (`docs/design/workspaces.md`).
+//! * [`backpressure`] is what endpoints say of what they want to be sent (`docs/design/backpressure.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
 //!   [`group_lease`], [`late_loads`], [`load_window`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
@@ -33,6 +34,7 @@
 
 pub mod admission;
 pub mod arrivals;
+pub mod backpressure;
 pub mod balance;
 pub mod candidacy;
 pub mod catalog;
--- /dev/null
+++ b/crates/limehollow/tests/backpressure.rs
@@ -0,0 +1,162 @@
+//! What one VM makes of endpoints' words that overtake each other, come late, or contradict those of other VMs.
+
+use limehollow::backpressure::{Backpressure, LEAST_RATE, LONGEST_REST, RateSignal, Signals};
+use limehollow::backpressure::{Heard, RateChange, RateWord};
+use limehollow::id::EndpointKey;
+use slotmap::SlotMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const ENDS_FOR: Duration = Duration::from_secs(1);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn named(rate: f64) -> Signals {
+    Signals {
+        rate: RateSignal::Named(rate),
+        ..Signals::default()
+    }
+}
+
+fn rest(rest: Duration) -> Signals {
+    Signals {
+        rest: Some(rest),
+        ..Signals::default()
+    }
+}
+
+struct Hearing {
+    t: Instant,
+    key: EndpointKey,
+    b: Backpressure,
+}
+
+impl Hearing {
+    fn new() -> Self {
+        let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        Self {
+            t: Instant::now(),
+            key: keys.insert(()),
+            b: Backpressure::default(),
+        }
+    }
+
+    /// Hears an answer at so many ms to a request sent at so many.
+    fn hear(&mut self, asked: u64, heard: u64, s: Signals) -> Heard {
+        let (asked, now) = (self.t + ms(asked), self.t + ms(heard));
+        self.b.hear(now, self.key, asked, s)
+    }
+
+    fn rate(&self) -> Option<f64> {
+        self.b.rate(self.key)
+    }
+
+    fn opens_in(&self, at: u64) -> Option<Duration> {
+        self.b.opens_in(self.t + ms(at), self.key)
+    }
+}
+
+#[test]
+fn hear_limit_until_an_answer_without_one_that_was_sent_after() {
+    let mut h = Hearing::new();
+    assert_eq!(h.hear(0, 10, named(2.5)).rate, RateChange::Limited(2.5));
+    assert_eq!(h.hear(20, 30, named(2.5)).rate, RateChange::Unchanged);
+    // This answer may have been written before the one that named the limit.
+    assert_eq!(
+        h.hear(5, 40, Signals::default()).rate,
+        RateChange::Unchanged
+    );
+    assert_eq!(h.rate(), Some(2.5));
+    assert_eq!(h.hear(50, 60, Signals::default()).rate, RateChange::Ended);
+    assert_eq!(h.rate(), None);
+    // Late news of the limit that has ended.
+    assert_eq!(h.hear(0, 70, named(2.5)).rate, RateChange::Limited(2.5));
+}
+
+#[test]
+fn hear_answers_without_a_limit_that_overlap_all_the_time() {
+    let mut h = Hearing::new();
+    h.hear(0, 10, named(2.5));
+    // Requests take 500 ms and follow on each other each 50 ms: some was sent after the limit was heard.
+    for n in 0..5 {
+        h.hear(n * 50, n * 50 + 500, Signals::default());
+    }
+    assert_eq!(h.rate(), None);
+}
+
+#[test]
+fn hear_two_limits_in_an_order_that_cant_be_told() {
+    let mut h = Hearing::new();
+    h.hear(0, 100, named(3.0));
+    h.hear(50, 150, named(2.0));
+    assert_eq!(h.rate(), Some(2.0));
+    h.hear(60, 160, named(3.0));
+    assert_eq!(h.rate(), Some(2.0));
+    h.hear(151, 200, named(3.0));
+    assert_eq!(h.rate(), Some(3.0));
+}
+
+#[test]
+fn hear_unreadable_limit_ends_none() {
+    let mut h = Hearing::new();
+    h.hear(0, 10, named(2.0));
+    let s = Signals {
+        rate: RateSignal::Unreadable,
+        ..Signals::default()
+    };
+    assert_eq!(h.hear(20, 30, s), Heard::default());
+    assert_eq!(h.rate(), Some(2.0));
+}
+
+#[test]
+fn hear_extreme_limits() {
+    let mut h = Hearing::new();
+    // With nothing at all nobody would hear that the limit has ended.
+    h.hear(0, 10, named(0.0));
+    assert_eq!(h.rate(), Some(LEAST_RATE));
+    h.hear(20, 30, named(1e300));
+    assert_eq!(h.rate(), None);
+}
+
+#[test]
+fn hear_rests_whichever_comes_first() {
+    for order in [[3000, 1000], [1000, 3000]] {
+        let mut h = Hearing::new();
+        for r in order {
+            h.hear(0, 0, rest(ms(r)));
+        }
+        assert_eq!(h.opens_in(0), Some(ms(3000)));
+        assert_eq!(h.opens_in(2999), Some(ms(1)));
+        assert_eq!(h.opens_in(3000), None);
+    }
+}
+
+#[test]
+fn hear_longest_and_empty_rest() {
+    let mut h = Hearing::new();
+    assert_eq!(h.hear(0, 0, rest(Duration::ZERO)).rest, None);
+    assert_eq!(h.opens_in(0), None);
+    h.hear(0, 0, rest(Duration::MAX));
+    assert_eq!(h.opens_in(0), Some(LONGEST_REST));
+}
+
+#[test]
+fn join_word_of_another_vm_older_than_the_end() {
+    let mut h = Hearing::new();
+    let word = |rate, asked, heard| RateWord {
+        rate,
+        asked: h.t + ms(asked),
+        heard: h.t + ms(heard),
+    };
+    let (limit, end) = (word(Some(2.0), 0, 10), word(None, 1000, 1010));
+    let later = h.t + ms(9000);
+    h.b.join(h.t + ms(1010), h.key, end);
+    assert_eq!(h.b.words(later, ENDS_FOR).count(), 0);
+    // Who still has the limit is told of its end.
+    assert_eq!(h.b.join(later, h.key, limit), RateChange::Unchanged);
+    assert_eq!(h.rate(), None);
+    assert_eq!(h.b.words(later, ENDS_FOR).count(), 1);
+    assert_eq!(h.b.words(later + ENDS_FOR, ENDS_FOR).count(), 0);
+}
