--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -352,17 +352,26 @@
 
     /// Sends one request and reads all that comes until the connection ends.
     pub async fn ask(&self, path: &str, body: &str) -> String {
-        let mut s = self.connect().await;
-        s.write_all(request(path, "1", "connection: close\r\n", body).as_bytes())
-            .await
-            .expect("it is written");
-        let mut out = Vec::new();
-        // A connection that is reset ends the answer too.
-        let _reset = s.read_to_end(&mut out).await;
-        String::from_utf8_lossy(&out).into_owned()
+        ask_with(self.address, path, body).await
     }
 }
 
+/// Sends one request without a body to a gateway and reads all that comes until the connection ends.
+pub async fn ask_at(gateway: SocketAddr, path: &'static str) -> String {
+    ask_with(gateway, path, "").await
+}
+
+async fn ask_with(gateway: SocketAddr, path: &str, body: &str) -> String {
+    let mut s = TcpStream::connect(gateway).await.expect("it accepts");
+    s.write_all(request(path, "1", "connection: close\r\n", body).as_bytes())
+        .await
+        .expect("it is written");
+    let mut out = Vec::new();
+    // A connection that is reset ends the answer too.
+    let _reset = s.read_to_end(&mut out).await;
+    String::from_utf8_lossy(&out).into_owned()
+}
+
 pub fn request(path: &str, id: &str, more: &str, body: &str) -> String {
     let len = body.len();
     format!(
