--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -22,6 +22,8 @@
     NoModel,
     NoAdapter,
     Busy,
+    /// What could serve it has said how much it takes, and has got that.
+    AtLimit,
     TurnedAway,
     Unreached,
     /// Whether its key counts can't be told now.
@@ -42,6 +44,7 @@
             Self::NoModel => "no endpoint holds the model",
             Self::NoAdapter => "no endpoint holds the adapter",
             Self::Busy => "the endpoints are busy",
+            Self::AtLimit => "the endpoints take no more requests now",
             Self::TurnedAway => "the endpoint refused it",
             Self::Unreached => "no endpoint could be reached",
             Self::KeyUnconfirmed => "the key can't be confirmed now",
--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use limehollow::id::EndpointKey;
 use limehollow::instance::Instance;
+use limehollow::quota::ON_THE_WAY;
 use limehollow::verdict::{Failure, Verdict};
 use smol_str::{SmolStr, format_smolstr};
 use std::io::ErrorKind;
@@ -79,6 +80,15 @@
         Self::unsent(Shows::Nothing, SmolStr::new_static("it leaves"))
     }
 
+    /// Makes the failure of a try at an endpoint that named a limit before the request was sent.
+    #[must_use]
+    pub fn no_room() -> Self {
+        Self::unsent(
+            Shows::Nothing,
+            SmolStr::new_static("it takes no more requests now"),
+        )
+    }
+
     /// Makes the failure of a try before which the caller's key was taken away, or could not be confirmed any more.
     #[must_use]
     pub fn key_gone() -> Self {
@@ -117,6 +127,17 @@
     }
 }
 
+/// What a request has of the limit that its endpoint may name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// Nothing: it goes only where no limit is named.
+    Unlimited,
+    /// One request's part, since this moment.
+    Granted(Instant),
+    /// It needs nothing: what isn't a request for the endpoint's work doesn't count.
+    Exempt,
+}
+
 /// The endpoint that a request is sent to.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -126,6 +147,8 @@
     pub instance: Instance,
     /// Where it listens.
     pub address: SocketAddr,
+    /// What the request has of its limit.
+    pub room: Room,
 }
 
 /// An answer whose body is still to come, and the connection that it comes on.
@@ -139,8 +162,8 @@
 
 /// Sends a request to an endpoint, on a kept connection if there is one, and reads the answer's head.
 ///
-/// Opening a connection takes up to [`crate::pool::CONNECT_TIMEOUT`], so the endpoint is looked up again after it: one that
-/// began to leave meanwhile gets nothing. The caller's key is looked up again before each send.
+/// Opening a connection takes up to [`crate::pool::CONNECT_TIMEOUT`], so the endpoint, its limit and the caller's key are looked up
+/// again before each send.
 ///
 /// # Errors
 ///
@@ -156,12 +179,9 @@
 where
     P: Protocol,
 {
-    let key_counts = || pass.is_none_or(|p| keys::holds(site, p));
-    if !key_counts() {
-        return Err(Failed::key_gone());
-    }
     // A kept connection that turns out to be closed gives the request back unsent.
     while let Some(mut c) = pool.take(to.key) {
+        may_send(site, to, pass)?;
         let asked = site.now();
         match c.sender.try_send_request(req).await {
             Ok(response) => return judge(site, pool, response, c, (to, id, asked)),
@@ -174,12 +194,7 @@
     let opened = pool.open(to.key, to.address).await;
     site.metrics.connections_opened.inc();
     let mut c = opened.map_err(|e| Failed::unconnected(&e))?;
-    if !takes_work(site, to.key) {
-        return Err(Failed::gone());
-    }
-    if !key_counts() {
-        return Err(Failed::key_gone());
-    }
+    may_send(site, to, pass)?;
     let asked = site.now();
     match c.sender.try_send_request(req).await {
         Ok(response) => judge(site, pool, response, c, (to, id, asked)),
@@ -190,12 +205,35 @@
     }
 }
 
-/// Tells whether an endpoint is there and doesn't leave.
-fn takes_work<P>(site: &Site<P>, key: EndpointKey) -> bool
+/// Looks at the last moment before a request is sent whether it may still be: between the choice of its endpoint and now a
+/// connection may have been opened, and all that allowed it may have changed.
+///
+/// # Errors
+///
+/// [`Failed`], as of a request that was not sent.
+pub fn may_send<P>(site: &Site<P>, to: &Target, pass: Option<&Pass>) -> Result<(), Failed>
 where
     P: Protocol,
 {
-    site.known().roster.get(key).is_some_and(|e| !e.leaving)
+    if !pass.is_none_or(|p| keys::holds(site, p)) {
+        return Err(Failed::key_gone());
+    }
+    let known = site.known();
+    if known.roster.get(to.key).is_none_or(|e| e.leaving) {
+        return Err(Failed::gone());
+    }
+    let is_limited = known.balance.backpressure.rate(to.key).is_some();
+    let has_room = match to.room {
+        Room::Exempt => true,
+        Room::Unlimited => !is_limited,
+        // The sum over all VMs reckons with so much time between the grant and the sending.
+        Room::Granted(at) => site.now().saturating_duration_since(at) <= ON_THE_WAY,
+    };
+    if has_room {
+        Ok(())
+    } else {
+        Err(Failed::no_room())
+    }
 }
 
 /// Tells whether an answer is from the endpoint that was asked, so that what it says of itself counts.
--- a/crates/limehollow-node/src/crash_probe.rs
+++ b/crates/limehollow-node/src/crash_probe.rs
@@ -1,6 +1,6 @@
 //! Finds out whether an endpoint has crashed, after a connection to it has ended under a request.
 
-use crate::attempt::Target;
+use crate::attempt::{Room, Target};
 use crate::edge::Protocol;
 use crate::known::Known;
 use crate::site::Site;
@@ -47,6 +47,7 @@
         key,
         instance: e.instance.clone(),
         address: e.address,
+        room: Room::Exempt,
     };
     match known.crash_watch.note_cut_off(now, &to.instance, c) {
         Suspicion::New if was_replaced => {
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! One request on its way: to which endpoints it goes, how often, and what its caller is told if none answers.
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
-use crate::attempt::{self, Failed, Shows, Target};
+use crate::attempt::{self, Failed, Room, Shows, Target};
 use crate::crash_probe;
 use crate::edge::{Ask, Feed, Protocol, Sending};
 use crate::keys::Pass;
@@ -10,6 +10,7 @@
 use crate::passage;
 use crate::place;
 use crate::relay::{Relay, Running, millis};
+use crate::room::{self, Closed};
 use crate::site::Site;
 use bytes::Bytes;
 use http::request::Parts;
@@ -141,6 +142,7 @@
     /// Chooses an endpoint, or gives the reason for a refusal and when to come back.
     async fn choose(&mut self) -> Result<Chosen, (Reason, Duration)> {
         let until = self.arrived + self.rule.objective.mul_f64(WAIT_SHARE);
+        let mut closed = Closed::default();
         loop {
             let changed = self.site.changed.notified();
             let now = self.site.now();
@@ -150,14 +152,29 @@
                 Standing::Suspect => true,
                 Standing::Quarantined(left) => return Err((Reason::Quarantined, left)),
             };
-            let choice = place::choose(self.site, self.catalog, &self.job, &self.tried).await;
+            let unusable = [&self.tried[..], closed.keys()].concat();
+            let choice = place::choose(self.site, self.catalog, &self.job, &unusable).await;
             let (reason, after) = match choice {
-                Choice::To(key, expected_ms) => return self.admit(key, expected_ms),
+                Choice::To(key, expected_ms) => {
+                    let mut chosen = self.admit(key, expected_ms)?;
+                    match room::take(self.site, &chosen.to).await {
+                        Ok(room) => {
+                            chosen.to.room = room;
+                            return Ok(chosen);
+                        }
+                        Err(wait) => closed.add(key, wait),
+                    }
+                    continue;
+                }
                 Choice::Crowded(expected_ms) => (Reason::Busy, self.come_back(expected_ms)),
                 Choice::NoEndpoint => (Reason::NoEndpoint, LATER),
                 Choice::NoModel => (Reason::NoModel, self.model_comes()),
                 Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_SOON),
             };
+            if let (false, Some(wait)) = (reason == Reason::Busy, closed.opens_in()) {
+                // Others may hold what it needs: they have reached what they take.
+                return Err((Reason::AtLimit, wait.clamp(SOON, LATEST)));
+            }
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
                 self.site.known().wants.insert(m.clone());
                 self.site.urgent.notify_one();
@@ -218,6 +235,7 @@
             key,
             instance: e.instance.clone(),
             address: e.address,
+            room: Room::Unlimited,
         };
         Ok(Chosen { to, expected_ms })
     }
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -183,6 +183,7 @@
             let known: &mut Known = &mut known;
             known.balance.refresh(now);
             forget_crashes(now, known);
+            known.drop_limits();
             known.note_vms(now, 0);
             known
                 .quotas
--- a/crates/limehollow-node/src/hearing.rs
+++ b/crates/limehollow-node/src/hearing.rs
@@ -5,12 +5,18 @@
 use crate::attempt::Target;
 use crate::edge::Protocol;
 use crate::site::Site;
-use limehollow::backpressure::{Heard, RateChange, Signals};
+use limehollow::backpressure::{RateChange, Signals};
+use limehollow::balance::MESSAGE_LIFE;
 use limehollow::instance::Instance;
+use limehollow_wire::gossip::RateSaid;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// How long another VM's message may have been on its way, in a queue too: as long as what VMs say counts.
+const MOST_ON_THE_WAY: Duration = MESSAGE_LIFE;
+
 /// Takes in what an answer says, to a request that was sent at `asked`.
-pub(crate) fn hear<P>(site: &Site<P>, to: &Target, asked: Instant, s: Signals)
+pub fn hear<P>(site: &Site<P>, to: &Target, asked: Instant, s: Signals)
 where
     P: Protocol,
 {
@@ -21,28 +27,44 @@
         return;
     }
     let heard = known.balance.backpressure.hear(now, to.key, asked, s);
+    known.set_limit(now, &to.instance.id, heard.rate);
     drop(known);
-    log(site, &to.instance, heard, "the endpoint");
+    log_rate(&to.instance, heard.rate, "the endpoint");
+    if let Some(rest) = heard.rest {
+        site.metrics.rests.inc();
+        tracing::info!(endpoint = %to.instance, rest_ms = rest.as_millis(), "an endpoint asks this VM for rest");
+    }
     if s.leaving {
         site.metrics.endpoints_said_leaving.inc();
         tracing::info!(endpoint = %to.instance, "the endpoint says that it leaves");
     }
 }
 
-/// Says what is new of an endpoint's wishes, and by whose word.
-fn log<P>(site: &Site<P>, endpoint: &Instance, heard: Heard, by: &str)
+/// Takes in what another VM says of the limits that endpoints name.
+pub(crate) fn hear_of<P>(site: &Site<P>, by: &str, rates: &[RateSaid])
 where
     P: Protocol,
 {
-    match heard.rate {
+    let now = site.now();
+    let mut known = site.known();
+    for r in rates {
+        let Some(key) = known.roster.find(&r.instance) else {
+            continue;
+        };
+        let word = r.told(now, MOST_ON_THE_WAY);
+        let change = known.balance.backpressure.join(now, key, word);
+        known.set_limit(now, &r.instance.id, change);
+        log_rate(&r.instance, change, by);
+    }
+}
+
+/// Says what changed of an endpoint's limit, and by whose word.
+fn log_rate(endpoint: &Instance, change: RateChange, by: &str) {
+    match change {
         RateChange::Limited(rate) => {
             tracing::info!(%endpoint, rate, by, "an endpoint names a limit of requests a second");
         }
         RateChange::Ended => tracing::info!(%endpoint, by, "an endpoint's limit has ended"),
         RateChange::Unchanged => {}
     }
-    if let Some(rest) = heard.rest {
-        site.metrics.rests.inc();
-        tracing::info!(%endpoint, rest_ms = rest.as_millis(), "an endpoint asks this VM for rest");
-    }
 }
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -9,6 +9,7 @@
 use crate::settings::NodeSettings;
 use crate::silence::Silences;
 use limehollow::arrivals::Arrivals;
+use limehollow::backpressure::RateChange;
 use limehollow::balance::{Balance, Taken};
 use limehollow::candidacy::{Candidacy, Notice};
 use limehollow::confirmation::Confirmation;
@@ -78,10 +79,8 @@
     pub quotas: Quotas,
     /// Whether the VMs of the site were read from the store.
     pub has_vms: bool,
-    /// VMs that keep pools and were silent lately.
-    pub silent_for_tokens: Silences,
-    /// VMs that keep places and were silent lately; these are waited for less long.
-    pub silent_for_places: Silences,
+    /// VMs that keep pools or places and were silent lately.
+    pub silences: Silences,
     /// What the other VMs said last of what they know of such requests, and where to ask for it.
     pub quarantines: BTreeMap<SmolStr, Said>,
 }
@@ -119,8 +118,7 @@
             confirmation: Confirmation::default(),
             quotas: Quotas::new(settings.quota_allowance()),
             has_vms: false,
-            silent_for_tokens: Silences::default(),
-            silent_for_places: Silences::default(),
+            silences: Silences::default(),
             quarantines: BTreeMap::new(),
         }
     }
@@ -154,6 +152,25 @@
         update
     }
 
+    /// Takes in what changed of the limit that an endpoint names.
+    pub(crate) fn set_limit(&mut self, now: Instant, id: &SmolStr, change: RateChange) {
+        match change {
+            RateChange::Limited(rate) => self.quotas.limit_endpoint(now, id, rate),
+            RateChange::Ended => self.quotas.free_endpoint(id),
+            RateChange::Unchanged => {}
+        }
+    }
+
+    /// Drops the limits of endpoints that are gone.
+    pub(crate) fn drop_limits(&mut self) {
+        let (roster, balance) = (&self.roster, &self.balance);
+        let is_limited = |id: &str| {
+            let key = roster.key(id);
+            key.is_some_and(|k| balance.backpressure.rate(k).is_some())
+        };
+        self.quotas.retain_endpoints(is_limited);
+    }
+
     /// Takes an endpoint out of use whose entry can't be read. Gives whether it was in use.
     pub fn set_unreadable(&mut self, id: &SmolStr) -> bool {
         self.withheld.remove(id);
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -10,7 +10,7 @@
 //!   try at an endpoint over a connection of [`pool`], [`relay`] a streamed answer, [`passage`] which headers go through.
 //! * [`keys`] says which requests may go on by their caller's key, [`limits`] whether their workspace's limit allows it, and
 //!   [`question`] is how VMs ask each other.
-//! * `hearing` takes in what endpoints say of what they want to be sent.
+//! * [`hearing`] takes in what endpoints say of what they want to be sent, and [`room`] is a request's part of an endpoint's limit.
 //! * `crash_probe` finds out whether an endpoint has crashed, and [`quarantine_sync`] has all VMs know which requests do that.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
@@ -31,7 +31,7 @@
 pub mod follow;
 mod follower;
 pub mod gossip;
-mod hearing;
+pub mod hearing;
 pub mod keys;
 pub mod known;
 pub mod lease;
@@ -52,6 +52,7 @@
 mod receiver;
 pub mod relay;
 pub mod request;
+pub mod room;
 pub mod run;
 mod sender;
 pub mod settings;
--- a/crates/limehollow-node/src/limits.rs
+++ b/crates/limehollow-node/src/limits.rs
@@ -1,12 +1,13 @@
-//! Takes tokens of workspaces' limits for requests, and collects what VMs have earned of them.
+//! Takes tokens of the limits of workspaces and endpoints for requests, and collects what VMs have earned of them.
 //!
-//! What holds is [`limehollow::quota`]; this asks the VM that keeps a workspace's pool. Which VM that is each reckons for
-//! itself: the leader of the first zone, in an order by the workspace's name, that is heard.
+//! What holds is [`limehollow::quota`]; this asks the VM that keeps a limit's pool. Which VM that is each reckons for
+//! itself: the leader of the first zone, in an order by the name of the workspace or the id of the endpoint, that is heard.
 
 use crate::edge::Protocol;
+use crate::silence::Duty;
 use crate::site::Site;
 use limehollow::peers::Peers;
-use limehollow::quota::{COLLECT_EVERY, Grant};
+use limehollow::quota::{COLLECT_EVERY, Grant, Subject};
 use limehollow_wire::gossip::{About, Reply};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -19,6 +20,8 @@
 /// used up its part of a processor: with 30 ms, 2 in 100 callers were refused on a quiet day for an answer that came too late.
 /// A datagram may be lost too, so it is asked once more.
 const KEEPER_WITHIN: Duration = Duration::from_millis(120);
+/// How long it is waited for where an endpoint's limit is asked for: a request has others to go to, or is refused at once.
+const ROOM_WITHIN: Duration = Duration::from_millis(40);
 const ASKED_AGAIN: usize = 1;
 /// For how long a keeper that was silent twice isn't asked again: another takes over in a second.
 const SILENT_FOR: Duration = Duration::from_millis(300);
@@ -32,48 +35,57 @@
 /// What became of a request's wish for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Wish {
-    /// It has them, or its workspace has no limit.
+    /// It has them, or there is no limit.
     Granted,
-    /// The workspace is over its limit; when there is room.
+    /// The limit is reached; when there is room.
     Over(Duration),
     /// No VM that keeps the pool has answered.
     Unanswered,
 }
 
-/// Takes tokens of a workspace for a request.
-pub(crate) async fn take<P>(site: &Site<P>, workspace: &SmolStr, tokens: f64) -> Wish
+/// Takes tokens of a limit for a request.
+pub(crate) async fn take<P>(site: &Site<P>, subject: &Subject, tokens: f64) -> Wish
 where
     P: Protocol,
 {
-    if site.known().quotas.take(site.now(), workspace, tokens) {
+    if site.known().quotas.take(site.now(), subject, tokens) {
         return Wish::Granted;
     }
-    for keeper in keepers(site, workspace) {
+    for keeper in keepers(site, subject) {
         let reply = match keeper {
-            Some(address) => ask_keeper(site, address, workspace, tokens).await,
-            None => Some(grant(site, workspace, tokens)),
+            Some(address) => ask_keeper(site, address, subject, tokens).await,
+            None => Some(grant(site, subject, tokens)),
         };
         match reply {
             Some(Reply::Granted) => return Wish::Granted,
             Some(Reply::Short(ms)) => return Wish::Over(Duration::from_millis(u64::from(ms))),
             Some(_other) => {
-                tracing::debug!(%workspace, ?keeper, "it doesn't keep the pool");
+                tracing::debug!(?subject, ?keeper, "it doesn't keep the pool");
             }
-            None => tracing::debug!(%workspace, ?keeper, "the keeper of a pool is silent"),
+            None => tracing::debug!(?subject, ?keeper, "the keeper of a pool is silent"),
         }
     }
     Wish::Unanswered
 }
 
-/// Gives the VMs to ask for tokens of a workspace, the one first that should keep its pool; none stands for this VM.
-fn keepers<P>(site: &Site<P>, workspace: &str) -> Vec<Option<SocketAddr>>
+/// Gives what a keeper is asked for, and how long it is waited for.
+fn duty(subject: &Subject) -> (Duty, Duration) {
+    match subject {
+        Subject::Workspace(_) => (Duty::Tokens, KEEPER_WITHIN),
+        Subject::Endpoint(_) => (Duty::Room, ROOM_WITHIN),
+    }
+}
+
+/// Gives the VMs to ask for tokens of a limit, the one first that should keep its pool; none stands for this VM.
+fn keepers<P>(site: &Site<P>, subject: &Subject) -> Vec<Option<SocketAddr>>
 where
     P: Protocol,
 {
     let now = site.now();
     let known = site.known();
-    let silent = |a: &SocketAddr| known.silent_for_tokens.contains(now, *a);
-    let all = known.peers.keepers(now, workspace).into_iter();
+    let (duty, _) = duty(subject);
+    let silent = |a: &SocketAddr| known.silences.contains(now, duty, *a);
+    let all = known.peers.keepers(now, subject.name()).into_iter();
     let speaking = all.filter(|k| !k.as_ref().is_some_and(silent));
     speaking.take(MOST_ASKED).collect()
 }
@@ -83,47 +95,48 @@
 async fn ask_keeper<P>(
     site: &Site<P>,
     to: SocketAddr,
-    workspace: &SmolStr,
+    subject: &Subject,
     tokens: f64,
 ) -> Option<Reply>
 where
     P: Protocol,
 {
+    let (duty, within) = duty(subject);
     for _ in 0..=ASKED_AGAIN {
         let about = About::Tokens {
-            workspace: workspace.clone(),
+            subject: subject.clone(),
             tokens,
         };
-        let asked = site.questions.ask(&site.clock, to, about, KEEPER_WITHIN);
+        let asked = site.questions.ask(&site.clock, to, about, within);
         if let Some(reply) = asked.await {
             return Some(reply);
         }
     }
     let now = site.now();
-    site.known().silent_for_tokens.note(now, to, SILENT_FOR);
+    site.known().silences.note(now, duty, to, SILENT_FOR);
     None
 }
 
 /// Grants another VM tokens of a pool.
-pub(crate) fn grant<P>(site: &Site<P>, workspace: &str, tokens: f64) -> Reply
+pub(crate) fn grant<P>(site: &Site<P>, subject: &Subject, tokens: f64) -> Reply
 where
     P: Protocol,
 {
     let mut known = site.known();
-    if !known.quotas.is_limited(workspace) {
-        // The limit is new, and this VM's configuration older than that of the one that asks.
+    if !known.quotas.is_limited(subject) {
+        // The limit is new, and this VM hasn't heard of it, or it has ended and the one that asks hasn't.
         return Reply::Short(millis(NO_KEEPER));
     }
     let now = site.now();
-    if !is_keeper(&known.peers, now, workspace) {
-        let granted = known.quotas.take(now, workspace, tokens);
+    if !is_keeper(&known.peers, now, subject) {
+        let granted = known.quotas.take(now, subject, tokens);
         return if granted {
             Reply::Granted
         } else {
             Reply::NotKeeper
         };
     }
-    match known.quotas.grant(now, workspace, tokens) {
+    match known.quotas.grant(now, subject, tokens) {
         Grant::Granted => Reply::Granted,
         Grant::Short(wait) => Reply::Short(millis(wait)),
     }
@@ -138,7 +151,7 @@
     site: &Site<P>,
     keeper: &SmolStr,
     vms_known: usize,
-    workspaces: &[SmolStr],
+    subjects: &[Subject],
 ) -> Reply
 where
     P: Protocol,
@@ -146,9 +159,9 @@
     let now = site.now();
     let mut known = site.known();
     known.note_vms(now, vms_known);
-    let handed = workspaces
+    let handed = subjects
         .iter()
-        .map(|w| known.quotas.hand_over(now, w, keeper));
+        .map(|s| known.quotas.hand_over(now, s, keeper));
     Reply::Earnings(handed.collect())
 }
 
@@ -161,25 +174,25 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let (workspaces, others) = begin_round(&site);
-        if workspaces.is_empty() {
+        let (subjects, others) = begin_round(&site);
+        if subjects.is_empty() {
             continue;
         }
         let mut asking = JoinSet::new();
         for to in others {
-            asking.spawn(collect(Arc::clone(&site), to, Arc::clone(&workspaces)));
+            asking.spawn(collect(Arc::clone(&site), to, Arc::clone(&subjects)));
         }
         while asking.join_next().await.is_some() {}
     }
 }
 
-/// Tells whether this VM keeps a workspace's pool, as far as it knows.
-fn is_keeper(peers: &Peers, now: Instant, workspace: &str) -> bool {
-    matches!(peers.keepers(now, workspace).first(), Some(None))
+/// Tells whether this VM keeps a limit's pool, as far as it knows.
+fn is_keeper(peers: &Peers, now: Instant, subject: &Subject) -> bool {
+    matches!(peers.keepers(now, subject.name()).first(), Some(None))
 }
 
-/// Begins a round of collections: gives the workspaces whose pools this VM keeps, and the VMs to collect from.
-fn begin_round<P>(site: &Site<P>) -> (Arc<[SmolStr]>, Vec<SocketAddr>)
+/// Begins a round of collections: gives the limits whose pools this VM keeps, and the VMs to collect from.
+fn begin_round<P>(site: &Site<P>) -> (Arc<[Subject]>, Vec<SocketAddr>)
 where
     P: Protocol,
 {
@@ -187,13 +200,13 @@
     let mut known = site.known();
     let known = &mut *known;
     known.quotas.begin_round(now);
-    let all = known.quotas.workspaces();
-    let is_mine = |w: &&SmolStr| is_keeper(&known.peers, now, w);
-    let mine: Arc<[SmolStr]> = all.filter(is_mine).cloned().collect();
+    let all = known.quotas.subjects();
+    let is_mine = |s: &&Subject| is_keeper(&known.peers, now, s);
+    let mine: Arc<[Subject]> = all.filter(is_mine).cloned().collect();
     let me = SmolStr::new(site.me.as_str());
-    for w in mine.iter() {
-        if let Some(tokens) = known.quotas.hand_over(now, w, &me) {
-            known.quotas.collect(now, w, tokens);
+    for s in mine.iter() {
+        if let Some(tokens) = known.quotas.hand_over(now, s, &me) {
+            known.quotas.collect(now, s, tokens);
         }
     }
     let others = if mine.is_empty() {
@@ -204,14 +217,14 @@
     (mine, others)
 }
 
-async fn collect<P>(site: Arc<Site<P>>, from: SocketAddr, workspaces: Arc<[SmolStr]>)
+async fn collect<P>(site: Arc<Site<P>>, from: SocketAddr, subjects: Arc<[Subject]>)
 where
     P: Protocol,
 {
     let about = About::Earnings {
         keeper: SmolStr::new(site.me.as_str()),
         vms_known: u16::try_from(site.known().quotas.vms()).unwrap_or(u16::MAX),
-        workspaces: workspaces.to_vec(),
+        subjects: subjects.to_vec(),
     };
     let reply = site
         .questions
@@ -222,9 +235,9 @@
     };
     let now = site.now();
     let mut known = site.known();
-    for (w, tokens) in workspaces.iter().zip(handed) {
+    for (s, tokens) in subjects.iter().zip(handed) {
         if let Some(tokens) = tokens {
-            known.quotas.collect(now, w, tokens);
+            known.quotas.collect(now, s, tokens);
         }
     }
 }
--- a/crates/limehollow-node/src/place.rs
+++ b/crates/limehollow-node/src/place.rs
@@ -12,6 +12,7 @@
 use crate::edge::Protocol;
 use crate::known::Known;
 use crate::settings::ChoicePolicy;
+use crate::silence::Duty;
 use crate::site::Site;
 use limehollow::balance::{Bounds, Choice};
 use limehollow::catalog::Catalog;
@@ -91,7 +92,7 @@
     let known = site.known();
     match known.peers.keepers(now, &m.model).first() {
         Some(None) => Chooser::Keeper,
-        Some(Some(a)) if !known.silent_for_places.contains(now, *a) => Chooser::Other(*a),
+        Some(Some(a)) if !known.silences.contains(now, Duty::Places, *a) => Chooser::Other(*a),
         _ => Chooser::Alone,
     }
 }
@@ -115,7 +116,8 @@
         .await;
     let Some(Reply::Place(place)) = reply else {
         let now = site.now();
-        site.known().silent_for_places.note(now, to, SILENT_FOR);
+        let mut known = site.known();
+        known.silences.note(now, Duty::Places, to, SILENT_FOR);
         return None;
     };
     match place {
--- a/crates/limehollow-node/src/question.rs
+++ b/crates/limehollow-node/src/question.rs
@@ -108,13 +108,13 @@
 {
     let reply = match q.about {
         About::Configuration => keys::confirmation(site),
-        About::Tokens { workspace, tokens } => limits::grant(site, &workspace, tokens),
+        About::Tokens { subject, tokens } => limits::grant(site, &subject, tokens),
         About::Place { job, tried } => place::answer(site, &job, &tried),
         About::Earnings {
             keeper,
             vms_known,
-            workspaces,
-        } => limits::hand_over(site, &keeper, usize::from(vms_known), &workspaces),
+            subjects,
+        } => limits::hand_over(site, &keeper, usize::from(vms_known), &subjects),
     };
     Answer {
         number: q.number,
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -1,6 +1,7 @@
 //! How another VM's message is taken in, and what of it is passed on.
 
 use crate::edge::Protocol;
+use crate::hearing;
 use crate::quarantine_sync::Said;
 use crate::sender::Outgoing;
 use crate::site::Site;
@@ -121,6 +122,7 @@
     for r in &w.reports {
         site.report(now, r);
     }
+    hearing::hear_of(site, &w.from, &w.rates);
     // Since when the store is sound decides on removals among the changes.
     site.note_peer(&w.from, w.positions, w.reading);
     for l in w.list {
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -20,6 +20,7 @@
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::id::ServiceName;
 use limehollow::job::Job;
+use limehollow::quota::Subject;
 use limehollow::verdict::Verdict;
 use limehollow::workspace::Workspace;
 use smol_str::SmolStr;
@@ -106,7 +107,7 @@
         .and_then(|p| catalog.workspaces.get(&p.workspace));
     let taken = workspace.map_or(0.0, |w| w.cost.of(ask.tokens()));
     if let Some(w) = workspace {
-        match limits::take(&site, &w.name, taken).await {
+        match limits::take(&site, &Subject::from(&w.name), taken).await {
             Wish::Granted => {}
             Wish::Over(after) => return over_limit(&site, &ask.id, &w.name, after),
             Wish::Unanswered => {
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -5,13 +5,14 @@
 use crate::receiver::is_zone;
 use crate::settings::NodeSettings;
 use crate::site::Site;
+use limehollow::backpressure::RateWord;
 use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::candidacy::Notice;
 use limehollow::crash_record::CrashRecord;
 use limehollow::id::{EndpointKey, VmName};
 use limehollow::instance::Instance;
 use limehollow::roster::ModelRef;
-use limehollow_wire::gossip::{LeaseNotice, Message, Scope};
+use limehollow_wire::gossip::{LeaseNotice, Message, RateSaid, Scope};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -33,6 +34,12 @@
 pub(crate) const GONE_SAID_FOR: Duration = Duration::from_millis(1000);
 /// How many of them go into one message: a fifth of the endpoints of the largest site.
 const MAX_GONE: usize = 64;
+/// For how long VMs are told of a change of the limit that an endpoint names.
+const RATE_SAID_FOR: Duration = Duration::from_millis(1000);
+/// How often all limits are said: as long as a VM that has started again may send to an endpoint without knowing of its limit.
+const LIMITS_SAID_EVERY: Duration = Duration::from_millis(1000);
+/// How many limits go into one message.
+const MAX_RATES: usize = 64;
 
 /// A message and where it goes.
 pub type Outgoing = (Message, Vec<SocketAddr>);
@@ -59,6 +66,9 @@
     seeds: Vec<SocketAddr>,
     /// When the zone's sums were said last.
     summed: Instant,
+    /// When all limits of endpoints were said last, and how often.
+    limits_said: Instant,
+    turn: usize,
 }
 
 impl<P> Sender<P>
@@ -73,6 +83,8 @@
             number: 0,
             seeds: seeds(&site.settings.load()),
             summed: site.now(),
+            limits_said: site.now(),
+            turn: 0,
             site,
         }
     }
@@ -93,7 +105,8 @@
         let mut known = site.known();
         let known = &mut *known;
         let told = known.quarantine.take_told(now);
-        let own = self.own(now, known, told.here);
+        let mut own = self.own(now, known, told.here);
+        own.rates = self.rates(now, known);
         let mut to = known.peers.neighbours();
         if !own.wants.is_empty() {
             // The controller hears it at once, wherever it is.
@@ -119,6 +132,35 @@
         outgoing
     }
 
+    /// Gives what is said of the limits that endpoints name: those that are news, and from time to time all.
+    fn rates(&mut self, now: Instant, known: &Known) -> Vec<RateSaid> {
+        let b = &known.balance.backpressure;
+        let words: Vec<(EndpointKey, RateWord)> =
+            if now.duration_since(self.limits_said) >= LIMITS_SAID_EVERY {
+                self.limits_said = now;
+                self.turn += 1;
+                let limits: Vec<_> = b.limits().collect();
+                // Where there are too many for one message, others are said the next time.
+                let first = (self.turn * MAX_RATES)
+                    .checked_rem(limits.len())
+                    .unwrap_or(0);
+                limits
+                    .iter()
+                    .cycle()
+                    .skip(first)
+                    .take(limits.len().min(MAX_RATES))
+                    .copied()
+                    .collect()
+            } else {
+                b.news(now, RATE_SAID_FOR).take(MAX_RATES).collect()
+            };
+        let said = words.into_iter().filter_map(|(k, w)| {
+            let instance = known.roster.get(k)?.instance.clone();
+            Some(RateSaid::at(now, instance, w))
+        });
+        said.collect()
+    }
+
     fn own(&self, now: Instant, known: &mut Known, crashes: Vec<CrashRecord>) -> Message {
         let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
         known
@@ -152,6 +194,7 @@
             crashes,
             crashes_digest: known.quarantine.digest(),
             vms_known: u16::try_from(known.quotas.vms()).unwrap_or(u16::MAX),
+            rates: Vec::new(),
             from: me,
         }
     }
@@ -202,6 +245,7 @@
         wants: Vec::new(),
         list: Vec::new(),
         crashes: Vec::new(),
+        rates: Vec::new(),
         ..own.clone()
     }
 }
@@ -233,6 +277,7 @@
         taken: taken.into_iter().collect(),
         demand: demand.into_iter().collect(),
         gone: own.gone.clone(),
+        rates: own.rates.clone(),
         reports: Vec::new(),
         lease: zone_notice(now, known),
         ..news(own)
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -17,7 +17,7 @@
 use limehollow::id::{VmName, ZoneName};
 use limehollow::instance::Instance;
 use limehollow::quarantine::Quarantine;
-use limehollow::quota::Quotas;
+use limehollow::quota::{Quotas, Subject};
 use limehollow::roster::{HoldingsReport, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
@@ -320,7 +320,7 @@
 
     /// Brings the metric on endpoints that name a limit up to date.
     pub(crate) fn show_backpressure(&self) {
-        let limited = self.known().balance.backpressure.limited().count();
+        let limited = self.known().balance.backpressure.limits().count();
         let limited = i64::try_from(limited).unwrap_or(i64::MAX);
         self.metrics.endpoints_limited.set(limited);
     }
@@ -366,13 +366,17 @@
     }
 }
 
-/// Gives what this VM has of workspaces' limits, for operators.
+/// Gives what this VM has of limits, for operators.
 fn limits(q: &Quotas) -> Vec<serde_json::Value> {
-    let rows = q.holdings().map(|(workspace, own, pool)| {
+    let rows = q.holdings().map(|(subject, own, pool)| {
+        let whose = match subject {
+            Subject::Workspace(_) => "workspace",
+            Subject::Endpoint(_) => "endpoint",
+        };
         serde_json::json!({
-            "workspace": workspace,
-            "earned": own.round(),
-            "pool": pool.round(),
+            whose: subject.name(),
+            "earned": (own * 100.0).round() / 100.0,
+            "pool": (pool * 100.0).round() / 100.0,
         })
     });
     rows.collect()
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -462,6 +462,11 @@
         self.treat(&all, treats);
     }
 
+    /// Tells whether a VM runs.
+    pub fn is_running(&self, vm: usize) -> bool {
+        !self.vms[vm].tasks.is_empty()
+    }
+
     /// Ends a VM without a word; nothing reaches it any more.
     pub fn kill(&mut self, i: usize) {
         for t in self.vms[i].tasks.drain(..) {
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -1,12 +1,14 @@
 //! What the processes of a site say to each other by datagram: one version byte, then postcard.
 
 use crate::error::{BinarySnafu, Result, VersionSnafu};
+use limehollow::backpressure::RateWord;
 use limehollow::balance::Taken;
 use limehollow::catalog::Catalog;
 use limehollow::crash_record::CrashRecord;
 use limehollow::freshness::Freshness;
 use limehollow::instance::Instance;
 use limehollow::job::Job;
+use limehollow::quota::Subject;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -15,7 +17,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 6;
+pub const SCHEMA: u8 = 7;
 
 /// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,21 +79,16 @@
     /// Gives the ages at this moment, rounded so that nobody takes the copy for fresher than it is.
     #[must_use]
     pub fn at(now: Instant, f: Freshness) -> Self {
-        let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
         Self {
-            complete_ms: ms(f.age(now)).saturating_add(1),
-            sound_ms: ms(now.saturating_duration_since(f.sound_since())),
+            complete_ms: millis(f.age(now)).saturating_add(1),
+            sound_ms: millis(now.saturating_duration_since(f.sound_since())),
         }
     }
 
     /// Gives the freshness that was told at this moment.
     #[must_use]
     pub fn told(self, now: Instant) -> Freshness {
-        let before = |ms: u32| {
-            let ago = Duration::from_millis(u64::from(ms));
-            now.checked_sub(ago).unwrap_or(now)
-        };
-        Freshness::new(before(self.complete_ms), before(self.sound_ms))
+        Freshness::new(before(now, self.complete_ms), before(now, self.sound_ms))
     }
 }
 
@@ -154,6 +151,58 @@
     pub crashes_digest: u64,
     /// How many VMs it knows of, this one too: limits are shared among so many.
     pub vms_known: u16,
+    /// The limits that endpoints name, and those that have ended lately.
+    pub rates: Vec<RateSaid>,
+}
+
+/// The limit that an endpoint named, in ages, since VMs' clocks differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateSaid {
+    /// The endpoint.
+    pub instance: Instance,
+    /// Requests a second of all VMs together; none if it named no limit any more.
+    pub rate: Option<f64>,
+    /// How long ago the request was sent, in ms.
+    pub asked_ms: u32,
+    /// How long ago its answer was heard, in ms.
+    pub heard_ms: u32,
+}
+
+impl RateSaid {
+    /// Gives what is said of an endpoint at this moment.
+    #[must_use]
+    pub fn at(now: Instant, instance: Instance, w: RateWord) -> Self {
+        let ago = |t| millis(now.saturating_duration_since(t));
+        Self {
+            instance,
+            rate: w.rate,
+            asked_ms: ago(w.asked),
+            heard_ms: ago(w.heard),
+        }
+    }
+
+    /// Gives the word that was told at this moment, by a message that may have been on its way for so long.
+    ///
+    /// What was on its way seems to have been said later than it was. The span in which it was written begins that much earlier, so that
+    /// nothing is taken for newer than it is.
+    #[must_use]
+    pub fn told(&self, now: Instant, on_the_way: Duration) -> RateWord {
+        let asked = before(now, self.asked_ms);
+        RateWord {
+            rate: self.rate,
+            asked: asked.checked_sub(on_the_way).unwrap_or(asked),
+            heard: before(now, self.heard_ms),
+        }
+    }
+}
+
+fn millis(d: Duration) -> u32 {
+    u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn before(now: Instant, ms: u32) -> Instant {
+    let ago = Duration::from_millis(u64::from(ms));
+    now.checked_sub(ago).unwrap_or(now)
 }
 
 /// What one VM asks of another by datagram, to be answered at once.
@@ -170,10 +219,10 @@
 pub enum About {
     /// How old the other's configuration is at most.
     Configuration,
-    /// Tokens of a workspace for a request.
+    /// Tokens of a limit for a request.
     Tokens {
-        /// The workspace.
-        workspace: SmolStr,
+        /// Whose limit.
+        subject: Subject,
         /// How many.
         tokens: f64,
     },
@@ -184,14 +233,14 @@
         /// Endpoints that were tried already.
         tried: Vec<Instance>,
     },
-    /// What the other has earned of these workspaces' limits.
+    /// What the other has earned of these limits.
     Earnings {
         /// The VM that keeps their pools.
         keeper: SmolStr,
         /// How many VMs that one knows of.
         vms_known: u16,
-        /// The workspaces.
-        workspaces: Vec<SmolStr>,
+        /// Whose limits.
+        subjects: Vec<Subject>,
     },
 }
 
@@ -235,7 +284,7 @@
     NotKeeper,
     /// Where the job goes.
     Place(Place),
-    /// What was handed over of each workspace, in the order of the question; none where another VM keeps the pool.
+    /// What was handed over of each limit, in the order of the question; none where another VM keeps the pool.
     Earnings(Vec<Option<f64>>),
 }
 
--- a/crates/limehollow/src/backpressure.rs
+++ b/crates/limehollow/src/backpressure.rs
@@ -8,10 +8,12 @@
 //! ```
 //! use limehollow::backpressure::{Backpressure, RateSignal, Signals};
 //! use limehollow::id::EndpointKey;
+//! use slotmap::SlotMap;
 //! use std::time::Duration;
 //! use tokio::time::Instant;
 //!
-//! let (now, key) = (Instant::now(), EndpointKey::default());
+//! let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+//! let (now, key) = (Instant::now(), keys.insert(()));
 //! let mut b = Backpressure::default();
 //! let s = Signals { rate: RateSignal::Named(2.5), rest: Some(Duration::from_secs(3)), ..Signals::default() };
 //! b.hear(now, key, now, s);
@@ -123,8 +125,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Row {
     word: Option<RateWord>,
-    /// When another VM still had a limit that has ended.
-    contradicted: Option<Instant>,
+    /// When the other VMs had to be told anew: the word changed, or one of them still had a limit that has ended.
+    is_news_since: Option<Instant>,
     rest: Option<Rest>,
 }
 
@@ -160,28 +162,23 @@
         keys.filter(move |k| self.opens_in(now, *k).is_some())
     }
 
-    /// Gives the endpoints that name a limit.
-    pub fn limited(&self) -> impl Iterator<Item = (EndpointKey, f64)> {
-        let rows = self.rows.iter();
-        rows.filter_map(|(k, r)| Some((k, r.word?.rate?)))
-    }
-
-    /// Gives what the other VMs are told: all limits, and for some time that one has ended.
-    ///
-    /// A VM that starts again knows no limit, and without a limit it hands out no requests; so limits are told for as long as
-    /// they last.
-    pub fn words(
+    /// Gives the words that the other VMs have to be told of, which is so for some time after a change.
+    pub fn news(
         &self,
         now: Instant,
-        ends_for: Duration,
+        told_for: Duration,
     ) -> impl Iterator<Item = (EndpointKey, RateWord)> {
+        let recent = move |t: Instant| now.saturating_duration_since(t) < told_for;
+        let rows = self.rows.iter();
+        let rows = rows.filter(move |(_, r)| r.is_news_since.is_some_and(recent));
+        rows.filter_map(|(k, r)| Some((k, r.word?)))
+    }
+
+    /// Gives the words of all limits that stand. A VM that started again hears of them by these.
+    pub fn limits(&self) -> impl Iterator<Item = (EndpointKey, RateWord)> {
         let rows = self.rows.iter();
-        rows.filter_map(move |(k, r)| {
-            let w = r.word?;
-            let recent = |t: Instant| now.saturating_duration_since(t) < ends_for;
-            let told = w.rate.is_some() || recent(w.heard) || r.contradicted.is_some_and(recent);
-            told.then_some((k, w))
-        })
+        let words = rows.filter_map(|(k, r)| Some((k, r.word?)));
+        words.filter(|(_, w)| w.rate.is_some())
     }
 }
 
@@ -230,8 +227,8 @@
         let row = row.or_default();
         let before = row.word.and_then(|w| w.rate);
         let joined = row.word.map_or(word, |w| w.join(word));
-        if joined.rate.is_none() && word.rate.is_some() {
-            row.contradicted = Some(now);
+        if joined.rate != before || joined.rate.is_none() && word.rate.is_some() {
+            row.is_news_since = Some(now);
         }
         row.word = Some(joined);
         match joined.rate {
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -217,6 +217,8 @@
 struct Candidate {
     is_ejected: bool,
     is_crowded: bool,
+    /// Whether it names a limit: it is left alone while others have room.
+    is_limited: bool,
     /// Requests that end with the endpoint, where that matters. A request that crashed endpoints took 6.5 streams along in
     /// three crashes where it took 10.1, with endpoints in two zones; where all are as busy, as many (`tests/isolation.rs`).
     beside: f32,
@@ -227,7 +229,7 @@
 
 impl Candidate {
     fn is_better(self, other: Self) -> bool {
-        let rank = |c: Self| (c.is_ejected, c.is_crowded, c.beside, c.cost);
+        let rank = |c: Self| (c.is_ejected, c.is_crowded, c.is_limited, c.beside, c.cost);
         rank(self) < rank(other)
     }
 }
@@ -293,6 +295,7 @@
             let c = Candidate {
                 is_ejected: !self.takes(now, key, e),
                 is_crowded: self.reading_ms(now, key, job, bounds.reading_ms) > bounds.reading_ms,
+                is_limited: self.backpressure.rate(key).is_some(),
                 beside: if job.isolated {
                     self.requests(key)
                 } else {
--- a/crates/limehollow/src/quota.rs
+++ b/crates/limehollow/src/quota.rs
@@ -1,4 +1,4 @@
-//! How much of its limit each workspace has left, with a sum over all VMs that holds whatever happens to them.
+//! How much is left of the limits of workspaces and of endpoints, with a sum over all VMs that holds whatever happens to them.
 //!
 //! Nobody has to be in charge for the sum to hold. Each VM earns the same part of each limit, into an account of its own, and
 //! a token is always in one place: who hands tokens over takes them out of its account before they leave, and what is lost on
@@ -7,6 +7,8 @@
 //! callers all come to one VM too. Who is cut off has what it earns itself. Where two VMs take themselves for the keeper, each
 //! VM hands over to one of them only, and a pool holds no more than the part of those who fill it.
 //!
+//! Workspaces have limits by the operators' configuration, endpoints by what they say in their answers.
+//!
 //! [`Allowance::terms`] has the worst case of the sum, `docs/design/workspaces.md` the other designs and their figures.
 //!
 //! ```
@@ -48,6 +50,8 @@
 /// The part of what the rules allow beyond the limit that may lie in accounts, beside the burst: the rest is for tokens on
 /// their way and for VMs that count each other differently.
 const STORED_SHARE: f64 = 0.4;
+/// The same for endpoints, whose limits have no burst: a pool has to hold what two collections bring and a request's part.
+const ENDPOINT_STORED_SHARE: f64 = 0.6;
 /// By how much the parts of all VMs may add up to more than the whole, while some know of a new VM and others don't.
 const UNEVEN: f64 = 0.02;
 /// For how long a VM that has handed over to one keeper gives nothing to another: longer than a pool lasts that is no
@@ -60,7 +64,59 @@
 /// The shortest one: less is gone on the way.
 const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 
-/// What the requests of a workspace may use.
+/// Whose limit it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// The workspace of this name: what its callers may use.
+    Workspace(SmolStr),
+    /// The endpoint with this id: what it takes of all VMs, in requests.
+    Endpoint(SmolStr),
+}
+
+impl Subject {
+    /// Gives the name by which VMs agree on who keeps its pool.
+    #[must_use]
+    pub fn name(&self) -> &SmolStr {
+        match self {
+            Self::Workspace(name) => name,
+            Self::Endpoint(id) => id,
+        }
+    }
+
+    /// Gives what its limit comes to, where workspaces may go so far beyond theirs.
+    fn terms(&self, limit: Limit, workspaces: Allowance) -> Terms {
+        match self {
+            Self::Workspace(_) => workspaces.terms(limit),
+            Self::Endpoint(_) => ENDPOINTS.terms_storing(limit, ENDPOINT_STORED_SHARE),
+        }
+    }
+}
+
+impl From<SmolStr> for Subject {
+    fn from(workspace: SmolStr) -> Self {
+        Self::Workspace(workspace)
+    }
+}
+
+impl From<&SmolStr> for Subject {
+    fn from(workspace: &SmolStr) -> Self {
+        Self::Workspace(workspace.clone())
+    }
+}
+
+impl From<&str> for Subject {
+    fn from(workspace: &str) -> Self {
+        Self::Workspace(SmolStr::new(workspace))
+    }
+}
+
+impl From<&Self> for Subject {
+    fn from(s: &Self) -> Self {
+        s.clone()
+    }
+}
+
+/// What a limit allows.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
     /// Tokens, or requests, a second.
@@ -80,6 +136,14 @@
     pub slack: f64,
 }
 
+/// How far all VMs may go beyond the limit that an endpoint names: it bears one and a half times as much, and five requests, in
+/// four seconds.
+const ENDPOINTS: Allowance = Allowance {
+    window: Duration::from_secs(4),
+    over: 0.5,
+    slack: 5.0,
+};
+
 impl Default for Allowance {
     /// Allows nothing beyond the limit in a window of ten seconds.
     fn default() -> Self {
@@ -120,8 +184,12 @@
     /// the window and [`ON_THE_WAY`] twice (to the pool, and from it).
     #[must_use]
     pub fn terms(&self, limit: Limit) -> Terms {
+        self.terms_storing(limit, STORED_SHARE)
+    }
+
+    fn terms_storing(&self, limit: Limit, share: f64) -> Terms {
         let beyond = self.nominal(limit) * self.over + self.slack;
-        let stored = limit.burst + beyond * STORED_SHARE;
+        let stored = limit.burst + beyond * share;
         let earning = (self.window + ON_THE_WAY * 2).as_secs_f64() * (1.0 + UNEVEN);
         let rate = limit
             .rate
@@ -228,7 +296,7 @@
     allowance: Allowance,
     /// How many VMs share the limits; zero while that isn't known, and then nothing is earned.
     vms: usize,
-    accounts: BTreeMap<SmolStr, Account>,
+    accounts: BTreeMap<Subject, Account>,
 }
 
 /// Queries.
@@ -244,14 +312,14 @@
         }
     }
 
-    /// Tells whether a workspace has a limit here.
+    /// Tells whether something has a limit here.
     #[must_use]
-    pub fn is_limited(&self, workspace: &str) -> bool {
-        self.accounts.contains_key(workspace)
+    pub fn is_limited(&self, subject: &Subject) -> bool {
+        self.accounts.contains_key(subject)
     }
 
-    /// Gives the workspaces with a limit.
-    pub fn workspaces(&self) -> impl Iterator<Item = &SmolStr> {
+    /// Gives what has a limit.
+    pub fn subjects(&self) -> impl Iterator<Item = &Subject> {
         self.accounts.keys()
     }
 
@@ -261,9 +329,9 @@
         self.vms
     }
 
-    /// Gives for each workspace what this VM has earned itself and what it has collected, in tokens.
-    pub fn holdings(&self) -> impl Iterator<Item = (&SmolStr, f64, f64)> {
-        self.accounts.iter().map(|(w, a)| (w, a.own, a.pool))
+    /// Gives for each limit what this VM has earned itself and what it has collected, in tokens.
+    pub fn holdings(&self) -> impl Iterator<Item = (&Subject, f64, f64)> {
+        self.accounts.iter().map(|(s, a)| (s, a.own, a.pool))
     }
 }
 
@@ -275,31 +343,59 @@
             return;
         }
         self.allowance = allowance;
-        let limits: Vec<_> = self
-            .accounts
-            .iter()
-            .map(|(w, a)| (w.clone(), a.limit))
-            .collect();
+        let workspaces = self.accounts.iter().filter_map(|(s, a)| match s {
+            Subject::Workspace(name) => Some((name.clone(), a.limit)),
+            Subject::Endpoint(_) => None,
+        });
+        let limits: Vec<_> = workspaces.collect();
         self.set_limits(now, limits);
     }
 
-    /// Puts limits in force: a lower one takes away at once what is too much.
+    /// Puts the limits of all workspaces in force: a lower one takes away at once what is too much.
     pub fn set_limits<I>(&mut self, now: Instant, limits: I)
     where
         I: IntoIterator<Item = (SmolStr, Limit)>,
     {
-        let mut former = std::mem::take(&mut self.accounts);
-        for (workspace, limit) in limits {
-            let terms = self.allowance.terms(limit);
-            let account = former.remove(&workspace);
-            let mut account = account.unwrap_or_else(|| Account::new(now, limit, terms));
-            account.earn(now, self.vms);
-            (account.limit, account.terms) = (limit, terms);
-            account.earn(now, self.vms);
-            self.accounts.insert(workspace, account);
+        let limits: BTreeMap<Subject, Limit> =
+            limits.into_iter().map(|(w, l)| (w.into(), l)).collect();
+        self.accounts
+            .retain(|s, _| matches!(s, Subject::Endpoint(_)) || limits.contains_key(s));
+        for (subject, limit) in limits {
+            self.set_limit(now, subject, limit);
         }
     }
 
+    /// Puts the limit in force that an endpoint names, in requests a second.
+    pub fn limit_endpoint(&mut self, now: Instant, id: &SmolStr, rate: f64) {
+        let limit = Limit { rate, burst: 0.0 };
+        self.set_limit(now, Subject::Endpoint(id.clone()), limit);
+    }
+
+    /// Ends the limit of an endpoint.
+    pub fn free_endpoint(&mut self, id: &SmolStr) {
+        self.accounts.remove(&Subject::Endpoint(id.clone()));
+    }
+
+    /// Keeps the limits of those endpoints only.
+    pub fn retain_endpoints<F>(&mut self, is_kept: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.accounts.retain(|s, _| match s {
+            Subject::Workspace(_) => true,
+            Subject::Endpoint(id) => is_kept(id),
+        });
+    }
+
+    fn set_limit(&mut self, now: Instant, subject: Subject, limit: Limit) {
+        let terms = subject.terms(limit, self.allowance);
+        let account = self.accounts.entry(subject);
+        let account = account.or_insert_with(|| Account::new(now, limit, terms));
+        account.earn(now, self.vms);
+        (account.limit, account.terms) = (limit, terms);
+        account.earn(now, self.vms);
+    }
+
     /// Notes how many VMs share the limits. Fewer than before are not believed: each VM that counts fewer takes a larger
     /// part, and one that is silent may be cut off and go on.
     pub fn set_vms(&mut self, now: Instant, vms: usize) {
@@ -315,9 +411,12 @@
         }
     }
 
-    /// Takes tokens of a workspace for a request. Gives whether there were enough, which is so where it has no limit.
-    pub fn take(&mut self, now: Instant, workspace: &str, tokens: f64) -> bool {
-        let Some(a) = self.accounts.get_mut(workspace) else {
+    /// Takes tokens of a limit for a request. Gives whether there were enough, which is so where there is no limit.
+    pub fn take<S>(&mut self, now: Instant, subject: S, tokens: f64) -> bool
+    where
+        S: Into<Subject>,
+    {
+        let Some(a) = self.accounts.get_mut(&subject.into()) else {
             return true;
         };
         a.earn(now, self.vms);
@@ -332,11 +431,15 @@
     ///
     /// Who is refused is told the time at which those who were refused before have had their turn: with one time for all
     /// of them, all would come back at once and all but the first be refused again.
-    pub fn grant(&mut self, now: Instant, workspace: &str, tokens: f64) -> Grant {
-        if self.take(now, workspace, tokens) {
+    pub fn grant<S>(&mut self, now: Instant, subject: S, tokens: f64) -> Grant
+    where
+        S: Into<Subject>,
+    {
+        let subject = subject.into();
+        if self.take(now, &subject, tokens) {
             return Grant::Granted;
         }
-        let Some(a) = self.accounts.get_mut(workspace) else {
+        let Some(a) = self.accounts.get_mut(&subject) else {
             return Grant::Granted;
         };
         let missing = a.promised + tokens - a.left();
@@ -347,9 +450,12 @@
     }
 
     /// Takes back what a request took that didn't run, into the account of what this VM earns and up to its bound.
-    pub fn give_back(&mut self, now: Instant, workspace: &str, tokens: f64) {
+    pub fn give_back<S>(&mut self, now: Instant, subject: S, tokens: f64)
+    where
+        S: Into<Subject>,
+    {
         let vms = self.vms;
-        if let Some(a) = self.accounts.get_mut(workspace) {
+        if let Some(a) = self.accounts.get_mut(&subject.into()) {
             a.own += tokens;
             a.earn(now, vms);
         }
@@ -364,11 +470,14 @@
         }
     }
 
-    /// Hands over what this VM has of a workspace to the VM that keeps its pool; gives none to a second one that asks so
+    /// Hands over what this VM has of a limit to the VM that keeps its pool; gives none to a second one that asks so
     /// soon.
-    pub fn hand_over(&mut self, now: Instant, workspace: &str, keeper: &SmolStr) -> Option<f64> {
+    pub fn hand_over<S>(&mut self, now: Instant, subject: S, keeper: &SmolStr) -> Option<f64>
+    where
+        S: Into<Subject>,
+    {
         let vms = self.vms;
-        let a = self.accounts.get_mut(workspace)?;
+        let a = self.accounts.get_mut(&subject.into())?;
         let is_taken = a.keeper.as_ref().is_some_and(|(other, at)| {
             other != keeper && now.saturating_duration_since(*at) < ONE_KEEPER_FOR
         });
@@ -381,9 +490,12 @@
     }
 
     /// Takes in what a VM has handed over; what is too much for the pool is lost.
-    pub fn collect(&mut self, now: Instant, workspace: &str, tokens: f64) {
+    pub fn collect<S>(&mut self, now: Instant, subject: S, tokens: f64)
+    where
+        S: Into<Subject>,
+    {
         let vms = self.vms;
-        if let Some(a) = self.accounts.get_mut(workspace) {
+        if let Some(a) = self.accounts.get_mut(&subject.into()) {
             a.counted += 1;
             // Tokens are counts: what is no number, or negative, is none.
             a.pool += tokens.max(0.0);
--- a/crates/limehollow/tests/backpressure.rs
+++ b/crates/limehollow/tests/backpressure.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-const ENDS_FOR: Duration = Duration::from_secs(1);
+const TOLD_FOR: Duration = Duration::from_secs(1);
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -153,10 +153,10 @@
     let (limit, end) = (word(Some(2.0), 0, 10), word(None, 1000, 1010));
     let later = h.t + ms(9000);
     h.b.join(h.t + ms(1010), h.key, end);
-    assert_eq!(h.b.words(later, ENDS_FOR).count(), 0);
+    assert_eq!(h.b.news(later, TOLD_FOR).count(), 0);
     // Who still has the limit is told of its end.
     assert_eq!(h.b.join(later, h.key, limit), RateChange::Unchanged);
     assert_eq!(h.rate(), None);
-    assert_eq!(h.b.words(later, ENDS_FOR).count(), 1);
-    assert_eq!(h.b.words(later + ENDS_FOR, ENDS_FOR).count(), 0);
+    assert_eq!(h.b.news(later, TOLD_FOR).count(), 1);
+    assert_eq!(h.b.news(later + TOLD_FOR, TOLD_FOR).count(), 0);
 }
