An endpoint that says in an answer that it leaves gets nothing more

Callers saw answers in time all the same; had the endpoint ended, as it may from its drain time on, they would not have.

Change: the word is kept with the endpoint's start, beyond its entry on the list, and told to all VMs at once; choice, keepers of places and the last look before a request is sent ask the roster as before.

--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -201,9 +201,9 @@
             known
                 .wanted
                 .retain(|_, at| now.duration_since(*at) < WANT_LIFE);
-            known
-                .gone
-                .retain(|_, at| now.duration_since(*at) < GONE_SAID_FOR);
+            for said in [&mut known.gone, &mut known.leaving] {
+                said.retain(|_, at| now.duration_since(*at) < GONE_SAID_FOR);
+            }
             let is_there = |k| known.roster.get(k).is_some();
             known.crash_watch.sweep(now);
             site.pool.sweep(is_there);
--- a/crates/limehollow-node/src/hearing.rs
+++ b/crates/limehollow-node/src/hearing.rs
@@ -28,20 +28,22 @@
     }
     let heard = known.balance.backpressure.hear(now, to.key, asked, s);
     known.set_limit(now, &to.instance.id, heard.rate);
+    let leaves = s.leaving && known.note_leaving(now, &to.instance);
     drop(known);
     log_rate(&to.instance, heard.rate, "the endpoint");
     if let Some(rest) = heard.rest {
         site.metrics.rests.inc();
         tracing::info!(endpoint = %to.instance, rest_ms = rest.as_millis(), "an endpoint asks this VM for rest");
     }
-    if s.leaving {
-        site.metrics.endpoints_said_leaving.inc();
-        tracing::info!(endpoint = %to.instance, "the endpoint says that it leaves");
+    if leaves {
+        note_leaving(site, &to.instance, "the endpoint");
+        // The other VMs may send to it meanwhile.
+        site.urgent.notify_one();
     }
 }
 
 /// Takes in what another VM says of the limits that endpoints name.
-pub(crate) fn hear_of<P>(site: &Site<P>, by: &str, rates: &[RateSaid])
+pub(crate) fn hear_rates<P>(site: &Site<P>, by: &str, rates: &[RateSaid])
 where
     P: Protocol,
 {
@@ -58,6 +60,29 @@
     }
 }
 
+/// Takes in which endpoints said to other VMs that they leave.
+pub(crate) fn hear_leaving<P>(site: &Site<P>, by: &str, leaving: &[Instance])
+where
+    P: Protocol,
+{
+    let now = site.now();
+    for instance in leaving {
+        let is_news = site.known().note_leaving(now, instance);
+        if is_news {
+            note_leaving(site, instance, by);
+        }
+    }
+}
+
+fn note_leaving<P>(site: &Site<P>, endpoint: &Instance, by: &str)
+where
+    P: Protocol,
+{
+    site.metrics.endpoints_said_leaving.inc();
+    tracing::info!(%endpoint, by, "an endpoint says that it leaves");
+    site.changed.notify_waiters();
+}
+
 /// Says what changed of an endpoint's limit, and by whose word.
 fn log_rate(endpoint: &Instance, change: RateChange, by: &str) {
     match change {
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -45,6 +45,8 @@
     pub taken: BTreeMap<VmName, (Instant, Vec<(Instance, Taken)>)>,
     /// Starts of endpoints that are gone, though the list still shows them, and when that was learnt.
     pub gone: BTreeMap<Instance, Instant>,
+    /// Starts of endpoints that said that they leave, and when that was heard.
+    pub leaving: BTreeMap<Instance, Instant>,
     /// What requests wait for here that isn't loaded, until it is told.
     pub wants: BTreeSet<ModelRef>,
     /// What other VMs' requests wait for, and when that was heard.
@@ -97,6 +99,7 @@
             demand: BTreeMap::new(),
             taken: BTreeMap::new(),
             gone: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             wants: BTreeSet::new(),
             wanted: BTreeMap::new(),
             candidacy: Candidacy::new(now),
@@ -200,6 +203,17 @@
         is_news
     }
 
+    /// Takes in that an endpoint says itself that it leaves. Gives whether that is news: the other VMs are told then.
+    ///
+    /// Its entry on the list may say so much later: an endpoint that leaves while the store is away can't write it.
+    pub(crate) fn note_leaving(&mut self, now: Instant, instance: &Instance) -> bool {
+        let is_news = self.roster.note_leaving(instance);
+        if is_news {
+            self.leaving.insert(instance.clone(), now);
+        }
+        is_news
+    }
+
     /// Drops an endpoint that is off the list. Gives whether it was there.
     pub fn drop_endpoint(&mut self, now: Instant, id: &str) -> bool {
         self.withheld.remove(id);
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -55,7 +55,7 @@
     pub endpoint_restarts: Counter,
     /// Answers in which an endpoint asked this VM for rest.
     pub rests: Counter,
-    /// Answers in which an endpoint said that it leaves.
+    /// Endpoints that said themselves that they leave.
     pub endpoints_said_leaving: Counter,
     /// Endpoints that name a limit of requests a second.
     pub endpoints_limited: Gauge,
@@ -177,7 +177,7 @@
         );
         r.register(
             "endpoints_said_leaving",
-            "Answers in which an endpoint said that it leaves",
+            "Endpoints that said themselves that they leave",
             self.endpoints_said_leaving.clone(),
         );
         r.register(
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -122,7 +122,8 @@
     for r in &w.reports {
         site.report(now, r);
     }
-    hearing::hear_of(site, &w.from, &w.rates);
+    hearing::hear_rates(site, &w.from, &w.rates);
+    hearing::hear_leaving(site, &w.from, &w.leaving);
     // Since when the store is sound decides on removals among the changes.
     site.note_peer(&w.from, w.positions, w.reading);
     for l in w.list {
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -30,7 +30,7 @@
 const SLOWEST: Duration = Duration::from_millis(240);
 /// For how long changes of the list are repeated inside the zone; who misses them reads the store.
 const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
-/// For how long VMs are told of a start of an endpoint that is gone: some messages, some of which may be lost.
+/// For how long VMs are told of a start of an endpoint that is gone, or leaves: some messages, some of which may be lost.
 pub(crate) const GONE_SAID_FOR: Duration = Duration::from_millis(1000);
 /// How many of them go into one message: a fifth of the endpoints of the largest site.
 const MAX_GONE: usize = 64;
@@ -183,7 +183,8 @@
             number: self.number,
             taken: known.balance.own().filter_map(named).collect(),
             unreached: unreached(now, known),
-            gone: gone(now, known),
+            gone: fresh_starts(now, &known.gone),
+            leaving: fresh_starts(now, &known.leaving),
             demand: rates(known.arrivals.rates(now)),
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
             reports: known.reports.take(),
@@ -200,11 +201,10 @@
     }
 }
 
-/// Gives the starts of endpoints that were found to be gone lately. In a message for other zones they are those of all
-/// VMs of this one, since what one VM finds the others take in as found.
-fn gone(now: Instant, known: &Known) -> Vec<Instance> {
-    let fresh = known
-        .gone
+/// Gives the starts of endpoints that were found lately to be gone, or to leave. In a message for other zones they are those of
+/// all VMs of this one, since what one VM finds the others take in as found.
+fn fresh_starts(now: Instant, found: &BTreeMap<Instance, Instant>) -> Vec<Instance> {
+    let fresh = found
         .iter()
         .filter(|(_, at)| now.duration_since(**at) < GONE_SAID_FOR);
     fresh.map(|(i, _)| i.clone()).take(MAX_GONE).collect()
@@ -241,6 +241,7 @@
         taken: Vec::new(),
         unreached: Vec::new(),
         gone: Vec::new(),
+        leaving: Vec::new(),
         demand: Vec::new(),
         wants: Vec::new(),
         list: Vec::new(),
@@ -277,6 +278,7 @@
         taken: taken.into_iter().collect(),
         demand: demand.into_iter().collect(),
         gone: own.gone.clone(),
+        leaving: own.leaving.clone(),
         rates: own.rates.clone(),
         reports: Vec::new(),
         lease: zone_notice(now, known),
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -131,6 +131,8 @@
     pub unreached: Vec<Instance>,
     /// Starts of endpoints that are gone: another start answers at their address.
     pub gone: Vec<Instance>,
+    /// Starts of endpoints that said in their answers that they leave.
+    pub leaving: Vec<Instance>,
     /// What its callers ask of each model, in ms of work a second.
     pub demand: Vec<(ModelRef, f32)>,
     /// What requests wait for that isn't loaded.
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -146,6 +146,9 @@
     }
 }
 
+/// How many starts are remembered that said that they leave: an endpoint is gone seconds to minutes after it.
+const MOST_LEFT: usize = 256;
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -154,6 +157,9 @@
     keys: BTreeMap<SmolStr, EndpointKey>,
     /// The ids whose entries can't be read: they name no endpoint to use.
     unreadable: BTreeSet<SmolStr>,
+    /// Starts that said themselves that they leave, the last ones first. That outlasts their entries, which may go and come back with the
+    /// platform's store.
+    left: VecDeque<Instance>,
 }
 
 /// Queries.
@@ -301,8 +307,9 @@
         }
     }
 
-    fn insert(&mut self, endpoint: Endpoint, lists_born: bool) -> Update {
+    fn insert(&mut self, mut endpoint: Endpoint, lists_born: bool) -> Update {
         let id = endpoint.instance.id.clone();
+        endpoint.leaving |= self.has_left(&endpoint.instance);
         self.unreadable.remove(&id);
         let key = self.rows.insert(Row::new(endpoint, lists_born));
         self.keys.insert(id, key);
@@ -345,13 +352,31 @@
         news
     }
 
-    /// Notes that an endpoint said itself that it leaves.
+    /// Takes an endpoint out of use that is known to be gone, or to leave.
     pub fn leave(&mut self, key: EndpointKey) {
         if let Some(row) = self.rows.get_mut(key) {
             row.endpoint.leaving = true;
         }
     }
 
+    /// Notes that a start of an endpoint said itself that it leaves, which is final: no entry that was read late, went or came
+    /// back brings it into use again. Gives whether it is news.
+    pub fn note_leaving(&mut self, instance: &Instance) -> bool {
+        if self.has_left(instance) {
+            return false;
+        }
+        self.left.push_front(instance.clone());
+        self.left.truncate(MOST_LEFT);
+        if let Some(key) = self.find(instance) {
+            self.leave(key);
+        }
+        true
+    }
+
+    fn has_left(&self, instance: &Instance) -> bool {
+        self.left.iter().any(|i| i.is_same(instance))
+    }
+
     /// Notes that an endpoint said itself that it doesn't hold something, until it is listed or reported
     /// anew.
     pub fn unhold(&mut self, key: EndpointKey, missing: &ModelRef) {
