An endpoint that asks a VM for rest gets nothing from it until then

Callers of a model whose endpoints turned requests away were sent there all the same and got 503 after the way there and back, with 0.1 s as the time to come again; the endpoints got three requests and more of a VM in the three seconds in which they wanted none.

Cause: a refusal counted for its own time (half a second, fading), not for that which it named; a second try only left out what had been tried. Ruled out: that the VM which says where a model's requests go undid it (first tries by a VM's own choice broke it too).

Change: a rest closes the endpoint to this VM until the latest end that was named, for requests, reports and orders; then one request shows whether it is over. The keeper of a model's places is told what the asker can't use. Where all rest, callers are refused at once, or wait if it is over within a fifth of the objective, and are told that time, spread over a quarter more.

--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -80,7 +80,7 @@
         Self::unsent(Shows::Nothing, SmolStr::new_static("it leaves"))
     }
 
-    /// Makes the failure of a try at an endpoint that named a limit before the request was sent.
+    /// Makes the failure of a try at an endpoint that named a limit, or asked for rest, before the request was sent.
     #[must_use]
     pub fn no_room() -> Self {
         Self::unsent(
@@ -222,14 +222,14 @@
     if known.roster.get(to.key).is_none_or(|e| e.leaving) {
         return Err(Failed::gone());
     }
-    let is_limited = known.balance.backpressure.rate(to.key).is_some();
+    let (now, wishes) = (site.now(), &known.balance.backpressure);
     let has_room = match to.room {
         Room::Exempt => true,
-        Room::Unlimited => !is_limited,
+        Room::Unlimited => wishes.rate(to.key).is_none(),
         // The sum over all VMs reckons with so much time between the grant and the sending.
-        Room::Granted(at) => site.now().saturating_duration_since(at) <= ON_THE_WAY,
+        Room::Granted(at) => now.saturating_duration_since(at) <= ON_THE_WAY,
     };
-    if has_room {
+    if has_room && !wishes.rests(now, to.key) {
         Ok(())
     } else {
         Err(Failed::no_room())
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -50,6 +50,8 @@
 const SOON: Duration = Duration::from_millis(100);
 pub(crate) const LATER: Duration = Duration::from_secs(1);
 const LATEST: Duration = Duration::from_secs(5);
+/// Over which part of their wait callers are spread that are told to come back at the same moment.
+const SPREAD: f64 = 0.25;
 /// When to come back for a model of which an endpoint has a copy: the order, what makes way, and the load, together 1.4 to
 /// 2.7 s in logs of moves.
 const COPY_SOON: Duration = Duration::from_millis(2500);
@@ -118,7 +120,7 @@
                     _ if failed.reached => Reason::TurnedAway,
                     _ => Reason::Unreached,
                 };
-                return self.give_up(reason, SOON);
+                return self.give_up(reason, self.again_after(&failed));
             }
             if failed.shows == Shows::ConnectionEnded {
                 crash_probe::settled(self.site, &chosen.to.instance).await;
@@ -167,35 +169,56 @@
                     continue;
                 }
                 Choice::Crowded(expected_ms) => (Reason::Busy, self.come_back(expected_ms)),
+                Choice::Resting(wait) => (Reason::AtLimit, closed.opens_in_less(wait)),
                 Choice::NoEndpoint => (Reason::NoEndpoint, LATER),
                 Choice::NoModel => (Reason::NoModel, self.model_comes()),
                 Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_SOON),
             };
             if let (false, Some(wait)) = (reason == Reason::Busy, closed.opens_in()) {
-                // Others may hold what it needs: they have reached what they take.
-                return Err((Reason::AtLimit, wait.clamp(SOON, LATEST)));
+                // What holds what it needs has got as much as it takes.
+                return Err((Reason::AtLimit, spread(wait)));
             }
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
                 self.site.known().wants.insert(m.clone());
                 self.site.urgent.notify_one();
             }
-            let may_come_in_time = matches!(reason, Reason::Busy | Reason::NoAdapter);
-            if !may_come_in_time || now >= until {
+            let may_come_in_time = match reason {
+                Reason::Busy | Reason::NoAdapter => now < until,
+                Reason::AtLimit => now + after < until,
+                _ => false,
+            };
+            if !may_come_in_time {
+                let after = if reason == Reason::AtLimit {
+                    spread(after)
+                } else {
+                    after
+                };
                 return Err((reason, after));
             }
             // A time-out only ends the wait: the next round looks again, or refuses.
-            let _timed_out = if reason == Reason::Busy {
-                let soon = (now + LOOK_AGAIN).min(until);
-                self.site
-                    .clock
-                    .timeout_at(soon, self.site.eased.notified())
-                    .await
-            } else {
-                self.site.clock.timeout_at(until, changed).await
+            let clock = &self.site.clock;
+            let _timed_out = match reason {
+                Reason::Busy => {
+                    let soon = (now + LOOK_AGAIN).min(until);
+                    clock.timeout_at(soon, self.site.eased.notified()).await
+                }
+                Reason::AtLimit => clock.timeout_at(now + after, changed).await,
+                _ => clock.timeout_at(until, changed).await,
             };
         }
     }
 
+    /// Gives when a caller should come back whose request may not be sent once more.
+    fn again_after(&self, f: &Failed) -> Duration {
+        if f.shows == Shows::KeyGone {
+            return SOON;
+        }
+        match place::look(self.site, self.catalog, &self.job) {
+            Choice::Resting(wait) => spread(wait),
+            _ => SOON,
+        }
+    }
+
     /// Gives when a caller should come back for a model that is nowhere: once it is loaded, from a copy if an endpoint has
     /// one at hand, else from the weight store.
     fn model_comes(&self) -> Duration {
@@ -245,6 +268,10 @@
         let sent = {
             let mut known = self.site.known();
             let known = &mut *known;
+            // Of the requests that were waiting for room, another may show whether the endpoint's rest is over.
+            if known.balance.backpressure.opens_in(now, c.to.key).is_some() {
+                return Err(Failed::no_room());
+            }
             let Some(e) = known.roster.get(c.to.key) else {
                 return Err(Failed::gone());
             };
@@ -475,3 +502,10 @@
         }
     }
 }
+
+/// Gives when one of many refused callers should come back: all of them at the moment at which there is room would be refused
+/// again but for the first.
+fn spread(wait: Duration) -> Duration {
+    wait.max(SOON)
+        .mul_f64(1.0 + rand::random_range(0.0..SPREAD))
+}
--- a/crates/limehollow-node/src/place.rs
+++ b/crates/limehollow-node/src/place.rs
@@ -28,6 +28,8 @@
 const KEEPER_WITHIN: Duration = Duration::from_millis(25);
 /// For how long a keeper that was silent isn't asked again.
 const SILENT_FOR: Duration = Duration::from_millis(100);
+/// How many endpoints are named in a question at most.
+const MOST_NAMED: usize = 64;
 /// The part of the longest pause that an endpoint may spend reading prompts: its streams wait meanwhile,
 /// and prompts that are sent by other gateways at the same moment come on top.
 const READING_SHARE: f64 = 0.5;
@@ -54,6 +56,14 @@
     choose_here(site.now(), &site.known(), catalog, job, tried)
 }
 
+/// Looks where a job could go by what this VM knows, without a choice.
+pub(crate) fn look<P>(site: &Site<P>, catalog: &Catalog, job: &Job) -> Choice
+where
+    P: Protocol,
+{
+    choose_here(site.now(), &site.known(), catalog, job, &[])
+}
+
 /// Chooses by what this VM knows.
 fn choose_here(
     now: Instant,
@@ -101,11 +111,7 @@
 where
     P: Protocol,
 {
-    let tried = {
-        let known = site.known();
-        let name = |k: &EndpointKey| Some(known.roster.get(*k)?.instance.clone());
-        tried.iter().filter_map(name).collect()
-    };
+    let tried = unusable(site, job, tried)?;
     let about = About::Place {
         job: job.clone(),
         tried,
@@ -125,7 +131,9 @@
             let known = site.known();
             let key = known.roster.find(&instance)?;
             let e = known.roster.get(key).filter(|e| !e.leaving)?;
-            let takes = known.balance.takes(site.now(), key, e);
+            let now = site.now();
+            let is_closed = known.balance.backpressure.opens_in(now, key).is_some();
+            let takes = known.balance.takes(now, key, e) && !is_closed;
             takes.then_some(Choice::To(key, f64::from(expected_ms)))
         }
         Place::Crowded(expected_ms) => Some(Choice::Crowded(f64::from(expected_ms))),
@@ -134,6 +142,21 @@
     }
 }
 
+/// Gives the endpoints that a job can't go to: those that were tried, and those that want nothing of this VM, which the VM that
+/// is asked can't know. Gives none if they are too many for a question.
+fn unusable<P>(site: &Site<P>, job: &Job, tried: &[EndpointKey]) -> Option<Vec<Instance>>
+where
+    P: Protocol,
+{
+    let known = site.known();
+    let tried = tried.iter().filter_map(|k| known.roster.get(*k));
+    let closed = known.balance.backpressure.closed(site.now());
+    let closed = closed.filter_map(|k| known.roster.get(k));
+    let closed = closed.filter(|e| e.service == job.service);
+    let all: Vec<Instance> = tried.chain(closed).map(|e| e.instance.clone()).collect();
+    (all.len() <= MOST_NAMED).then_some(all)
+}
+
 /// Chooses an endpoint for a job, of which the VM that keeps its places knows from now on.
 fn promise<P>(site: &Site<P>, catalog: &Catalog, job: &Job, tried: &[EndpointKey]) -> Choice
 where
@@ -170,7 +193,10 @@
             })
         }
         Choice::Crowded(expected_ms) => Place::Crowded(expected_ms as f32),
-        Choice::NoEndpoint | Choice::NoModel | Choice::NoAdapter => Place::Nowhere,
+        // What rests for this VM may not for the one that asks.
+        Choice::Resting(_) | Choice::NoEndpoint | Choice::NoModel | Choice::NoAdapter => {
+            Place::Nowhere
+        }
     };
     Reply::Place(place)
 }
--- a/crates/limehollow-node/tests/endpoint_words.rs
+++ b/crates/limehollow-node/tests/endpoint_words.rs
@@ -10,6 +10,7 @@
 use limehollow::retry::Repeat;
 use rig::{Does, Gateway, Server, answer, endpoint, rule, status};
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 fn says(words: &str) -> Vec<u8> {
@@ -85,3 +86,32 @@
     }
     assert!(resting.requests() <= 1, "{}", resting.requests());
 }
+
+/// When a rest is over, one request shows whether it is, not all that have gathered.
+#[tokio::test]
+async fn resting_endpoint_is_asked_by_one_request_first() {
+    let does = vec![Does::Writes(away("0.2")), Does::Writes(away("60"))];
+    let server = Server::start(does).await;
+    let g = Gateway::start(rule("/draft/", Repeat::Never, 1), &[server.address]).await;
+    g.ask("/draft/1", "").await;
+    sleep(Duration::from_millis(250)).await;
+    let mut asking = JoinSet::new();
+    for _ in 0..20 {
+        asking.spawn(rig::ask_at(g.address, "/draft/1"));
+    }
+    asking.join_all().await;
+    assert_eq!(server.requests(), 2);
+}
+
+#[tokio::test]
+async fn rested_endpoint_is_used_again() {
+    let does = vec![Does::Writes(away("0.1")), Does::Writes(says(""))];
+    let server = Server::start(does).await;
+    let g = Gateway::start(rule("/draft/", Repeat::Never, 1), &[server.address]).await;
+    while status(&g.ask("/draft/1", "").await) != 200 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..5 {
+        assert_eq!(status(&g.ask("/draft/1", "").await), 200);
+    }
+}
--- a/crates/limehollow/src/backpressure.rs
+++ b/crates/limehollow/src/backpressure.rs
@@ -156,8 +156,15 @@
         }
     }
 
-    /// Gives the endpoints that rest now.
-    pub fn resting(&self, now: Instant) -> impl Iterator<Item = EndpointKey> {
+    /// Tells whether an endpoint wants nothing of this VM now, not even a request that shows whether its rest is over.
+    #[must_use]
+    pub fn rests(&self, now: Instant, key: EndpointKey) -> bool {
+        let rest = self.rows.get(key).and_then(|r| r.rest);
+        rest.is_some_and(|r| now < r.until)
+    }
+
+    /// Gives the endpoints to which no request of this VM may be sent now.
+    pub fn closed(&self, now: Instant) -> impl Iterator<Item = EndpointKey> {
         let keys = self.rows.keys();
         keys.filter(move |k| self.opens_in(now, *k).is_some())
     }
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -195,6 +195,8 @@
     /// All that hold what it needs have so many prompts to read that their streams would pause; the first
     /// result would be expected after so many ms.
     Crowded(f64),
+    /// All that hold what it needs want nothing of this VM now; the first of them does after so long.
+    Resting(Duration),
     /// No endpoint of the service takes work.
     NoEndpoint,
     /// No endpoint that takes work holds the model.
@@ -276,6 +278,7 @@
         tried: &[EndpointKey],
     ) -> Choice {
         let mut found = Choice::NoEndpoint;
+        let mut rest: Option<Duration> = None;
         let mut best: Option<Candidate> = None;
         for (key, e) in roster.open(&job.service) {
             if let Some(wanted) = &job.model
@@ -288,6 +291,10 @@
                 };
                 continue;
             }
+            if let Some(wait) = self.backpressure.opens_in(now, key) {
+                rest = Some(rest.map_or(wait, |r| r.min(wait)));
+                continue;
+            }
             if tried.contains(&key) {
                 continue;
             }
@@ -312,7 +319,7 @@
         match best {
             Some(c) if c.is_crowded => Choice::Crowded(c.expected_ms),
             Some(c) => Choice::To(c.key, c.expected_ms),
-            None => found,
+            None => rest.map_or(found, Choice::Resting),
         }
     }
 
