Who waits for room asks for it again; an endpoint's word after its entry is no news

Found reading the diff: a request that waited until an endpoint at its limit had room left it out afterwards all the same, and told the longer of two waits; a start that the list had already shown to leave was told to all VMs again by its own word, and of more than 256 such starts for each answer anew. 1,024 starts are remembered.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -169,15 +169,16 @@
                     continue;
                 }
                 Choice::Crowded(expected_ms) => (Reason::Busy, self.come_back(expected_ms)),
-                Choice::Resting(wait) => (Reason::AtLimit, closed.opens_in_less(wait)),
+                Choice::Resting(wait) => (Reason::AtLimit, wait),
                 Choice::NoEndpoint => (Reason::NoEndpoint, LATER),
                 Choice::NoModel => (Reason::NoModel, self.model_comes()),
                 Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_SOON),
             };
-            if let (false, Some(wait)) = (reason == Reason::Busy, closed.opens_in()) {
-                // What holds what it needs has got as much as it takes.
-                return Err((Reason::AtLimit, spread(wait)));
-            }
+            // Of what holds what it needs, some has got as much as it takes.
+            let (reason, after) = match closed.opens_in() {
+                Some(wait) if reason != Reason::Busy => (Reason::AtLimit, wait.min(after)),
+                _ => (reason, after),
+            };
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
                 self.site.known().wants.insert(m.clone());
                 self.site.urgent.notify_one();
@@ -202,7 +203,10 @@
                     let soon = (now + LOOK_AGAIN).min(until);
                     clock.timeout_at(soon, self.site.eased.notified()).await
                 }
-                Reason::AtLimit => clock.timeout_at(now + after, changed).await,
+                Reason::AtLimit => {
+                    closed = Closed::default();
+                    clock.timeout_at(now + after, changed).await
+                }
                 _ => clock.timeout_at(until, changed).await,
             };
         }
--- a/crates/limehollow-node/src/room.rs
+++ b/crates/limehollow-node/src/room.rs
@@ -31,11 +31,6 @@
     pub(crate) fn opens_in(&self) -> Option<Duration> {
         self.opens_in
     }
-
-    /// Gives the time until the first endpoint takes a request, where others do after this wait.
-    pub(crate) fn opens_in_less(&self, wait: Duration) -> Duration {
-        self.opens_in.map_or(wait, |w| w.min(wait))
-    }
 }
 
 /// Takes a request's part of an endpoint's limit.
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -147,7 +147,7 @@
 }
 
 /// How many starts are remembered that said that they leave: an endpoint is gone seconds to minutes after it.
-const MOST_LEFT: usize = 256;
+const MOST_LEFT: usize = 1024;
 
 /// All endpoints.
 #[derive(Debug, Default)]
@@ -362,15 +362,16 @@
     /// Notes that a start of an endpoint said itself that it leaves, which is final: no entry that was read late, went or came
     /// back brings it into use again. Gives whether it is news.
     pub fn note_leaving(&mut self, instance: &Instance) -> bool {
-        if self.has_left(instance) {
-            return false;
-        }
-        self.left.push_front(instance.clone());
-        self.left.truncate(MOST_LEFT);
-        if let Some(key) = self.find(instance) {
-            self.leave(key);
+        if !self.has_left(instance) {
+            self.left.push_front(instance.clone());
+            self.left.truncate(MOST_LEFT);
         }
-        true
+        let Some(key) = self.find(instance) else {
+            return false;
+        };
+        let is_news = !self.rows[key].endpoint.leaving;
+        self.leave(key);
+        is_news
     }
 
     fn has_left(&self, instance: &Instance) -> bool {
