Shorter steps where a request waits and where limits are said; no connection for a request that may not be sent

A request whose key had gone opened a connection before it was told so, since the look before the sending had moved behind it; it looks before as well.

--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -191,6 +191,7 @@
             },
         }
     }
+    may_send(site, to, pass)?;
     let opened = pool.open(to.key, to.address).await;
     site.metrics.connections_opened.inc();
     let mut c = opened.map_err(|e| Failed::unconnected(&e))?;
@@ -205,7 +206,7 @@
     }
 }
 
-/// Looks at the last moment before a request is sent whether it may still be: between the choice of its endpoint and now a
+/// Looks at the last moment before a request is sent whether it still may be. Between the choice of its endpoint and now a
 /// connection may have been opened, and all that allowed it may have changed.
 ///
 /// # Errors
@@ -237,7 +238,7 @@
 }
 
 /// Tells whether an answer is from the endpoint that was asked, so that what it says of itself counts.
-fn is_from(j: Judgement) -> bool {
+fn is_from_target(j: Judgement) -> bool {
     match j {
         Judgement::Genuine
         | Judgement::NotRun
@@ -265,7 +266,7 @@
     let (status, headers) = (response.status(), response.headers());
     connection.set_keep(keep(headers));
     let judgement = site.protocol.judge(status, headers, id, &to.instance.id);
-    if is_from(judgement) {
+    if is_from_target(judgement) {
         hearing::hear(site, to, asked, site.protocol.signals(status, headers));
     }
     match judgement {
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -30,6 +30,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
 /// A request is refused when its first result is expected later than so many times the service's
@@ -189,29 +190,30 @@
                 _ => false,
             };
             if !may_come_in_time {
-                let after = if reason == Reason::AtLimit {
-                    spread(after)
-                } else {
-                    after
-                };
-                return Err((reason, after));
+                let is_shared = reason == Reason::AtLimit;
+                return Err((reason, if is_shared { spread(after) } else { after }));
             }
-            // A time-out only ends the wait: the next round looks again, or refuses.
-            let clock = &self.site.clock;
-            let _timed_out = match reason {
-                Reason::Busy => {
-                    let soon = (now + LOOK_AGAIN).min(until);
-                    clock.timeout_at(soon, self.site.eased.notified()).await
-                }
+            match reason {
+                Reason::Busy => self.until_eased((now + LOOK_AGAIN).min(until)).await,
                 Reason::AtLimit => {
                     closed = Closed::default();
-                    clock.timeout_at(now + after, changed).await
+                    self.until_told(now + after, changed).await;
                 }
-                _ => clock.timeout_at(until, changed).await,
-            };
+                _ => self.until_told(until, changed).await,
+            }
         }
     }
 
+    /// Waits until a prompt has been read or a request has ended, but no longer than this: then it looks again, or refuses.
+    async fn until_eased(&self, at: Instant) {
+        self.until_told(at, self.site.eased.notified()).await;
+    }
+
+    /// Waits until it is told that something has changed, but no longer than this: then it looks again, or refuses.
+    async fn until_told(&self, at: Instant, told: Notified<'_>) {
+        let _timed_out = self.site.clock.timeout_at(at, told).await;
+    }
+
     /// Gives when a caller should come back whose request may not be sent once more.
     fn again_after(&self, f: &Failed) -> Duration {
         if f.shows == Shows::KeyGone {
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -134,26 +134,13 @@
 
     /// Gives what is said of the limits that endpoints name: those that are news, and from time to time all.
     fn rates(&mut self, now: Instant, known: &Known) -> Vec<RateSaid> {
-        let b = &known.balance.backpressure;
-        let words: Vec<(EndpointKey, RateWord)> =
-            if now.duration_since(self.limits_said) >= LIMITS_SAID_EVERY {
-                self.limits_said = now;
-                self.turn += 1;
-                let limits: Vec<_> = b.limits().collect();
-                // Where there are too many for one message, others are said the next time.
-                let first = (self.turn * MAX_RATES)
-                    .checked_rem(limits.len())
-                    .unwrap_or(0);
-                limits
-                    .iter()
-                    .cycle()
-                    .skip(first)
-                    .take(limits.len().min(MAX_RATES))
-                    .copied()
-                    .collect()
-            } else {
-                b.news(now, RATE_SAID_FOR).take(MAX_RATES).collect()
-            };
+        let wishes = &known.balance.backpressure;
+        let words = if now.duration_since(self.limits_said) >= LIMITS_SAID_EVERY {
+            self.limits_said = now;
+            self.some_in_turn(wishes.limits().collect())
+        } else {
+            wishes.news(now, RATE_SAID_FOR).take(MAX_RATES).collect()
+        };
         let said = words.into_iter().filter_map(|(k, w)| {
             let instance = known.roster.get(k)?.instance.clone();
             Some(RateSaid::at(now, instance, w))
@@ -161,6 +148,20 @@
         said.collect()
     }
 
+    /// Gives as many of some words as go into a message, others the next time.
+    fn some_in_turn(
+        &mut self,
+        mut words: Vec<(EndpointKey, RateWord)>,
+    ) -> Vec<(EndpointKey, RateWord)> {
+        self.turn += 1;
+        if words.len() > MAX_RATES {
+            let first = self.turn * MAX_RATES % words.len();
+            words.rotate_left(first);
+            words.truncate(MAX_RATES);
+        }
+        words
+    }
+
     fn own(&self, now: Instant, known: &mut Known, crashes: Vec<CrashRecord>) -> Message {
         let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
         known
