Cold endpoints get what they bear; zones that are evacuated get nothing; requests run at home

Three things that operators and endpoints say had no code.

Cold endpoints. It is one more sum that no VM knows alone, so it is one more limit of `backpressure` and `quota`, with an allowance of its own over one second; no second mechanism.

Evacuated zones. The record beside the configuration is read with it, by the same readers and within the same bound, goes with the state from VM to VM, and is asked for at the last moment before a request is sent.

A rule's and a workspace's regions leave zones to a job, wherever its endpoint is chosen.

--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -220,7 +220,7 @@
         return Err(Failed::key_gone());
     }
     let known = site.known();
-    if known.roster.get(to.key).is_none_or(|e| e.leaving) {
+    if !known.roster.takes_work(to.key) {
         return Err(Failed::gone());
     }
     let (now, wishes) = (site.now(), &known.balance.backpressure);
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -55,6 +55,13 @@
     EndpointGone(SmolStr),
     /// A VM has started.
     Vm(Vm),
+    /// A zone is evacuated, or taken back.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether its endpoints get no new work from now on.
+        begins: bool,
+    },
     /// A record that can't be read. An entry of the list names no endpoint to use then; of the other feeds the last
     /// good record stays.
     Malformed {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -124,7 +124,10 @@
         let changes: Vec<Change> = match self.feed {
             Feed::Configuration => {
                 let catalog = state.catalog.into_iter();
-                catalog.map(|c| Change::Catalog(Box::new(c))).collect()
+                let catalog = catalog.map(|c| Change::Catalog(Box::new(c)));
+                let evacuated = state.evacuated.into_iter();
+                let evacuated = evacuated.map(|zone| Change::Evacuation { zone, begins: true });
+                catalog.chain(evacuated).collect()
             }
             Feed::Endpoints | Feed::Vms => listed(state),
         };
@@ -162,6 +165,7 @@
         let now = self.site.now();
         let position = position(self.site.positions(), self.feed);
         let mut seen = BTreeSet::new();
+        let mut evacuated = BTreeSet::new();
         let mut news = false;
         for c in changes {
             match c {
@@ -195,6 +199,12 @@
                         .peers
                         .learn(vm.name, vm.zone, vm.address, vm.millicores);
                 }
+                Change::Evacuation { zone, begins } => {
+                    if begins {
+                        evacuated.insert(zone.clone());
+                    }
+                    self.site.set_evacuated(&zone, begins);
+                }
                 Change::Malformed { key, why } => {
                     self.note_unreadable(&key, &why);
                     seen.insert(key);
@@ -202,6 +212,9 @@
                 }
             }
         }
+        if whole && self.feed == Feed::Configuration {
+            self.site.retain_evacuated(&evacuated);
+        }
         if whole && self.feed == Feed::Vms {
             let mut known = self.site.known();
             known.has_vms = true;
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -183,11 +183,12 @@
             let known: &mut Known = &mut known;
             known.balance.refresh(now);
             forget_crashes(now, known);
+            known.warm_up(now);
             known.drop_limits();
             known.note_vms(now, 0);
-            known
-                .quotas
-                .set_allowance(now, site.settings.load().quota_allowance());
+            let settings = site.settings.load();
+            known.quotas.set_allowance(now, settings.quota_allowance());
+            known.quotas.set_cold_allowance(settings.cold_allowance());
             note_ages(now, known, &site.metrics);
             if known.roster.settle(now) {
                 site.changed.notify_waiters();
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -9,9 +9,9 @@
 use crate::settings::NodeSettings;
 use crate::silence::Silences;
 use limehollow::arrivals::Arrivals;
-use limehollow::backpressure::RateChange;
 use limehollow::balance::{Balance, Taken};
 use limehollow::candidacy::{Candidacy, Notice};
+use limehollow::catalog::ColdSpec;
 use limehollow::confirmation::Confirmation;
 use limehollow::crash_record::{CrashRecord, StartTag};
 use limehollow::crash_watch::{CrashWatch, CutOff};
@@ -26,6 +26,7 @@
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What is known of endpoints, load and demand.
@@ -79,6 +80,8 @@
     pub confirmation: Confirmation,
     /// What this VM has of workspaces' limits.
     pub quotas: Quotas,
+    /// What endpoints of each service bear while they are cold.
+    pub cold_specs: BTreeMap<ServiceName, ColdSpec>,
     /// Whether the VMs of the site were read from the store.
     pub has_vms: bool,
     /// VMs that keep pools or places and were silent lately.
@@ -120,6 +123,7 @@
             crash_watch: CrashWatch::default(),
             confirmation: Confirmation::default(),
             quotas: Quotas::new(settings.quota_allowance()),
+            cold_specs: BTreeMap::new(),
             has_vms: false,
             silences: Silences::default(),
             quarantines: BTreeMap::new(),
@@ -142,8 +146,12 @@
     /// Takes in an entry of the list.
     pub fn list(&mut self, now: Instant, e: Endpoint) -> Update {
         let former = self.start_of(&e.instance.id);
+        let (id, cold) = (e.instance.id.clone(), millis(e.cold_ms));
         let update = self.roster.list(now, e);
         self.forget(now, update.replaced, former);
+        if let Some(key) = self.roster.key(&id) {
+            self.note_cold(now, key, cold);
+        }
         update
     }
 
@@ -152,15 +160,67 @@
         let former = self.start_of(&r.instance.id);
         let update = self.roster.report(now, r);
         self.forget(now, update.replaced, former);
+        if update.is_restart() {
+            self.note_start(now, &r.instance.id);
+        }
         update
     }
 
-    /// Takes in what changed of the limit that an endpoint names.
-    pub(crate) fn set_limit(&mut self, now: Instant, id: &SmolStr, change: RateChange) {
-        match change {
-            RateChange::Limited(rate) => self.quotas.limit_endpoint(now, id, rate),
-            RateChange::Ended => self.quotas.free_endpoint(id),
-            RateChange::Unchanged => {}
+    /// Puts in force what an endpoint takes of all VMs together, after something changed of it.
+    pub(crate) fn set_limit(&mut self, now: Instant, key: EndpointKey) {
+        let Some(e) = self.roster.get(key) else {
+            return;
+        };
+        let id = &e.instance.id;
+        match self.balance.backpressure.limit(key) {
+            Some(l) if l.is_cold => self.quotas.limit_cold_endpoint(now, id, l.rate),
+            Some(l) => self.quotas.limit_endpoint(now, id, l.rate),
+            None => self.quotas.free_endpoint(id),
+        }
+    }
+
+    /// Takes in what endpoints of each service bear while they are cold.
+    pub(crate) fn set_cold_specs<I>(&mut self, now: Instant, specs: I)
+    where
+        I: IntoIterator<Item = (ServiceName, ColdSpec)>,
+    {
+        self.cold_specs = specs.into_iter().collect();
+        let cold = self.roster.iter().filter(|(_, e)| e.cold_ms > 0);
+        let cold: Vec<_> = cold.map(|(k, e)| (k, millis(e.cold_ms))).collect();
+        for (key, left) in cold {
+            self.note_cold(now, key, left);
+        }
+    }
+
+    /// Takes in that an endpoint is cold for so long. Gives whether it bears less meanwhile, and wasn't known to be cold.
+    pub(crate) fn note_cold(&mut self, now: Instant, key: EndpointKey, left: Duration) -> bool {
+        let spec = self.roster.get(key).map(|e| &e.service);
+        let Some(spec) = spec.and_then(|s| self.cold_specs.get(s)) else {
+            return false;
+        };
+        if left.is_zero() {
+            return false;
+        }
+        let was_cold = self.balance.backpressure.is_cold(key);
+        self.balance.backpressure.cool(key, now + left, spec.rate);
+        self.set_limit(now, key);
+        !was_cold
+    }
+
+    /// Takes in that a start of an endpoint is new, of which only another VM's report tells: the list says later how cold it is.
+    fn note_start(&mut self, now: Instant, id: &SmolStr) {
+        let key = self.roster.key(id);
+        let service = key.and_then(|k| Some(&self.roster.get(k)?.service));
+        let spec = service.and_then(|s| self.cold_specs.get(s)).copied();
+        if let (Some(key), Some(spec)) = (key, spec) {
+            self.note_cold(now, key, spec.start);
+        }
+    }
+
+    /// Ends the cold times that are over.
+    pub(crate) fn warm_up(&mut self, now: Instant) {
+        for key in self.balance.backpressure.warm_up(now) {
+            self.set_limit(now, key);
         }
     }
 
@@ -287,3 +347,7 @@
         tracing::warn!(%request, by, ?crashes, "the request is quarantined");
     }
 }
+
+fn millis(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -269,7 +269,7 @@
             Change::Endpoint(e) => Some(ListChange::Listed(e.clone())),
             Change::EndpointGone(id) => Some(ListChange::Gone(id.clone())),
             Change::Malformed { key, .. } => Some(ListChange::Unreadable(key.clone())),
-            Change::Catalog(_) | Change::Vm(_) => None,
+            Change::Catalog(_) | Change::Vm(_) | Change::Evacuation { .. } => None,
         });
         let news = ListChanges {
             from,
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -59,6 +59,10 @@
     pub endpoints_said_leaving: Counter,
     /// Endpoints that name a limit of requests a second.
     pub endpoints_limited: Gauge,
+    /// Endpoints that are cold and bear less than later.
+    pub endpoints_cold: Gauge,
+    /// Zones whose endpoints get no new work by the operators' word.
+    pub zones_evacuated: Gauge,
     /// Requests that are refused because they crash the endpoints that run them.
     pub requests_quarantined: Gauge,
     /// Requests that ran on an endpoint when it crashed, those that are refused too.
@@ -90,6 +94,8 @@
             rests: Counter::default(),
             endpoints_said_leaving: Counter::default(),
             endpoints_limited: Gauge::default(),
+            endpoints_cold: Gauge::default(),
+            zones_evacuated: Gauge::default(),
             requests_quarantined: Gauge::default(),
             requests_suspected: Gauge::default(),
             catalog: Gauge::default(),
--- a/crates/limehollow-node/src/place.rs
+++ b/crates/limehollow-node/src/place.rs
@@ -18,6 +18,7 @@
 use limehollow::id::EndpointKey;
 use limehollow::instance::Instance;
 use limehollow::job::Job;
+use limehollow::roster::Endpoint;
 use limehollow_wire::gossip::{About, Place, Reply};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -129,7 +130,8 @@
         Place::At(instance, expected_ms) => {
             let known = site.known();
             let key = known.roster.find(&instance)?;
-            let e = known.roster.get(key).filter(|e| !e.leaving)?;
+            let is_usable = |e: &&Endpoint| known.roster.takes_work(key) && job.may_run_in(&e.zone);
+            let e = known.roster.get(key).filter(is_usable)?;
             let now = site.now();
             let is_closed = known.balance.backpressure.opens_in(now, key).is_some();
             let takes = known.balance.takes(now, key, e) && !is_closed;
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -117,6 +117,7 @@
     }
     let fingerprint = fingerprint(workspace, &ask, &head, &body);
     let hides_keys = !catalog.workspaces.is_empty();
+    let homes = [&rule.homes[..], workspace.map_or(&[], |w| &w.homes[..])];
     passage::clean(&mut head.headers, |n| {
         match site.protocol.request_header(n) {
             Passage::Credential if hides_keys => Passage::Ours,
@@ -124,7 +125,8 @@
         }
     });
     let d = Dispatch {
-        job: job(service, rule, pass.as_ref().and_then(|p| p.rank), &ask),
+        job: job(service, rule, pass.as_ref().and_then(|p| p.rank), &ask)
+            .at_home(site.settings.load().zones_at_home(&homes)),
         pass: pass.as_ref(),
         taken,
         site: &site,
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -3,14 +3,19 @@
 use crate::edge::Feed;
 use limehollow::confirmation::KeyBound;
 use limehollow::freshness::ReadPace;
+use limehollow::id::{RegionName, ZoneName};
 use limehollow::quota::Allowance;
 use limehollow::rebalance::LoadCeiling;
 use limehollow::retry_window::RepeatAllowance;
 use limehollow_edge::settings::{Invalid, Settings, check_address, check_name, check_range};
 use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+/// The span over which requests to a cold endpoint are summed.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
 /// How the process decides, where there is more than one way.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -65,6 +70,9 @@
     /// The time after which a configuration is in force on all VMs, in ms.
     #[serde(default = "default_in_force_ms")]
     pub configuration_ms: u64,
+    /// The time after which an evacuated zone gets no new work, in ms; none where zones aren't evacuated.
+    #[serde(default)]
+    pub evacuation_ms: Option<u64>,
     /// The time after which a key that operators took away is of no use on any VM, in ms; none where only VMs that reach the
     /// store are bound.
     #[serde(default)]
@@ -78,6 +86,15 @@
     /// Tokens that they may use on top.
     #[serde(default)]
     pub quota_slack: f64,
+    /// How many times its rate a cold endpoint bears.
+    #[serde(default = "default_cold_over")]
+    pub cold_over: f64,
+    /// Requests that it bears on top.
+    #[serde(default = "default_cold_slack")]
+    pub cold_slack: f64,
+    /// The region of each zone.
+    #[serde(default)]
+    pub regions: BTreeMap<ZoneName, RegionName>,
     /// Repeats that are allowed for each request.
     pub repeat_ratio: f64,
     /// Repeats that are allowed on top, over all VMs.
@@ -111,6 +128,15 @@
     10_000
 }
 
+/// What a cold endpoint bears beyond its rate where a site says nothing else.
+fn default_cold_over() -> f64 {
+    1.5
+}
+
+fn default_cold_slack() -> f64 {
+    5.0
+}
+
 /// What the site's rules allow on top of the weight store's rate.
 fn default_load_slack() -> f64 {
     3.0
@@ -154,7 +180,8 @@
     /// Gives when the configuration is read, beside calls that wait for its changes.
     #[must_use]
     pub fn configuration_pace(&self) -> ReadPace {
-        ReadPace::configuration(Duration::from_millis(self.configuration_ms))
+        let evacuation = self.evacuation_ms.unwrap_or(u64::MAX);
+        ReadPace::configuration(Duration::from_millis(self.configuration_ms.min(evacuation)))
     }
 
     /// Gives for how long keys count, where that is bound.
@@ -174,6 +201,28 @@
         }
     }
 
+    /// Gives how far all VMs together may go beyond what a cold endpoint takes.
+    #[must_use]
+    pub fn cold_allowance(&self) -> Allowance {
+        Allowance {
+            window: COLD_WINDOW,
+            over: (self.cold_over - 1.0).max(0.0),
+            slack: self.cold_slack,
+        }
+    }
+
+    /// Gives the zones in which a request may run, by the regions that are named for it; none where it may run in any.
+    #[must_use]
+    pub fn zones_at_home(&self, homes: &[&[RegionName]]) -> Option<BTreeSet<ZoneName>> {
+        let named: Vec<_> = homes.iter().filter(|h| !h.is_empty()).collect();
+        if named.is_empty() {
+            return None;
+        }
+        let is_home = |r: &RegionName| named.iter().all(|h| h.contains(r));
+        let zones = self.regions.iter().filter(|(_, r)| is_home(r));
+        Some(zones.map(|(z, _)| z.clone()).collect())
+    }
+
     /// Gives the budget for repeats.
     #[must_use]
     pub fn repeats(&self) -> RepeatAllowance {
@@ -209,6 +258,9 @@
         check_range("lease_ms", self.lease_ms, 0..=600_000)?;
         check_range("leaving_ms", self.leaving_ms, 500..=600_000)?;
         check_range("configuration_ms", self.configuration_ms, 500..=600_000)?;
+        if let Some(ms) = self.evacuation_ms {
+            check_range("evacuation_ms", ms, 500..=600_000)?;
+        }
         if let Some(ms) = self.key_removal_ms {
             check_range("key_removal_ms", ms, 1_000..=600_000)?;
         }
@@ -223,6 +275,8 @@
             ("load_slack", self.load_slack),
             ("quota_over", self.quota_over),
             ("quota_slack", self.quota_slack),
+            ("cold_over", self.cold_over),
+            ("cold_slack", self.cold_slack),
         ];
         for (key, value) in ratios {
             if !(value.is_finite() && value >= 0.0) {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -21,7 +21,7 @@
 use limehollow::roster::{HoldingsReport, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -143,12 +143,38 @@
         );
         let limits = c.workspaces.all().iter();
         let limits = limits.filter_map(|w| Some((w.name.clone(), w.limit?)));
-        self.known().quotas.set_limits(self.now(), limits);
+        let cold = c.services.iter();
+        let cold = cold.filter_map(|(name, s)| Some((name.clone(), s.cold?)));
+        let now = self.now();
+        let mut known = self.known();
+        known.quotas.set_limits(now, limits);
+        known.set_cold_specs(now, cold);
+        drop(known);
         self.catalog.store(Some(Arc::new(c)));
         self.changed.notify_waiters();
         true
     }
 
+    /// Takes in that a zone is evacuated or taken back.
+    pub(crate) fn set_evacuated(&self, zone: &ZoneName, begins: bool) {
+        if self.known().roster.set_evacuated(zone, begins) {
+            if begins {
+                tracing::warn!(%zone, "the zone is evacuated: its endpoints get no new work");
+            } else {
+                tracing::warn!(%zone, "the zone is taken back");
+            }
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes all zones back that a whole reading doesn't name.
+    pub(crate) fn retain_evacuated(&self, named: &BTreeSet<ZoneName>) {
+        let known: BTreeSet<ZoneName> = self.known().roster.evacuated().cloned().collect();
+        for zone in known.difference(named) {
+            self.set_evacuated(zone, false);
+        }
+    }
+
     /// Says that the process is told to end.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -250,6 +276,7 @@
             catalog: self.catalog.load().as_deref().cloned(),
             endpoints: listed.cloned().collect(),
             unreadable: known.roster.unreadable().cloned().collect(),
+            evacuated: known.roster.evacuated().cloned().collect(),
         }
     }
 
@@ -264,6 +291,7 @@
                 "service": e.service,
                 "zone": e.zone,
                 "leaving": e.leaving,
+                "cold": known.balance.backpressure.is_cold(k),
                 "takes_per_s": known.balance.backpressure.rate(k),
                 "rests_ms": known.balance.backpressure.opens_in(now, k).map(|t| t.as_millis()),
                 "ejected": known.balance.is_ejected(now, k),
@@ -281,6 +309,7 @@
             "stopping": self.is_stopping(),
             "vms_heard_ms_ago": heard,
             "endpoints": endpoints.collect::<Vec<_>>(),
+            "evacuated_zones": known.roster.evacuated().collect::<Vec<_>>(),
             "unreadable_entries": known.roster.unreadable().collect::<Vec<_>>(),
             "requests_quarantined": quarantined(&known.quarantine, now),
             "configuration_confirmed_ms_ago": known.confirmation.age(now).map(|a| a.as_millis()),
@@ -318,11 +347,19 @@
         self.metrics.requests_suspected.set(count(suspected));
     }
 
-    /// Brings the metric on endpoints that name a limit up to date.
+    /// Brings the metrics on endpoints that take less up to date.
     pub(crate) fn show_backpressure(&self) {
-        let limited = self.known().balance.backpressure.limits().count();
-        let limited = i64::try_from(limited).unwrap_or(i64::MAX);
-        self.metrics.endpoints_limited.set(limited);
+        let known = self.known();
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        let wishes = &known.balance.backpressure;
+        self.metrics
+            .endpoints_limited
+            .set(count(wishes.limits().count()));
+        self.metrics
+            .endpoints_cold
+            .set(count(wishes.cold().count()));
+        let evacuated = known.roster.evacuated().count();
+        self.metrics.zones_evacuated.set(count(evacuated));
     }
 
     /// Takes in that a start of an endpoint has crashed, and tells the other VMs what it ran.
--- a/crates/limehollow-node/tests/endpoint_limits.rs
+++ b/crates/limehollow-node/tests/endpoint_limits.rs
@@ -8,8 +8,12 @@
 
 mod rig;
 
+use limehollow::catalog::{Catalog, ColdSpec, ServiceSpec};
+use limehollow::id::ServiceName;
 use limehollow::retry::Repeat;
+use limehollow::roster::Endpoint;
 use rig::{Does, Gateway, Server, answer, rule, status};
+use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -58,3 +62,71 @@
         }
     }
 }
+
+/// What a cold endpoint bears in a second beyond its rate.
+const COLD_RATE: f64 = 6.0;
+const BORNE_COLD: usize = 14;
+
+fn portal_is_cold_at_first() -> Catalog {
+    let spec = ServiceSpec {
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: None,
+        cold: Some(ColdSpec {
+            start: Duration::from_secs(3),
+            rate: COLD_RATE,
+        }),
+    };
+    let services = [(ServiceName::from("portal"), spec)];
+    let rules = vec![rule("/draft/", Repeat::Never, 1)];
+    let plain = rig::catalog(2, Vec::new());
+    Catalog::new(2, rules, services.into(), plain.limits)
+}
+
+#[tokio::test]
+async fn cold_endpoint_gets_what_it_bears() {
+    for vms in [1, 3] {
+        let whole = Does::Writes(answer(200, "1", "x-mark: 1\r\n", "ok"));
+        let server = Server::start(vec![whole]).await;
+        let mut gateways = Vec::new();
+        for _ in 0..vms {
+            let g = Gateway::start(rule("/draft/", Repeat::Never, 1), &[]).await;
+            g.site.set_catalog(portal_is_cold_at_first());
+            let mut known = g.site.known();
+            known.note_vms(Instant::now(), vms);
+            let cold = Endpoint {
+                cold_ms: 60_000,
+                ..rig::endpoint(0, server.address)
+            };
+            known.list(Instant::now(), cold);
+            drop(known);
+            gateways.push(g);
+        }
+        let answers = burst(&gateways, 60).await;
+        let reached = server.requests();
+        assert!(reached <= BORNE_COLD, "{reached} of 60 reached it");
+        let refused: Vec<_> = answers.iter().filter(|a| status(a) == 503).collect();
+        assert_eq!(refused.len(), 60 - reached);
+    }
+}
+
+#[tokio::test]
+async fn cold_endpoint_is_left_alone_while_others_have_room() {
+    let whole = || Does::Writes(answer(200, "1", "x-mark: 1\r\n", "ok"));
+    let (cold, warm) = (
+        Server::start(vec![whole()]).await,
+        Server::start(vec![whole()]).await,
+    );
+    let g = Gateway::start(rule("/draft/", Repeat::Never, 1), &[]).await;
+    g.site.set_catalog(portal_is_cold_at_first());
+    for (i, server, cold_ms) in [(0, &cold, 60_000), (1, &warm, 0)] {
+        let listed = Endpoint {
+            cold_ms,
+            ..rig::endpoint(i, server.address)
+        };
+        g.site.known().list(Instant::now(), listed);
+    }
+    let answers = burst(&[g], 20).await;
+    assert!(answers.iter().all(|a| status(a) == 200));
+    assert_eq!((cold.requests(), warm.requests()), (0, 20));
+}
--- a/crates/limehollow-node/tests/keys.rs
+++ b/crates/limehollow-node/tests/keys.rs
@@ -21,6 +21,7 @@
         rank: None,
         limit: None,
         cost: Cost::Request,
+        homes: Vec::new(),
     };
     let all = Workspaces::new(vec![workspace]).expect("valid");
     catalog(version, Vec::new()).with_workspaces(all)
--- a/crates/limehollow-node/tests/rig/crashing.rs
+++ b/crates/limehollow-node/tests/rig/crashing.rs
@@ -231,6 +231,7 @@
             zone: ZoneName::from(format!("z{}", n % 2)),
             slots: 6,
             leaving: false,
+            cold_ms: 0,
             holdings: BTreeMap::new(),
             copies: BTreeSet::new(),
         };
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -119,6 +119,7 @@
         Signals {
             leaving: headers.contains_key("x-leaving"),
             rate: number("x-rate").map_or(RateSignal::Unnamed, RateSignal::Named),
+            cold: number("x-cold").map(|ms| Duration::from_secs_f64(ms / 1000.0)),
             rest: number("x-rest")
                 .filter(|_| turned_away)
                 .map(Duration::from_secs_f64),
@@ -285,6 +286,7 @@
         rank: 0,
         max_attempts,
         open: false,
+        homes: Vec::new(),
     }
 }
 
@@ -306,6 +308,7 @@
         zone: "a".into(),
         slots: 6,
         leaving: false,
+        cold_ms: 0,
         holdings: BTreeMap::new(),
         copies: BTreeSet::new(),
     }
--- a/crates/limehollow-node/tests/workspaces.rs
+++ b/crates/limehollow-node/tests/workspaces.rs
@@ -22,6 +22,7 @@
         rank: None,
         limit,
         cost: Cost::Request,
+        homes: Vec::new(),
     }
 }
 
@@ -32,6 +33,7 @@
 fn rules() -> Vec<Rule> {
     let open = Rule {
         open: true,
+        homes: Vec::new(),
         ..rule("/open/", Repeat::Never, 1)
     };
     vec![rule("/draft/", Repeat::Never, 1), open]
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -6,6 +6,7 @@
 use limehollow::catalog::Catalog;
 use limehollow::crash_record::CrashRecord;
 use limehollow::freshness::Freshness;
+use limehollow::id::ZoneName;
 use limehollow::instance::Instance;
 use limehollow::job::Job;
 use limehollow::quota::Subject;
@@ -17,7 +18,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 7;
+pub const SCHEMA: u8 = 8;
 
 /// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -324,6 +325,8 @@
     pub endpoints: Vec<Endpoint>,
     /// The ids whose entries can't be read.
     pub unreadable: Vec<SmolStr>,
+    /// The zones that are evacuated.
+    pub evacuated: Vec<ZoneName>,
 }
 
 /// Writes a state.
--- a/crates/limehollow/src/backpressure.rs
+++ b/crates/limehollow/src/backpressure.rs
@@ -3,7 +3,8 @@
 //! An endpoint says three things in its answers: that it leaves, which is final for its start; how many requests a second it
 //! takes of all VMs together, as long as it says so; that it wants nothing of this VM for some time. The first belongs to the
 //! [`crate::roster`], the sum over all VMs to [`crate::quota`]; here is what one VM has heard of the other two
-//! (`docs/design/backpressure.md`).
+//! (`docs/design/backpressure.md`). Its entry on the list says one thing more: that it is cold, and for how long. Meanwhile it
+//! bears a rate that the configuration names.
 //!
 //! ```
 //! use limehollow::backpressure::{Backpressure, RateSignal, Signals};
@@ -58,6 +59,8 @@
     pub rate: RateSignal,
     /// For how long it wants nothing of this VM.
     pub rest: Option<Duration>,
+    /// For how long it is cold.
+    pub cold: Option<Duration>,
 }
 
 /// The rate that an endpoint named in one answer, and when it did.
@@ -122,12 +125,30 @@
     trial: bool,
 }
 
+/// How many requests an endpoint takes of all VMs together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Whether it is cold: more than its rate is borne for a second only.
+    pub is_cold: bool,
+}
+
+/// A time in which an endpoint is slow and falls over under its usual load.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    until: Instant,
+    /// What it bears meanwhile, in requests a second of all VMs together.
+    rate: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Row {
     word: Option<RateWord>,
     /// When the other VMs had to be told anew: the word changed, or one of them still had a limit that has ended.
     is_news_since: Option<Instant>,
     rest: Option<Rest>,
+    cold: Option<Cold>,
 }
 
 /// What one VM has heard of endpoints' wishes.
@@ -138,9 +159,42 @@
 
 /// Queries.
 impl Backpressure {
-    /// Gives the requests a second that an endpoint takes of all VMs together, where it names a limit.
+    /// Gives the requests a second that an endpoint takes of all VMs together, where it names a limit or is cold.
     #[must_use]
     pub fn rate(&self, key: EndpointKey) -> Option<f64> {
+        self.limit(key).map(|l| l.rate)
+    }
+
+    /// Gives what an endpoint takes of all VMs together, where it names a limit or is cold.
+    #[must_use]
+    pub fn limit(&self, key: EndpointKey) -> Option<EndpointLimit> {
+        let row = self.rows.get(key)?;
+        let named = row.word.and_then(|w| w.rate);
+        let cold = row.cold.map(|c| c.rate);
+        let rate = match (named, cold) {
+            (Some(a), Some(b)) => a.min(b),
+            (a, b) => a.or(b)?,
+        };
+        Some(EndpointLimit {
+            rate,
+            is_cold: cold.is_some(),
+        })
+    }
+
+    /// Tells whether an endpoint is cold.
+    #[must_use]
+    pub fn is_cold(&self, key: EndpointKey) -> bool {
+        self.rows.get(key).is_some_and(|r| r.cold.is_some())
+    }
+
+    /// Gives the endpoints that are cold.
+    pub fn cold(&self) -> impl Iterator<Item = EndpointKey> {
+        let rows = self.rows.iter();
+        rows.filter(|(_, r)| r.cold.is_some()).map(|(k, _)| k)
+    }
+
+    /// Gives the rate that an endpoint named itself.
+    fn named(&self, key: EndpointKey) -> Option<f64> {
         self.rows.get(key)?.word?.rate
     }
 
@@ -215,7 +269,7 @@
 
     /// Takes in an answer without a limit, which is of matter only where one was heard.
     fn end_limit(&mut self, now: Instant, key: EndpointKey, asked: Instant) -> RateChange {
-        if self.rate(key).is_none() {
+        if self.named(key).is_none() {
             return RateChange::Unchanged;
         }
         let word = RateWord {
@@ -245,6 +299,30 @@
         }
     }
 
+    /// Takes in that an endpoint is cold until then and bears so many requests a second meanwhile.
+    ///
+    /// What is told late names a later end. It is believed: an endpoint that is taken for cold for too long is only left alone
+    /// while others have room, one that is taken for warm too early falls over.
+    pub fn cool(&mut self, key: EndpointKey, until: Instant, rate: f64) {
+        let Some(row) = self.rows.entry(key) else {
+            return;
+        };
+        let row = row.or_default();
+        let until = row.cold.map_or(until, |c| c.until.max(until));
+        row.cold = Some(Cold { until, rate });
+    }
+
+    /// Ends the cold times that are over. Gives the endpoints that are warm from now on.
+    pub fn warm_up(&mut self, now: Instant) -> Vec<EndpointKey> {
+        let is_over = |r: &Row| r.cold.is_some_and(|c| now >= c.until);
+        let rows = self.rows.iter_mut().filter(|(_, r)| is_over(r));
+        let warm = rows.map(|(k, r)| {
+            r.cold = None;
+            k
+        });
+        warm.collect()
+    }
+
     /// A rest that was asked for in an answer that comes late counts as well: each of them was meant.
     fn rest(&mut self, until: Instant, key: EndpointKey) {
         let Some(row) = self.rows.entry(key) else {
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -280,7 +280,8 @@
         let mut found = Choice::NoEndpoint;
         let mut rest: Option<Duration> = None;
         let mut best: Option<Candidate> = None;
-        for (key, e) in roster.open(&job.service) {
+        let open = roster.open(&job.service);
+        for (key, e) in open.filter(|(_, e)| job.may_run_in(&e.zone)) {
             if let Some(wanted) = &job.model
                 && !holds(&e.holdings, wanted)
             {
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -3,7 +3,7 @@
 //! A catalog is the confirmed intent of a site whose operators publish configurations whole. It is
 //! swapped as one value, and never for an older one (`docs/design/system.md`).
 
-use crate::id::ServiceName;
+use crate::id::{RegionName, ServiceName};
 use crate::retry::Repeat;
 use crate::workspace::Workspaces;
 use serde::{Deserialize, Serialize};
@@ -40,6 +40,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key, also where there are workspaces.
     pub open: bool,
+    /// The regions in which a request may run; any where none is named.
+    pub homes: Vec<RegionName>,
 }
 
 /// A service's part of a rule's requests.
@@ -112,6 +114,17 @@
     pub max_connections: u32,
     /// What its endpoints can hold, if they run models.
     pub engine: Option<EngineSpec>,
+    /// What they bear after a start, if that is less than later.
+    pub cold: Option<ColdSpec>,
+}
+
+/// What an endpoint bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// For how long it is cold after a start.
+    pub start: Duration,
+    /// The requests a second that it takes meanwhile, of all VMs together.
+    pub rate: f64,
 }
 
 /// What callers may send and how long they may take.
--- a/crates/limehollow/src/id.rs
+++ b/crates/limehollow/src/id.rs
@@ -60,6 +60,10 @@
     /// The name of an availability zone.
     ZoneName
 }
+name! {
+    /// The name of a region: zones that are near each other, under one law.
+    RegionName
+}
 name! {
     /// The name of a VM: an entry VM of ours or an endpoint's.
     VmName
--- a/crates/limehollow/src/job.rs
+++ b/crates/limehollow/src/job.rs
@@ -1,8 +1,9 @@
 //! What a request asks of an endpoint.
 
-use crate::id::ServiceName;
+use crate::id::{ServiceName, ZoneName};
 use crate::roster::ModelRef;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::hash::Hasher;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -33,6 +34,8 @@
     pub rank: u8,
     /// Whether it is to run where it takes the fewest others along: its endpoint may end under it.
     pub isolated: bool,
+    /// The zones in which it may run; any where none is named.
+    pub zones: Option<BTreeSet<ZoneName>>,
     /// Hashes of the prompt's beginnings, the shortest first, each with the tokens that its last part
     /// adds.
     pub(crate) beginnings: Vec<(u64, u32)>,
@@ -49,6 +52,7 @@
             max_output: 0,
             rank,
             isolated: false,
+            zones: None,
             beginnings: Vec::new(),
         }
     }
@@ -77,9 +81,22 @@
             max_output,
             rank,
             isolated: false,
+            zones: None,
         }
     }
 
+    /// Gives the same job, which may run in these zones only; in any where none is named.
+    #[must_use]
+    pub fn at_home(self, zones: Option<BTreeSet<ZoneName>>) -> Self {
+        Self { zones, ..self }
+    }
+
+    /// Tells whether it may run in a zone.
+    #[must_use]
+    pub fn may_run_in(&self, zone: &ZoneName) -> bool {
+        self.zones.as_ref().is_none_or(|z| z.contains(zone))
+    }
+
     /// Gives the tokens that the request will hold in memory, as far as can be said before it runs.
     pub(crate) fn tokens(&self) -> f64 {
         f64::from(self.prompt_tokens) + 0.6 * f64::from(self.max_output)
--- a/crates/limehollow/src/quota.rs
+++ b/crates/limehollow/src/quota.rs
@@ -83,11 +83,11 @@
         }
     }
 
-    /// Gives what its limit comes to, where workspaces may go so far beyond theirs.
-    fn terms(&self, limit: Limit, workspaces: Allowance) -> Terms {
+    /// Gives what its limit comes to, where workspaces and endpoints may be used so far beyond theirs.
+    fn terms(&self, limit: Limit, workspaces: Allowance, endpoints: Allowance) -> Terms {
         match self {
             Self::Workspace(_) => workspaces.terms(limit),
-            Self::Endpoint(_) => ENDPOINTS.terms_storing(limit, ENDPOINT_STORED_SHARE),
+            Self::Endpoint(_) => endpoints.terms_storing(limit, ENDPOINT_STORED_SHARE),
         }
     }
 }
@@ -144,6 +144,13 @@
     slack: 5.0,
 };
 
+/// How far all VMs may go beyond what a cold endpoint bears: it falls over within a second.
+const COLD_ENDPOINTS: Allowance = Allowance {
+    window: Duration::from_secs(1),
+    over: 0.5,
+    slack: 5.0,
+};
+
 impl Default for Allowance {
     /// Allows nothing beyond the limit in a window of ten seconds.
     fn default() -> Self {
@@ -294,6 +301,8 @@
 #[derive(Debug)]
 pub struct Quotas {
     allowance: Allowance,
+    /// How far all VMs may go beyond what a cold endpoint bears.
+    cold: Allowance,
     /// How many VMs share the limits; zero while that isn't known, and then nothing is earned.
     vms: usize,
     accounts: BTreeMap<Subject, Account>,
@@ -307,6 +316,7 @@
     pub fn new(allowance: Allowance) -> Self {
         Self {
             allowance,
+            cold: COLD_ENDPOINTS,
             vms: 0,
             accounts: BTreeMap::new(),
         }
@@ -361,14 +371,25 @@
         self.accounts
             .retain(|s, _| matches!(s, Subject::Endpoint(_)) || limits.contains_key(s));
         for (subject, limit) in limits {
-            self.set_limit(now, subject, limit);
+            self.set_limit(now, subject, limit, ENDPOINTS);
         }
     }
 
     /// Puts the limit in force that an endpoint names, in requests a second.
     pub fn limit_endpoint(&mut self, now: Instant, id: &SmolStr, rate: f64) {
         let limit = Limit { rate, burst: 0.0 };
-        self.set_limit(now, Subject::Endpoint(id.clone()), limit);
+        self.set_limit(now, Subject::Endpoint(id.clone()), limit, ENDPOINTS);
+    }
+
+    /// Puts in force what an endpoint bears while it is cold, in requests a second.
+    pub fn limit_cold_endpoint(&mut self, now: Instant, id: &SmolStr, rate: f64) {
+        let limit = Limit { rate, burst: 0.0 };
+        self.set_limit(now, Subject::Endpoint(id.clone()), limit, self.cold);
+    }
+
+    /// Changes how far all VMs may go beyond what cold endpoints bear, for those that get cold from now on.
+    pub fn set_cold_allowance(&mut self, cold: Allowance) {
+        self.cold = cold;
     }
 
     /// Ends the limit of an endpoint.
@@ -387,8 +408,8 @@
         });
     }
 
-    fn set_limit(&mut self, now: Instant, subject: Subject, limit: Limit) {
-        let terms = subject.terms(limit, self.allowance);
+    fn set_limit(&mut self, now: Instant, subject: Subject, limit: Limit, endpoints: Allowance) {
+        let terms = subject.terms(limit, self.allowance, endpoints);
         let account = self.accounts.entry(subject);
         let account = account.or_insert_with(|| Account::new(now, limit, terms));
         account.earn(now, self.vms);
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -71,6 +71,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// For how long it was to stay cold when it wrote this, in ms.
+    pub cold_ms: u32,
     /// What it holds.
     pub holdings: Holdings,
     /// The models whose weights it has a copy of in its memory or on its disk, and can load soon.
@@ -157,6 +159,8 @@
     keys: BTreeMap<SmolStr, EndpointKey>,
     /// The ids whose entries can't be read: they name no endpoint to use.
     unreadable: BTreeSet<SmolStr>,
+    /// The zones whose endpoints get no new work, by the operators' word.
+    evacuated: BTreeSet<ZoneName>,
     /// Starts that said themselves that they leave, the last ones first. That outlasts their entries, which may go and come back with the
     /// platform's store.
     left: VecDeque<Instance>,
@@ -200,7 +204,22 @@
         service: &'r ServiceName,
     ) -> impl Iterator<Item = (EndpointKey, &'r Endpoint)> {
         self.iter()
-            .filter(move |(_, e)| e.service == *service && !e.leaving)
+            .filter(move |(_, e)| e.service == *service && self.is_open(e))
+    }
+
+    /// Tells whether an endpoint takes new work: it doesn't leave, nor is its zone evacuated.
+    #[must_use]
+    pub fn takes_work(&self, key: EndpointKey) -> bool {
+        self.get(key).is_some_and(|e| self.is_open(e))
+    }
+
+    fn is_open(&self, e: &Endpoint) -> bool {
+        !e.leaving && !self.evacuated.contains(&e.zone)
+    }
+
+    /// Gives the zones that are evacuated.
+    pub fn evacuated(&self) -> impl Iterator<Item = &ZoneName> {
+        self.evacuated.iter()
     }
 
     /// Tells how many endpoints there are.
@@ -274,6 +293,7 @@
                 let started = Endpoint {
                     instance: r.instance.clone(),
                     leaving: false,
+                    cold_ms: 0,
                     holdings: r.holdings.clone(),
                     copies: BTreeSet::new(),
                     ..row.endpoint.clone()
@@ -352,6 +372,15 @@
         news
     }
 
+    /// Evacuates a zone or takes it back. Gives whether that is news.
+    pub fn set_evacuated(&mut self, zone: &ZoneName, is_evacuated: bool) -> bool {
+        if is_evacuated {
+            self.evacuated.insert(zone.clone())
+        } else {
+            self.evacuated.remove(zone)
+        }
+    }
+
     /// Takes an endpoint out of use that is known to be gone, or to leave.
     pub fn leave(&mut self, key: EndpointKey) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/crates/limehollow/src/workspace.rs
+++ b/crates/limehollow/src/workspace.rs
@@ -13,12 +13,14 @@
 //!     rank: Some(1),
 //!     limit: None,
 //!     cost: Cost::Request,
+//!     homes: Vec::new(),
 //! };
 //! let workspaces = Workspaces::new(vec![mine]).unwrap();
 //! assert_eq!(workspaces.find(&KeyDigest::of("a key")).unwrap().name, "bookkeeping");
 //! assert!(workspaces.find(&KeyDigest::of("another key")).is_none());
 //! ```
 
+use crate::id::RegionName;
 use crate::quota::Limit;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -113,6 +115,8 @@
     pub limit: Option<Limit>,
     /// What a request counts against it.
     pub cost: Cost,
+    /// The regions in which its requests may run; any where none is named.
+    pub homes: Vec<RegionName>,
 }
 
 /// Why workspaces can't be put in force.
--- a/crates/limehollow/tests/backpressure.rs
+++ b/crates/limehollow/tests/backpressure.rs
@@ -53,6 +53,15 @@
         self.b.rate(self.key)
     }
 
+    fn cool(&mut self, until: u64, rate: f64) {
+        self.b.cool(self.key, self.t + ms(until), rate);
+    }
+
+    fn is_cold_after(&mut self, at: u64) -> bool {
+        self.b.warm_up(self.t + ms(at));
+        self.b.is_cold(self.key)
+    }
+
     fn opens_in(&self, at: u64) -> Option<Duration> {
         self.b.opens_in(self.t + ms(at), self.key)
     }
@@ -160,3 +169,31 @@
     assert_eq!(h.b.news(later, TOLD_FOR).count(), 1);
     assert_eq!(h.b.news(later + TOLD_FOR, TOLD_FOR).count(), 0);
 }
+
+#[test]
+fn cold_until_the_latest_end_that_was_told() {
+    let mut h = Hearing::new();
+    h.cool(3000, 19.0);
+    assert_eq!(h.rate(), Some(19.0));
+    // An entry that was written earlier and read late.
+    h.cool(1000, 19.0);
+    assert!(h.is_cold_after(2999));
+    assert!(!h.is_cold_after(3000));
+    assert_eq!(h.rate(), None);
+}
+
+#[test]
+fn cold_beside_a_limit_the_lower_one_counts() {
+    for (named_rate, expected) in [(2.0, 2.0), (50.0, 19.0)] {
+        let mut h = Hearing::new();
+        h.hear(0, 10, named(named_rate));
+        h.cool(3000, 19.0);
+        let limit = h.b.limit(h.key).expect("it is limited");
+        assert_eq!((limit.rate, limit.is_cold), (expected, true));
+        // An answer that names no limit says nothing of how cold the endpoint is.
+        h.hear(100, 110, Signals::default());
+        assert_eq!(h.rate(), Some(19.0));
+        assert!(!h.is_cold_after(3000));
+        assert_eq!(h.rate(), None);
+    }
+}
--- a/crates/limehollow/tests/quota.rs
+++ b/crates/limehollow/tests/quota.rs
@@ -32,13 +32,15 @@
     Workspace(Limit),
     /// That of an endpoint which takes so many requests a second.
     Endpoint(f64),
+    /// That of an endpoint which is cold and bears so many.
+    Cold(f64),
 }
 
 impl Whose {
     fn subject(self) -> Subject {
         match self {
             Self::Workspace(_) => WORKSPACE.into(),
-            Self::Endpoint(_) => Subject::Endpoint("i-0".into()),
+            Self::Endpoint(_) | Self::Cold(_) => Subject::Endpoint("i-0".into()),
         }
     }
 
@@ -46,7 +48,7 @@
     fn request(self) -> f64 {
         match self {
             Self::Workspace(_) => REQUEST,
-            Self::Endpoint(_) => 1.0,
+            Self::Endpoint(_) | Self::Cold(_) => 1.0,
         }
     }
 
@@ -56,6 +58,8 @@
             Self::Workspace(limit) => (allowance().window, allowance().bound(limit)),
             // An endpoint bears one and a half times what it takes, and five requests, in four seconds.
             Self::Endpoint(rate) => (Duration::from_secs(4), rate * 4.0 * 1.5 + 5.0),
+            // A cold one falls over at that within a second.
+            Self::Cold(rate) => (Duration::from_secs(1), rate * 1.5 + 5.0),
         }
     }
 
@@ -63,6 +67,7 @@
         match self {
             Self::Workspace(limit) => q.set_limits(now, [(WORKSPACE.into(), limit)]),
             Self::Endpoint(rate) => q.limit_endpoint(now, &"i-0".into(), rate),
+            Self::Cold(rate) => q.limit_cold_endpoint(now, &"i-0".into(), rate),
         }
     }
 }
@@ -253,6 +258,15 @@
     ask_greedily(site, rng);
 }
 
+/// The same of an endpoint that is cold.
+fn greedy_callers_of_a_cold_endpoint(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 3);
+    let vms = [1, 8, 73, 300][rng.random_range(0..4)];
+    let rate = [1.0, 6.0, 19.0, 80.0][rng.random_range(0..4)];
+    let site = Site::sharing(seed, vms, Whose::Cold(rate));
+    ask_greedily(site, rng);
+}
+
 fn ask_greedily(mut site: Site, mut rng: StdRng) {
     let vms = site.vms.len();
     site.lost = [0.0, 0.03, 0.5][rng.random_range(0..3)];
@@ -290,6 +304,14 @@
         .for_each(|seed| greedy_callers_of_an_endpoint(*seed));
 }
 
+#[test]
+fn sum_of_a_cold_endpoint_within_a_second_whatever_befalls_vms() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(60)
+        .for_each(|seed| greedy_callers_of_a_cold_endpoint(*seed));
+}
+
 #[test]
 fn terms_leave_room_for_what_is_on_its_way() {
     bolero::check!()
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -70,6 +70,7 @@
         zone: zone.into(),
         slots: 8,
         leaving: false,
+        cold_ms: 0,
         holdings,
         copies: std::collections::BTreeSet::new(),
     }
@@ -145,5 +146,6 @@
         rank: 0,
         max_attempts: 1,
         open: false,
+        homes: Vec::new(),
     }
 }
--- a/crates/limehollow/tests/workspace.rs
+++ b/crates/limehollow/tests/workspace.rs
@@ -9,6 +9,7 @@
         rank: None,
         limit: None,
         cost: Cost::Request,
+        homes: Vec::new(),
     }
 }
 
