--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -14,7 +14,7 @@
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
 use limehollow::workspace::KeyDigest;
-use limehollow_wire::gossip::{ListChange, State};
+use limehollow_wire::gossip::{ListChange, Members, State};
 use smol_str::SmolStr;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -161,12 +161,12 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>> + Send;
 
-    /// Puts this VM among those that others follow.
+    /// Puts VMs among those that others follow, with one call.
     ///
     /// # Errors
     ///
     /// As [`StoreError`] says.
-    fn announce(&self, vm: &Vm) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn announce(&self, vms: &[Vm]) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Joins the group of which one member holds the lease, or stays in it.
     ///
@@ -214,6 +214,26 @@
     /// What went wrong, for a log line.
     fn fetch(&self, from: SocketAddr) -> impl Future<Output = Result<State, String>> + Send;
 
+    /// Asks another VM for what a VM needs for a start; gives none while the other hasn't got it itself.
+    ///
+    /// # Errors
+    ///
+    /// What went wrong, for a log line.
+    fn fetch_start(
+        &self,
+        from: SocketAddr,
+    ) -> impl Future<Output = Result<Option<State>, String>> + Send;
+
+    /// Asks another VM for the VMs that it knows.
+    ///
+    /// # Errors
+    ///
+    /// What went wrong, for a log line.
+    fn fetch_members(
+        &self,
+        from: SocketAddr,
+    ) -> impl Future<Output = Result<Members, String>> + Send;
+
     /// Asks another VM for what it knows of requests under which endpoints crashed.
     ///
     /// # Errors
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -6,9 +6,10 @@
 
 use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
-use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState};
+use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState, position};
 use crate::list;
 use crate::site::Site;
+use crate::start::{self, jittered};
 use limehollow::freshness::ReadPace;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -27,6 +28,8 @@
 /// When after its start a VM looks again for VMs that started with it. Some make themselves known while it reads, and
 /// later ones send it messages. A call that waits would be woken by each of them: with 295 VMs four times a VM.
 const LOOK_AGAIN_AFTER: [Duration; 2] = [Duration::from_millis(1000), Duration::from_millis(4000)];
+/// When a VM asks again for the VMs of its site, about.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(2);
 /// The least time between two reads of a feed: what changes in between comes in one answer, and calls
 /// are priced.
 const PAUSE: Duration = Duration::from_millis(350);
@@ -42,23 +45,43 @@
         return list::follow(site, store, states).await;
     }
     let now = site.now();
+    let (next, is_given) = given(&site, feed);
     let mut w = WaitingFollower {
         f: Follower::new(site, states, feed),
         store,
-        next: None,
-        began: None,
+        next,
+        began: is_given.then_some(now),
         is_behind: false,
         pause: FIRST_PAUSE,
         looks: looks(now, feed),
     };
     loop {
         w.wait_for_turn().await;
+        if w.hears_of_vms() {
+            w.ask_for_vms().await;
+            continue;
+        }
         if let Some(answer) = w.read().await {
             w.take(answer).await;
         }
     }
 }
 
+/// Gives where to read a feed on that another VM handed over at the start, and whether one did.
+fn given<P>(site: &Site<P>, feed: Feed) -> (Option<u64>, bool)
+where
+    P: Protocol,
+{
+    match feed {
+        Feed::Configuration | Feed::Endpoints => {
+            let next = Some(position(site.positions(), feed)).filter(|at| *at > 0);
+            (next, next.is_some())
+        }
+        // Where the VMs are read on isn't handed over.
+        Feed::Vms => (None, site.known().has_vms),
+    }
+}
+
 /// Gives when a VM that starts now looks at a feed again.
 fn looks(now: Instant, feed: Feed) -> VecDeque<Instant> {
     match feed {
@@ -146,6 +169,37 @@
         }
     }
 
+    /// Tells whether this VM hears of other VMs from the one that reads for its zone, not from the store.
+    fn hears_of_vms(&self) -> bool {
+        self.f.feed == Feed::Vms
+            && self.next.is_none()
+            && self.f.site.known().has_vms
+            && self.role() == Role::Listens
+    }
+
+    /// Asks the VM that reads for the zone for the VMs that it knows; later, if it isn't known yet.
+    async fn ask_for_vms(&mut self) {
+        let now = self.f.site.now();
+        self.is_behind = false;
+        self.began = Some(now);
+        let reader = {
+            let known = self.f.site.known();
+            let reader = known.peers.zone_reader(now);
+            reader.and_then(|vm| known.peers.address(vm))
+        };
+        let members = match reader {
+            Some(address) => self.f.states.fetch_members(address).await,
+            None => Err("no VM is heard that reads for the zone".to_owned()),
+        };
+        match members {
+            Ok(m) => start::learn(&self.f.site, &m),
+            Err(why) => {
+                tracing::debug!(why, "the VMs of the site can't be asked for");
+                self.looks.push_front(now + jittered(ASK_AGAIN_AFTER));
+            }
+        }
+    }
+
     /// Makes one call. Gives none where it was given up, to be made anew without waiting or because another VM has
     /// handed its state over.
     async fn read(&mut self) -> Option<Answer> {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -184,7 +184,7 @@
                     let update = known.list(now, e);
                     drop(known);
                     self.site.note_restart(&instance, update, "list");
-                    if update.is_news || leaving {
+                    if leaving || update.is_news && !whole {
                         tracing::info!(%instance, leaving, ?learnt, position, "endpoint listed");
                     }
                     news = true;
@@ -195,9 +195,8 @@
                 }
                 Change::Vm(vm) => {
                     let mut known = self.site.known();
-                    known
-                        .peers
-                        .learn(vm.name, vm.zone, vm.address, vm.millicores);
+                    known.learn(&vm);
+                    known.note_listed(vm);
                 }
                 Change::Evacuation { zone, begins } => {
                     if begins {
@@ -221,6 +220,7 @@
             known.note_vms(now, 0);
         }
         if whole && self.feed == Feed::Endpoints {
+            tracing::info!(endpoints = seen.len(), ?learnt, position, "the whole list");
             self.site.known().roster.retain_unreadable(&seen);
             let known = ids(&self.site.known().roster);
             for id in known.difference(&seen) {
--- a/crates/limehollow-node/src/hearing.rs
+++ b/crates/limehollow-node/src/hearing.rs
@@ -30,15 +30,12 @@
     if heard.rate != RateChange::Unchanged {
         known.set_limit(now, to.key);
     }
-    let is_new = s
-        .cold
-        .is_some_and(|left| known.note_cold(now, to.key, left));
+    if let Some(left) = s.cold {
+        known.note_cold(now, to.key, left);
+    }
     let leaves = s.leaving && known.note_leaving(now, &to.instance);
     drop(known);
     log_rate(&to.instance, heard.rate, "the endpoint");
-    if is_new {
-        tracing::info!(endpoint = %to.instance, left_ms = s.cold.map(|c| c.as_millis()), "an endpoint says that it is cold");
-    }
     if let Some(rest) = heard.rest {
         site.metrics.rests.inc();
         tracing::info!(endpoint = %to.instance, rest_ms = rest.as_millis(), "an endpoint asks this VM for rest");
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -1,6 +1,6 @@
 //! What a process knows of endpoints, load, demand, the other VMs and requests that crash endpoints.
 
-use crate::edge::Feed;
+use crate::edge::{Feed, Vm};
 use crate::follower::position;
 use crate::logbook::may_log;
 use crate::outbox::Outbox;
@@ -23,6 +23,7 @@
 use limehollow::quota::Quotas;
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
+use limehollow::start_tree::StartTree;
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -31,7 +32,10 @@
 
 /// What is known of endpoints, load and demand.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each says another thing")]
 pub struct Known {
+    /// This VM.
+    me: Vm,
     /// The endpoints.
     pub roster: Roster,
     /// What is where.
@@ -84,6 +88,16 @@
     pub cold_specs: BTreeMap<ServiceName, ColdSpec>,
     /// Whether the VMs of the site were read from the store.
     pub has_vms: bool,
+    /// Whether another VM handed its state over at the start.
+    pub is_given: bool,
+    /// The VMs that the store shows.
+    pub listed: BTreeMap<SmolStr, Vm>,
+    /// Whether this VM is among them.
+    pub is_listed: bool,
+    /// VMs that the store doesn't show yet and that this one writes there.
+    pub unlisted: BTreeMap<SmolStr, Vm>,
+    /// From whom those get the state that asked this VM at their start.
+    pub start_tree: StartTree,
     /// VMs that keep pools or places and were silent lately.
     pub silences: Silences,
     /// What the other VMs said last of what they know of such requests, and where to ask for it.
@@ -95,6 +109,12 @@
     pub(crate) fn new(settings: &NodeSettings, now: Instant) -> Self {
         let zone = ZoneName::from(settings.availability_zone.as_str());
         Self {
+            me: Vm {
+                name: SmolStr::new(settings.name.as_str()),
+                zone: zone.clone(),
+                address: settings.peer_address(),
+                millicores: settings.millicores(),
+            },
             roster: Roster::default(),
             balance: Balance::new(zone.clone()),
             repeats: BTreeMap::new(),
@@ -125,6 +145,11 @@
             quotas: Quotas::new(settings.quota_allowance()),
             cold_specs: BTreeMap::new(),
             has_vms: false,
+            is_given: false,
+            listed: BTreeMap::new(),
+            is_listed: false,
+            unlisted: BTreeMap::new(),
+            start_tree: StartTree::default(),
             silences: Silences::default(),
             quarantines: BTreeMap::new(),
         }
@@ -136,6 +161,21 @@
         theirs > position(self.positions, feed)
     }
 
+    /// Takes in where a VM is.
+    pub(crate) fn learn(&mut self, vm: &Vm) -> bool {
+        let (name, zone) = (vm.name.clone(), vm.zone.clone());
+        self.peers.learn(name, zone, vm.address, vm.millicores)
+    }
+
+    /// Notes that the store shows a VM.
+    pub(crate) fn note_listed(&mut self, vm: Vm) {
+        if self.unlisted.get(&vm.name) == Some(&vm) {
+            self.unlisted.remove(&vm.name);
+        }
+        self.is_listed |= vm == self.me;
+        self.listed.insert(vm.name.clone(), vm);
+    }
+
     /// Takes in how many VMs another one knows of; limits are shared among the most that any knows. It is zero where that
     /// one doesn't know yet.
     pub fn note_vms(&mut self, now: Instant, told: usize) {
@@ -192,19 +232,21 @@
         }
     }
 
-    /// Takes in that an endpoint is cold for so long. Gives whether it bears less meanwhile, and wasn't known to be cold.
-    pub(crate) fn note_cold(&mut self, now: Instant, key: EndpointKey, left: Duration) -> bool {
-        let spec = self.roster.get(key).map(|e| &e.service);
-        let Some(spec) = spec.and_then(|s| self.cold_specs.get(s)) else {
-            return false;
+    /// Takes in that an endpoint is cold for so long, and bears less meanwhile.
+    pub(crate) fn note_cold(&mut self, now: Instant, key: EndpointKey, left: Duration) {
+        let Some(e) = self.roster.get(key).filter(|_| !left.is_zero()) else {
+            return;
+        };
+        let Some(spec) = self.cold_specs.get(&e.service) else {
+            return;
         };
-        if left.is_zero() {
-            return false;
-        }
         let was_cold = self.balance.backpressure.is_cold(key);
+        if !was_cold && may_log() {
+            let left_ms = left.as_millis();
+            tracing::info!(endpoint = %e.instance, left_ms, rate = spec.rate, "an endpoint is cold");
+        }
         self.balance.backpressure.cool(key, now + left, spec.rate);
         self.set_limit(now, key);
-        !was_cold
     }
 
     /// Takes in that a start of an endpoint is new, of which only another VM's report tells: the list says later how cold it is.
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -12,6 +12,7 @@
 //!   [`question`] is how VMs ask each other.
 //! * [`hearing`] takes in what endpoints say of what they want to be sent, and [`room`] is a request's part of an endpoint's limit.
 //! * `crash_probe` finds out whether an endpoint has crashed, and [`quarantine_sync`] has all VMs know which requests do that.
+//! * [`start`] is how a VM gets to know the site.
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
 //! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
@@ -59,3 +60,4 @@
 mod silence;
 pub mod site;
 mod small_server;
+pub mod start;
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -75,12 +75,14 @@
         return;
     };
     let now = site.now();
+    // Another VM may have handed the list over at the start.
+    let next = Some(site.positions().endpoints).filter(|at| *at > 0);
     let mut l = ListFollower {
         f: Follower::new(site, states, Feed::Endpoints),
         store,
         offers,
-        next: None,
-        began: None,
+        began: next.map(|_| now),
+        next,
         retry_at: now,
         failures: 0,
         luck: rand::random(),
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -6,13 +6,19 @@
 use crate::edge::{Protocol, States};
 use crate::site::Site;
 use crate::small_server;
+use crate::start;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1 as client;
 use hyper_util::rt::TokioIo;
 use limehollow::crash_record::CrashRecord;
-use limehollow_wire::gossip::{State, decode_crashes, decode_state, encode_crashes, encode_state};
+use limehollow_wire::gossip::{
+    Members, State, decode_crashes, decode_members, decode_state, encode_crashes, encode_members,
+    encode_state,
+};
+use snafu::Snafu;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +28,9 @@
 /// What is asked for: what has been read of the store, and the requests under which endpoints crashed.
 const STATE: &str = "/";
 const CRASHES: &str = "/crashes";
+/// What a VM asks for that starts: the state too, once it is whole.
+const START: &str = "/start";
+const MEMBERS: &str = "/members";
 /// How long a VM may take to hand over its state: some MB on the slowest links.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The largest state that is read: several times that of the largest deployment.
@@ -43,6 +52,8 @@
     P: Protocol,
 {
     let body = match path {
+        START if !start::has_all(site) => return empty(StatusCode::SERVICE_UNAVAILABLE),
+        MEMBERS => encode_members(&start::members(site)),
         CRASHES => {
             let records = site.known().quarantine.records(site.now());
             encode_crashes(&records)
@@ -53,13 +64,17 @@
         Ok(body) => Response::new(Full::new(Bytes::from(body))),
         Err(e) => {
             tracing::error!(error = %e, "the state can't be written");
-            let mut res = Response::new(Full::default());
-            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            res
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
 
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
+
 /// Fetches over HTTP what other VMs hand out with [`serve`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpStates;
@@ -70,32 +85,73 @@
         decode_state(&body).map_err(|e| e.to_string())
     }
 
+    async fn fetch_start(&self, from: SocketAddr) -> Result<Option<State>, String> {
+        match ask_in_time(from, START).await {
+            Ok(body) => decode_state(&body).map(Some).map_err(|e| e.to_string()),
+            Err(AskError::Status {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+            }) => Ok(None),
+            Err(e) => Err(e.to_string()),
+        }
+    }
+
+    async fn fetch_members(&self, from: SocketAddr) -> Result<Members, String> {
+        let body = ask_in_time(from, MEMBERS).await?;
+        decode_members(&body).map_err(|e| e.to_string())
+    }
+
     async fn fetch_crashes(&self, from: SocketAddr) -> Result<Vec<CrashRecord>, String> {
         let body = ask_in_time(from, CRASHES).await?;
         decode_crashes(&body).map_err(|e| e.to_string())
     }
 }
 
-async fn ask_in_time(from: SocketAddr, path: &'static str) -> Result<Bytes, String> {
+/// Why another VM gave nothing.
+#[derive(Debug, Snafu)]
+enum AskError {
+    #[snafu(display("no answer in time"))]
+    Silent,
+    #[snafu(display("status {}", status.as_u16()))]
+    Status { status: StatusCode },
+    #[snafu(display("{why}"))]
+    Broken { why: String },
+}
+
+impl From<AskError> for String {
+    fn from(e: AskError) -> Self {
+        e.to_string()
+    }
+}
+
+fn broken<E>(e: E) -> AskError
+where
+    E: Display,
+{
+    AskError::Broken { why: e.to_string() }
+}
+
+async fn ask_in_time(from: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
     let asked = timeout(FETCH_TIMEOUT, ask(from, path)).await;
-    asked.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    asked.unwrap_or(Err(AskError::Silent))
 }
 
-async fn ask(from: SocketAddr, path: &'static str) -> Result<Bytes, String> {
-    let stream = TcpStream::connect(from).await.map_err(|e| e.to_string())?;
+async fn ask(from: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
+    let stream = TcpStream::connect(from).await.map_err(broken)?;
     let handshake = client::handshake(TokioIo::new(stream)).await;
-    let (mut sender, driver) = handshake.map_err(|e| e.to_string())?;
+    let (mut sender, driver) = handshake.map_err(broken)?;
     let driver = tokio::spawn(driver);
     let mut req = Request::new(Full::<Bytes>::default());
     *req.uri_mut() = Uri::from_static(path);
     let host = HeaderValue::from_static("vm");
     req.headers_mut().insert(header::HOST, host);
-    let res = sender.send_request(req).await.map_err(|e| e.to_string())?;
-    if res.status() != StatusCode::OK {
-        return Err(format!("status {}", res.status().as_u16()));
+    let res = sender.send_request(req).await.map_err(broken)?;
+    let status = res.status();
+    if status != StatusCode::OK {
+        driver.abort();
+        return Err(AskError::Status { status });
     }
     let body = Limited::new(res.into_body(), MAX_STATE).collect().await;
-    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    let body = body.map_err(broken)?.to_bytes();
     driver.abort();
     Ok(body)
 }
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -111,13 +111,16 @@
     is_news
 }
 
-/// Reads what the store keeps, then keeps there what is quarantined or cleared, for as long as the process lives.
+/// Reads what the store keeps, unless another VM handed its state over, then keeps there what is quarantined or cleared, for as long
+/// as the process lives. What other VMs know is asked of them ([`follow_peers`]).
 pub async fn keep<P, S>(site: Arc<Site<P>>, store: S)
 where
     P: Protocol,
     S: Store,
 {
-    read(&site, &store).await;
+    if !site.known().is_given {
+        read(&site, &store).await;
+    }
     loop {
         let unsaved = site.quarantine_unsaved.notified();
         let next = site.known().quarantine.unsaved();
--- a/crates/limehollow-node/src/question.rs
+++ b/crates/limehollow-node/src/question.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::edge::Protocol;
 use crate::site::Site;
-use crate::{keys, limits, place};
+use crate::{keys, limits, place, start};
 use limehollow_wire::gossip::{About, Answer, Question, Reply};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -108,6 +108,7 @@
 {
     let reply = match q.about {
         About::Configuration => keys::confirmation(site),
+        About::Start(vm) => start::answer(site, &vm),
         About::Tokens { subject, tokens } => limits::grant(site, &subject, tokens),
         About::Place { job, tried } => place::answer(site, &job, &tried),
         About::Earnings {
--- a/crates/limehollow-node/src/reading.rs
+++ b/crates/limehollow-node/src/reading.rs
@@ -12,8 +12,8 @@
 struct Row {
     /// By this process's reading and by what others told.
     freshness: Freshness,
-    /// When the last read of its own began that was answered.
-    own: Instant,
+    /// When the last read of its own began that was answered; none while it has only what another VM handed over.
+    own: Option<Instant>,
     /// When the first read began that failed since then.
     failed: Option<Instant>,
 }
@@ -38,6 +38,12 @@
         self.rows.get(&feed).is_some_and(|r| r.failed.is_some())
     }
 
+    /// Tells whether this process can read a feed, as far as it has tried; one that has nothing yet can't.
+    #[must_use]
+    pub fn reads(&self, feed: Feed) -> bool {
+        self.rows.get(&feed).is_some_and(|r| r.failed.is_none())
+    }
+
     /// Gives what goes with this process's whole state: what it read and what it was told, since the state may have
     /// come from others. It doesn't go round: a state is taken by who is behind it.
     #[must_use]
@@ -57,7 +63,7 @@
     pub fn told(&self, now: Instant) -> Reading {
         let ages = |feed| {
             let row = self.rows.get(&feed).filter(|r| r.failed.is_none())?;
-            let own = Freshness::new(row.own, row.freshness.sound_since());
+            let own = Freshness::new(row.own?, row.freshness.sound_since());
             Some(Ages::at(now, own))
         };
         Reading {
@@ -77,7 +83,7 @@
         let Some(row) = self.rows.get_mut(&feed) else {
             let row = Row {
                 freshness: Freshness::first(began),
-                own: began,
+                own: Some(began),
                 failed: None,
             };
             self.rows.insert(feed, row);
@@ -86,7 +92,7 @@
         let complete_at = row.freshness.complete_at();
         let has_failed = row.failed.take().is_some_and(|t| t > complete_at);
         let is_long = began.saturating_duration_since(complete_at) > longest_gap;
-        row.own = began;
+        row.own = Some(began);
         row.freshness = row.freshness.read(began, has_failed || is_long);
     }
 
@@ -105,8 +111,8 @@
                 // A copy that came whole from another VM before this one could read the store.
                 let row = Row {
                     freshness: other,
-                    own: other.complete_at(),
-                    failed: Some(other.complete_at()),
+                    own: None,
+                    failed: None,
                 };
                 self.rows.insert(feed, row);
             }
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -89,9 +89,7 @@
                 let is_new = known.peers.receive(now, &w.from, w.start, w.number);
                 if is_new && zone == site.zone {
                     known.peers.note_store(&w.from, w.reaches_store);
-                    known
-                        .peers
-                        .note_list(&w.from, w.reading.endpoints.is_some());
+                    known.peers.note_list(&w.from, w.reads_list);
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
                     for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -1,17 +1,16 @@
 //! Puts the process together.
 
-use crate::edge::{Feed, Protocol, Store, Vm};
+use crate::edge::{Feed, Protocol, Store};
 use crate::peer_state::HttpStates;
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{
-    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync,
+    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync, start,
 };
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
 use limehollow_edge::settings;
-use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -19,7 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{interval, sleep};
+use tokio::time::interval;
 
 /// How often the settings file is looked at: it may change without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
@@ -27,8 +26,6 @@
 const SHOW_EVERY: Duration = Duration::from_secs(1);
 /// Dumps that may wait at once.
 const DUMPS: usize = 4;
-/// The time between tries to make this VM known.
-const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Runs the process until it is told to end.
 ///
@@ -57,13 +54,9 @@
     let site = Site::new(settings, protocol);
     let (stop_tx, stop) = watch::channel(false);
     let wanted = Arc::new(Notify::new());
-    for feed in [Feed::Configuration, Feed::Endpoints, Feed::Vms] {
-        let (site, store) = (Arc::clone(&site), store.clone());
-        tokio::spawn(follow::follow(site, store, HttpStates, feed));
-    }
-    tokio::spawn(announce(Arc::clone(&site), store.clone()));
+    tokio::spawn(start_following(Arc::clone(&site), store.clone()));
+    tokio::spawn(start::announce(Arc::clone(&site), store.clone()));
     tokio::spawn(quarantine_sync::follow_peers(Arc::clone(&site), HttpStates));
-    tokio::spawn(quarantine_sync::keep(Arc::clone(&site), store.clone()));
     tokio::spawn(gossip::send(
         Arc::clone(&site),
         Arc::clone(&socket),
@@ -97,6 +90,20 @@
     Ok(())
 }
 
+/// Gets to know the site, then follows what the store keeps.
+async fn start_following<P, S>(site: Arc<Site<P>>, store: S)
+where
+    P: Protocol,
+    S: Store,
+{
+    start::start(&site, &HttpStates).await;
+    for feed in [Feed::Configuration, Feed::Endpoints, Feed::Vms] {
+        let (site, store) = (Arc::clone(&site), store.clone());
+        tokio::spawn(follow::follow(site, store, HttpStates, feed));
+    }
+    quarantine_sync::keep(site, store).await;
+}
+
 async fn listen(address: &str) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -165,24 +172,6 @@
     }
 }
 
-/// Puts this VM among those that others follow.
-async fn announce<P, S>(site: Arc<Site<P>>, store: S)
-where
-    P: Protocol,
-    S: Store,
-{
-    let vm = Vm {
-        name: SmolStr::new(site.me.as_str()),
-        zone: site.zone.clone(),
-        address: site.settings.load().peer_address(),
-        millicores: site.settings.load().millicores(),
-    };
-    while let Err(e) = store.announce(&vm).await {
-        tracing::info!(error = %e, "this VM could not be made known yet");
-        sleep(ANNOUNCE_PAUSE).await;
-    }
-}
-
 /// Reads the settings again on SIGHUP, and when the file has changed without one.
 async fn reload<P>(site: Arc<Site<P>>, path: PathBuf)
 where
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -1,10 +1,10 @@
 //! What one VM says to the others, without the socket that it goes through.
 
-use crate::edge::Protocol;
+use crate::edge::{Feed, Protocol};
 use crate::known::Known;
 use crate::receiver::is_zone;
-use crate::settings::NodeSettings;
 use crate::site::Site;
+use crate::start;
 use limehollow::backpressure::RateWord;
 use limehollow::balance::{MESSAGE_LIFE, Taken};
 use limehollow::candidacy::Notice;
@@ -44,18 +44,6 @@
 /// A message and where it goes.
 pub type Outgoing = (Message, Vec<SocketAddr>);
 
-/// Gives where the datagrams of the VMs arrive that the settings name, other than this one's.
-fn seeds(settings: &NodeSettings) -> Vec<SocketAddr> {
-    let named = settings
-        .seeds
-        .iter()
-        .filter_map(|s| s.parse::<SocketAddr>().ok());
-    let others = named.filter(|a| a.ip() != settings.ip);
-    others
-        .map(|a| SocketAddr::new(a.ip(), settings.peer_port))
-        .collect()
-}
-
 /// What one VM says, without the socket that it goes through.
 #[derive(Debug)]
 pub struct Sender<P> {
@@ -81,7 +69,7 @@
         Self {
             start: rand::random(),
             number: 0,
-            seeds: seeds(&site.settings.load()),
+            seeds: start::named(&site.settings.load()),
             summed: site.now(),
             limits_said: site.now(),
             turn: 0,
@@ -195,6 +183,7 @@
             reading: known.readings.told(now),
             crashes,
             crashes_digest: known.quarantine.digest(),
+            reads_list: known.readings.reads(Feed::Endpoints),
             vms_known: u16::try_from(known.quotas.vms()).unwrap_or(u16::MAX),
             rates: Vec::new(),
             from: me,
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -10,6 +10,7 @@
 use crate::pool::Pool;
 use crate::question::Questions;
 use crate::settings::NodeSettings;
+use crate::start;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use limehollow::catalog::Catalog;
 use limehollow::fingerprint::Fingerprint;
@@ -66,6 +67,8 @@
     pub quarantine_unsaved: Notify,
     /// Told when a request waits for something that isn't loaded.
     pub urgent: Notify,
+    /// Told when there is a VM that the store doesn't show.
+    pub vm_unlisted: Notify,
     /// Questions to other VMs.
     pub questions: Questions,
     /// Told when the holder of the lease has resigned.
@@ -107,6 +110,7 @@
             crash_known: Notify::new(),
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
+            vm_unlisted: Notify::new(),
             questions: Questions::default(),
             lease_free: Notify::new(),
             eased: Notify::new(),
@@ -265,8 +269,14 @@
         }
     }
 
+    /// Tells whether this process has what another VM needs for a start.
+    pub fn has_all(&self) -> bool {
+        start::has_all(self)
+    }
+
     /// Gives what this process has read of the store, for a VM that can't read it.
     pub fn state(&self) -> State {
+        let members = start::members(self);
         let known = self.known();
         let listed = known.roster.iter().map(|(_, e)| e);
         let listed = listed.filter(|e| !known.withheld.contains(&e.instance.id));
@@ -277,6 +287,7 @@
             endpoints: listed.cloned().collect(),
             unreadable: known.roster.unreadable().cloned().collect(),
             evacuated: known.roster.evacuated().cloned().collect(),
+            members,
         }
     }
 
--- /dev/null
+++ b/crates/limehollow-node/src/start.rs
@@ -0,0 +1,345 @@
+//! How a VM that starts gets to know the site, when all others may be starting as well.
+//!
+//! The VMs that the settings name read the platform's store. Each other VM asks one of them from whom it gets the state
+//! ([`limehollow::start_tree`]) and takes it from there; the one that was asked makes it known to the rest, and writes all that asked
+//! it into the store with one call. So what the store is asked at a start doesn't grow with the VMs. Where none of the named VMs answers, the
+//! VM reads the store itself, at a moment of its own.
+
+use crate::edge::{Feed, Protocol, States, Store, StoreError, Vm};
+use crate::follower::{Follower, PeerState};
+use crate::settings::NodeSettings;
+use crate::site::Site;
+use limehollow::id::ZoneName;
+use limehollow::start_tree::Giver;
+use limehollow_wire::gossip::{About, Introduction, Member, Members, Reply, State};
+use rand::seq::SliceRandom;
+use smol_str::{SmolStr, format_smolstr};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long an answer from whom to get the state is waited for: all VMs may ask at once.
+const ANSWER_WITHIN: Duration = Duration::from_millis(250);
+/// The pause after all named VMs were silent; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// How often a VM that hasn't got the state yet is asked for it.
+const POLL_EVERY: Duration = Duration::from_millis(150);
+/// How long a VM is waited for that hasn't got the state yet: it may wait for its own parent.
+const GIVER_WITHIN: Duration = Duration::from_millis(2500);
+/// How often all named VMs are found silent before the store is read: they may be starting as well.
+const SILENT_ROUNDS: u32 = 2;
+/// How long a VM waits for named VMs that answer and have no state yet before it reads the store.
+const START_WITHIN: Duration = Duration::from_secs(6);
+/// Over which time VMs spread their first reading of the store that could get the state from nobody.
+const READ_SPREAD: Duration = Duration::from_secs(2);
+/// How long VMs that asked are gathered before they are written into the store together.
+const GATHER: Duration = Duration::from_millis(250);
+/// After how long a VM that the store doesn't show yet makes itself known; it doubles, up to the longest.
+const ANNOUNCE_AFTER: Duration = Duration::from_secs(8);
+const LONGEST_ANNOUNCE_PAUSE: Duration = Duration::from_secs(60);
+
+/// Gets the site's state from another VM, if one has it; otherwise what follows reads the store.
+pub async fn start<P, T>(site: &Arc<Site<P>>, states: &T)
+where
+    P: Protocol,
+    T: States,
+{
+    let began = site.now();
+    let mut named = named(&site.settings.load());
+    if named.is_empty() || is_named(&site.settings.load()) {
+        return;
+    }
+    named.shuffle(&mut rand::rng());
+    let mut pause = FIRST_PAUSE;
+    let mut silent = 0;
+    while silent < SILENT_ROUNDS && site.now() < began + START_WITHIN {
+        silent += 1;
+        for seed in &named {
+            match ask(site, states, *seed).await {
+                Asked::Given => {
+                    let took_ms = site.now().saturating_duration_since(began).as_millis();
+                    tracing::info!(took_ms, "the site's state is there");
+                    return;
+                }
+                Asked::NotYet => silent = 0,
+                Asked::Silent => {}
+            }
+        }
+        sleep(jittered(pause)).await;
+        pause *= 2;
+    }
+    tracing::warn!("no VM that the settings name hands its state over; the store is read");
+    sleep(READ_SPREAD.mul_f64(rand::random())).await;
+}
+
+/// Gives where the datagrams of the VMs arrive that the settings name, other than this one's.
+pub(crate) fn named(settings: &NodeSettings) -> Vec<SocketAddr> {
+    let all = settings
+        .seeds
+        .iter()
+        .filter_map(|s| s.parse::<SocketAddr>().ok());
+    let others = all.filter(|a| a.ip() != settings.ip);
+    others
+        .map(|a| SocketAddr::new(a.ip(), settings.peer_port))
+        .collect()
+}
+
+fn is_named(settings: &NodeSettings) -> bool {
+    let all = settings
+        .seeds
+        .iter()
+        .filter_map(|s| s.parse::<SocketAddr>().ok());
+    all.into_iter().any(|a| a.ip() == settings.ip)
+}
+
+/// Draws a time around this one, so that those that failed together don't come back together.
+pub(crate) fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..1.5))
+}
+
+/// What came of asking a VM for the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// It is there.
+    Given,
+    /// The VM answers, and the state couldn't be had yet.
+    NotYet,
+    /// The VM doesn't answer.
+    Silent,
+}
+
+/// Asks a VM from whom to get the state, and gets it there.
+async fn ask<P, T>(site: &Arc<Site<P>>, states: &T, vm: SocketAddr) -> Asked
+where
+    P: Protocol,
+    T: States,
+{
+    let about = About::Start(introduction(&myself(site)));
+    let reply = site.questions.ask(&site.clock, vm, about, ANSWER_WITHIN);
+    let Some(Reply::Giver(giver)) = reply.await else {
+        return Asked::Silent;
+    };
+    let giver = giver.unwrap_or(vm);
+    let Some(state) = wait_for_state(site, states, giver).await else {
+        return Asked::NotYet;
+    };
+    take_in(site, states, giver, &state);
+    Asked::Given
+}
+
+/// Waits until a VM has the state and hands it over; gives none if it is gone, or hasn't got it for too long.
+async fn wait_for_state<P, T>(site: &Site<P>, states: &T, giver: SocketAddr) -> Option<State>
+where
+    P: Protocol,
+    T: States,
+{
+    let until = site.now() + GIVER_WITHIN;
+    loop {
+        match states.fetch_start(giver).await {
+            Ok(Some(state)) => return Some(state),
+            Ok(None) if site.now() < until => sleep(jittered(POLL_EVERY)).await,
+            Ok(None) => return None,
+            Err(why) => {
+                tracing::debug!(%giver, why, "no state from another VM");
+                return None;
+            }
+        }
+    }
+}
+
+fn take_in<P, T>(site: &Arc<Site<P>>, states: &T, giver: SocketAddr, state: &State)
+where
+    P: Protocol,
+    T: States,
+{
+    learn(site, &state.members);
+    site.known().is_given = true;
+    for feed in [Feed::Configuration, Feed::Endpoints] {
+        let mut f = Follower::new(Arc::clone(site), states.clone(), feed);
+        let vm = format_smolstr!("{giver}");
+        f.take_state(PeerState {
+            vm,
+            state: state.clone(),
+        });
+    }
+}
+
+/// Takes in the VMs that another one knows.
+pub(crate) fn learn<P>(site: &Site<P>, members: &Members)
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let mut known = site.known();
+    for m in &members.vms {
+        let Some(vm) = vm(&m.vm) else {
+            continue;
+        };
+        known.learn(&vm);
+        if m.is_listed {
+            known.note_listed(vm);
+        }
+    }
+    known.has_vms |= members.has_all;
+    known.note_vms(now, 0);
+}
+
+/// Gives the VMs that this one knows, itself too.
+pub(crate) fn members<P>(site: &Site<P>) -> Members
+where
+    P: Protocol,
+{
+    let me = myself(site);
+    let known = site.known();
+    let others = known
+        .peers
+        .vms()
+        .map(|(name, zone, address, millicores)| Vm {
+            name: name.clone(),
+            zone: zone.clone(),
+            address,
+            millicores,
+        });
+    let vms = others.chain([me]).map(|vm| Member {
+        is_listed: known.listed.get(&vm.name) == Some(&vm),
+        vm: introduction(&vm),
+    });
+    Members {
+        vms: vms.collect(),
+        has_all: known.has_vms,
+    }
+}
+
+fn introduction(vm: &Vm) -> Introduction {
+    Introduction {
+        name: vm.name.clone(),
+        zone: SmolStr::new(vm.zone.as_str()),
+        address: format_smolstr!("{}", vm.address),
+        millicores: vm.millicores,
+    }
+}
+
+fn vm(said: &Introduction) -> Option<Vm> {
+    Some(Vm {
+        name: said.name.clone(),
+        zone: ZoneName::from(said.zone.as_str()),
+        address: said.address.parse().ok()?,
+        millicores: said.millicores,
+    })
+}
+
+/// Says to a VM that starts from whom it gets the state, and remembers it for those that follow.
+pub(crate) fn answer<P>(site: &Site<P>, said: &Introduction) -> Reply
+where
+    P: Protocol,
+{
+    let Some(vm) = vm(said) else {
+        return Reply::Giver(None);
+    };
+    let now = site.now();
+    let mut known = site.known();
+    known.learn(&vm);
+    let giver = known.start_tree.place(now, &vm.zone, vm.address);
+    if known.listed.get(&vm.name) != Some(&vm) {
+        known.unlisted.insert(vm.name.clone(), vm);
+        site.vm_unlisted.notify_one();
+    }
+    Reply::Giver(match giver {
+        Giver::Me => None,
+        Giver::Other(a) => Some(a),
+    })
+}
+
+/// Tells whether this VM has what others need for a start.
+pub(crate) fn has_all<P>(site: &Site<P>) -> bool
+where
+    P: Protocol,
+{
+    let known = site.known();
+    let p = known.positions;
+    known.has_vms && p.endpoints > 0 && p.configuration > 0 && site.catalog.load().is_some()
+}
+
+/// Has the store show this VM, and those that asked this one at their start, for as long as the process lives.
+///
+/// An append takes its turn among those of all VMs, so one that comes from each VM waits for all others. What is
+/// given up may still be carried out: it is sent again later and later.
+pub async fn announce<P, S>(site: Arc<Site<P>>, store: S)
+where
+    P: Protocol,
+    S: Store,
+{
+    let mut pause = ANNOUNCE_AFTER;
+    let mut own_due = site.now() + own_turn(&site);
+    loop {
+        let due = (!site.known().is_listed).then_some(own_due);
+        tokio::select! {
+            () = site.vm_unlisted.notified() => sleep(GATHER).await,
+            () = until(&site, due) => {
+                // Another VM may have made it known meanwhile.
+                if site.known().is_listed {
+                    continue;
+                }
+                let me = myself(&site);
+                site.known().unlisted.insert(me.name.clone(), me);
+                own_due = site.now() + jittered(pause);
+                pause = (pause * 2).min(LONGEST_ANNOUNCE_PAUSE);
+            }
+        }
+        if let Err(e) = write_unlisted(&site, &store).await {
+            tracing::info!(error = %e, "VMs could not be made known yet");
+            sleep(jittered(pause)).await;
+            pause = (pause * 2).min(LONGEST_ANNOUNCE_PAUSE);
+            site.vm_unlisted.notify_one();
+        }
+    }
+}
+
+/// Gives after how long this VM makes itself known, if nobody has done so for it: at once where it is among those that others ask.
+fn own_turn<P>(site: &Site<P>) -> Duration {
+    let settings = site.settings.load();
+    if settings.seeds.is_empty() || is_named(&settings) {
+        Duration::ZERO
+    } else {
+        jittered(ANNOUNCE_AFTER)
+    }
+}
+
+async fn until<P>(site: &Site<P>, due: Option<Instant>)
+where
+    P: Protocol,
+{
+    match due {
+        Some(t) => site.clock.sleep_until(t).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn myself<P>(site: &Site<P>) -> Vm {
+    let settings = site.settings.load();
+    Vm {
+        name: SmolStr::new(site.me.as_str()),
+        zone: site.zone.clone(),
+        address: settings.peer_address(),
+        millicores: settings.millicores(),
+    }
+}
+
+/// Writes the VMs into the store that it doesn't show yet.
+async fn write_unlisted<P, S>(site: &Site<P>, store: &S) -> Result<(), StoreError>
+where
+    P: Protocol,
+    S: Store,
+{
+    let vms: Vec<Vm> = site.known().unlisted.values().cloned().collect();
+    if vms.is_empty() {
+        return Ok(());
+    }
+    store.announce(&vms).await?;
+    let mut known = site.known();
+    for vm in vms {
+        known.note_listed(vm);
+    }
+    Ok(())
+}
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -16,23 +16,33 @@
 use limehollow_node::gossip::{Outgoing, Sender, hear};
 use limehollow_node::quarantine_sync::follow_peers;
 use limehollow_node::site::Site;
-use limehollow_node::{keys, limits, question};
-use limehollow_wire::gossip::{About, Question, State, encode_crashes};
+use limehollow_node::{keys, limits, question, start};
+use limehollow_wire::gossip::{About, Members, Question, State, encode_crashes, encode_state};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
 /// The way of a message or a state between two VMs.
 const WAY: Duration = Duration::from_millis(2);
+/// What the store reads out in one answer, how long its client waits for one, how long an append takes and how many wait.
+const PAGE: usize = 500;
+const READ_WITHIN: Duration = Duration::from_millis(1200);
+const APPEND: Duration = Duration::from_millis(4);
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+/// The bytes a second of a VM's link: that of the weakest on the users' sites.
+const LINK_BYTES_PER_S: f64 = 2.5e6;
 /// How often a test looks whether all VMs know.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// How long it looks at most.
 const LOOK_FOR: Duration = Duration::from_secs(60);
 
+/// The time in which an endpoint that leaves is out of use on a site of many hundred VMs.
+const COLD_LEAVING_MS: u64 = 5000;
+
 /// After how long a key that was taken away must be of no use.
 pub const KEY_REMOVAL_MS: u64 = 5000;
 
@@ -57,10 +67,102 @@
     silences: u64,
 }
 
+/// What the store does for all VMs together: one append at a time, and so many bytes a second.
+#[derive(Clone, Debug)]
+pub struct Turns(Arc<Mutex<Busy>>);
+
+#[derive(Debug)]
+struct Busy {
+    /// Entries that it reads out in a second; endless where a test doesn't care.
+    entries_per_s: f64,
+    reads_until: Instant,
+    appends_until: Instant,
+    /// What it was asked for: entries, and appends.
+    entries: usize,
+    appends: usize,
+}
+
+impl Default for Turns {
+    fn default() -> Self {
+        Self::new(f64::INFINITY)
+    }
+}
+
+impl Turns {
+    fn new(entries_per_s: f64) -> Self {
+        let now = Instant::now();
+        Self(Arc::new(Mutex::new(Busy {
+            entries_per_s,
+            reads_until: now,
+            appends_until: now,
+            entries: 0,
+            appends: 0,
+        })))
+    }
+
+    /// Gives the entries that were asked for so far, and the appends.
+    pub fn asked(&self) -> (usize, usize) {
+        let busy = self.0.lock().expect("sound");
+        (busy.entries, busy.appends)
+    }
+
+    /// Waits for the turn of some entries, page by page. A page that doesn't come in time is given up; the store reads it out all the same.
+    async fn read(&self, entries: usize) -> Result<(), StoreError> {
+        let mut left = entries;
+        while left > 0 {
+            let page = left.min(PAGE);
+            left -= page;
+            let wait = {
+                let mut busy = self.0.lock().expect("sound");
+                busy.entries += page;
+                let took = at_rate(page, busy.entries_per_s);
+                busy.reads_until = busy.reads_until.max(Instant::now()) + took;
+                busy.reads_until - Instant::now()
+            };
+            if timeout(READ_WITHIN, sleep(wait)).await.is_err() {
+                return Err(late("newest"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for the turn of an append, which is turned away where too many wait.
+    async fn append(&self) -> Result<(), StoreError> {
+        let wait = {
+            let mut busy = self.0.lock().expect("sound");
+            busy.appends += 1;
+            let wait = busy.appends_until.saturating_duration_since(Instant::now());
+            if wait > LONGEST_QUEUE {
+                return Err(StoreError::TurnedAway {
+                    call: "announce",
+                    status: 503,
+                });
+            }
+            busy.appends_until = Instant::now() + wait + APPEND;
+            wait + APPEND
+        };
+        sleep(wait).await;
+        Ok(())
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "tests count little")]
+fn at_rate(n: usize, per_s: f64) -> Duration {
+    Duration::from_secs_f64(n as f64 / per_s)
+}
+
+fn late(call: &'static str) -> StoreError {
+    StoreError::NoAnswer {
+        call,
+        why: "timed out".to_owned(),
+    }
+}
+
 /// The store as one VM reaches it.
 #[derive(Clone, Debug)]
 pub struct Link {
     store: Memory,
+    turns: Turns,
     treatment: Arc<Mutex<Treatment>>,
 }
 
@@ -106,7 +208,9 @@
 
 impl Store for Link {
     async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
-        self.call(self.store.newest(feed)).await
+        let whole = self.call(self.store.newest(feed)).await?;
+        self.turns.read(whole.changes.len()).await?;
+        Ok(whole)
     }
 
     async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
@@ -131,8 +235,9 @@
         })
     }
 
-    async fn announce(&self, _: &Vm) -> Result<(), StoreError> {
-        Ok(())
+    async fn announce(&self, vms: &[Vm]) -> Result<(), StoreError> {
+        self.turns.append().await?;
+        self.call(self.store.announce(vms)).await
     }
 
     async fn join(&self, _: &str, _: u64) -> Result<Dealt, StoreError> {
@@ -194,6 +299,8 @@
     questions: BTreeMap<&'static str, usize>,
     /// Bytes of records of crashing requests that reached each VM.
     crash_bytes: BTreeMap<SocketAddr, usize>,
+    /// Until when each VM's link is full with states that it hands over, and how many it has handed over.
+    sending: BTreeMap<SocketAddr, (Instant, usize)>,
 }
 
 impl Net {
@@ -217,6 +324,16 @@
         *ways.crash_bytes.entry(to).or_default() += bytes;
     }
 
+    /// Gives how long a VM takes to send so many bytes after all that it sends already.
+    fn sends(&self, vm: SocketAddr, bytes: usize) -> Duration {
+        let now = Instant::now();
+        let mut ways = self.0.lock().expect("sound");
+        let (until, states) = ways.sending.entry(vm).or_insert((now, 0));
+        *until = now.max(*until) + at_rate(bytes, LINK_BYTES_PER_S);
+        *states += 1;
+        *until - now
+    }
+
     fn stands_still(&self, vm: SocketAddr) -> bool {
         self.0.lock().expect("sound").still.contains(&vm)
     }
@@ -231,6 +348,7 @@
     fn note_question(&self, q: &Question) {
         let about = match q.about {
             About::Configuration => "configuration",
+            About::Start(_) => "start",
             About::Tokens { .. } => "tokens",
             About::Place { .. } => "place",
             About::Earnings { .. } => "earnings",
@@ -292,6 +410,24 @@
         Ok(site.state())
     }
 
+    async fn fetch_start(&self, from: SocketAddr) -> Result<Option<State>, String> {
+        sleep(WAY).await;
+        let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
+        if !site.has_all() {
+            return Ok(None);
+        }
+        let state = site.state();
+        let bytes = encode_state(&state).expect("it can be written").len();
+        sleep(self.0.sends(from, bytes)).await;
+        Ok(Some(state))
+    }
+
+    async fn fetch_members(&self, from: SocketAddr) -> Result<Members, String> {
+        sleep(WAY).await;
+        let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
+        Ok(site.state().members)
+    }
+
     async fn fetch_crashes(&self, from: SocketAddr) -> Result<Vec<CrashRecord>, String> {
         sleep(WAY).await;
         let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
@@ -306,6 +442,8 @@
 pub struct Fleet {
     pub store: Memory,
     pub vms: Vec<Entry>,
+    /// What the store does for all of them together.
+    pub turns: Turns,
     net: Net,
 }
 
@@ -321,6 +459,7 @@
         let mut fleet = Self {
             store: store.clone(),
             vms: Vec::new(),
+            turns: Turns::default(),
             net: net.clone(),
         };
         for i in 0..vms {
@@ -334,6 +473,98 @@
         fleet
     }
 
+    /// Starts a site whose VMs know nothing but the first few, all at once, before a store that reads out so many entries a second.
+    pub fn cold(zones: usize, vms: usize, endpoints: usize, entries_per_s: f64) -> Self {
+        let store = Memory::default();
+        store.add(
+            Feed::Configuration,
+            Change::Catalog(Box::new(catalog(1, Vec::new()))),
+        );
+        for i in 0..endpoints {
+            store.add(Feed::Endpoints, Change::Endpoint(listed(i)));
+        }
+        let mut fleet = Self {
+            store,
+            vms: Vec::new(),
+            turns: Turns::new(entries_per_s),
+            net: Net::default(),
+        };
+        for i in 0..vms {
+            fleet.add(i, i % zones, COLD_LEAVING_MS, i < zones);
+        }
+        for i in 0..vms {
+            fleet.run_cold(i);
+        }
+        fleet
+    }
+
+    /// Kills all VMs and starts them again, which know nothing then; the store goes on showing them.
+    pub fn restart_all_cold(&mut self) {
+        for i in 0..self.vms.len() {
+            self.kill(i);
+            let (zone, settings) = (self.vms[i].zone, self.vms[i].site.settings.load_full());
+            let is_strong = settings.cores > 0.25;
+            self.vms[i] = self.make(i, zone, settings.leaving_ms, is_strong);
+        }
+        for i in 0..self.vms.len() {
+            self.run_cold(i);
+        }
+    }
+
+    /// Gives how long it takes from now on until all running VMs have the configuration, so many endpoints, and know how many
+    /// they are.
+    pub async fn all_ready(&self, endpoints: usize) -> Duration {
+        let began = Instant::now();
+        let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
+        let n = running.clone().count();
+        let has_all = |v: &&Entry| {
+            let known = v.site.known();
+            v.site.catalog.load().is_some() && known.roster.len() >= endpoints
+        };
+        while began.elapsed() < LOOK_FOR && running.clone().filter(has_all).count() < n {
+            sleep(LOOK_EVERY).await;
+        }
+        began.elapsed()
+    }
+
+    /// Gives the most states that one VM has handed over, the named ones left out.
+    pub fn most_handed_over(&self) -> usize {
+        let ways = self.net.0.lock().expect("sound");
+        ways.sending.values().map(|(_, n)| *n).max().unwrap_or(0)
+    }
+
+    /// Gives the fewest VMs of its zone that a running VM knows, itself left out.
+    pub fn fewest_neighbours(&self) -> usize {
+        let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
+        let neighbours = running.map(|v| v.site.known().peers.neighbours().len());
+        neighbours.min().unwrap_or(0)
+    }
+
+    fn run_cold(&mut self, i: usize) {
+        self.run_without_feeds(i);
+        let vm = &mut self.vms[i];
+        let address = vm.site.settings.load().peer_address();
+        let states = Neighbours(self.net.clone(), vm.zone, address);
+        let (site, link) = (Arc::clone(&vm.site), vm.link.clone());
+        vm.tasks.push(tokio::spawn(start::announce(
+            Arc::clone(&site),
+            link.clone(),
+        )));
+        vm.tasks.push(tokio::spawn(async move {
+            start::start(&site, &states).await;
+            let mut feeds = JoinSet::new();
+            for feed in [Feed::Configuration, Feed::Endpoints, Feed::Vms] {
+                feeds.spawn(follow(
+                    Arc::clone(&site),
+                    link.clone(),
+                    states.clone(),
+                    feed,
+                ));
+            }
+            feeds.join_all().await;
+        }));
+    }
+
     fn add(&mut self, i: usize, zone: usize, leaving_ms: u64, is_strong: bool) {
         let entry = self.make(i, zone, leaving_ms, is_strong);
         self.vms.push(entry);
@@ -346,7 +577,8 @@
         let own = format!(
             "name = \"{name}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = 7000\ncores = {cores}\n\
              leaving_ms = {leaving_ms}\nconfiguration_ms = {leaving_ms}\nkey_removal_ms = {KEY_REMOVAL_MS}\n\
-             quota_window_ms = 8000\nquota_over = 0.1\nquota_slack = 11000.0\n"
+             quota_window_ms = 8000\nquota_over = 0.1\nquota_slack = 11000.0\n\
+             seeds = [\"127.1.0.1:1\", \"127.1.0.2:1\", \"127.1.0.3:1\"]\n"
         );
         let site = Site::new(parse_settings(&own), Plain);
         let address = site.settings.load().peer_address();
@@ -355,6 +587,7 @@
         drop(ways);
         let link = Link {
             store: self.store.clone(),
+            turns: self.turns.clone(),
             treatment: Arc::default(),
         };
         Entry {
@@ -400,19 +633,24 @@
     }
 
     fn run(&mut self, i: usize) {
+        self.run_without_feeds(i);
         let vm = &mut self.vms[i];
         let address = vm.site.settings.load().peer_address();
         let states = Neighbours(self.net.clone(), vm.zone, address);
-        vm.tasks.push(tokio::spawn(follow_peers(
-            Arc::clone(&vm.site),
-            states.clone(),
-        )));
         for feed in [Feed::Configuration, Feed::Endpoints] {
             let states = states.clone();
             let (site, link) = (Arc::clone(&vm.site), vm.link.clone());
             vm.tasks
                 .push(tokio::spawn(follow(site, link, states, feed)));
         }
+    }
+
+    fn run_without_feeds(&mut self, i: usize) {
+        let vm = &mut self.vms[i];
+        let address = vm.site.settings.load().peer_address();
+        let states = Neighbours(self.net.clone(), vm.zone, address);
+        vm.tasks
+            .push(tokio::spawn(follow_peers(Arc::clone(&vm.site), states)));
         let (net, site, from) = (self.net.clone(), Arc::clone(&vm.site), (vm.zone, address));
         vm.tasks.push(tokio::spawn(async move {
             let mut rx = site
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -27,7 +27,7 @@
 };
 use limehollow_node::settings::NodeSettings;
 use limehollow_node::site::Site;
-use limehollow_wire::gossip::State;
+use limehollow_wire::gossip::{Members, State};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -396,6 +396,14 @@
         Err("no other VM is there".to_owned())
     }
 
+    async fn fetch_start(&self, _: SocketAddr) -> Result<Option<State>, String> {
+        Err("no other VM is there".to_owned())
+    }
+
+    async fn fetch_members(&self, _: SocketAddr) -> Result<Members, String> {
+        Err("no other VM is there".to_owned())
+    }
+
     async fn fetch_crashes(&self, _: SocketAddr) -> Result<Vec<CrashRecord>, String> {
         Err("no other VM is there".to_owned())
     }
@@ -545,7 +553,10 @@
         Ok(self.transferred(later).await)
     }
 
-    async fn announce(&self, _: &Vm) -> Result<(), StoreError> {
+    async fn announce(&self, vms: &[Vm]) -> Result<(), StoreError> {
+        for vm in vms {
+            self.add(Feed::Vms, Change::Vm(vm.clone()));
+        }
         Ok(())
     }
 
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::ResultExt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -154,6 +155,8 @@
     pub crashes_digest: u64,
     /// How many VMs it knows of, this one too: limits are shared among so many.
     pub vms_known: u16,
+    /// Whether it can read the list of endpoints in the platform's store, as far as it has tried.
+    pub reads_list: bool,
     /// The limits that endpoints name, and those that have ended lately.
     pub rates: Vec<RateSaid>,
 }
@@ -217,11 +220,44 @@
     pub about: About,
 }
 
+/// What a VM says of itself to one that doesn't know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Introduction {
+    /// Its name.
+    pub name: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Where its datagrams arrive, as `IP:PORT`.
+    pub address: SmolStr,
+    /// Its processor, in thousandths of a core.
+    pub millicores: u32,
+}
+
+/// A VM that another one knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The VM.
+    pub vm: Introduction,
+    /// Whether the platform's store shows it.
+    pub is_listed: bool,
+}
+
+/// The VMs that one VM knows, itself too.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    /// The VMs.
+    pub vms: Vec<Member>,
+    /// Whether it has read all that the store shows, or heard from one that has.
+    pub has_all: bool,
+}
+
 /// What a question is about.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum About {
     /// How old the other's configuration is at most.
     Configuration,
+    /// From whom this VM, which has just started, gets the site's state.
+    Start(Introduction),
     /// Tokens of a limit for a request.
     Tokens {
         /// Whose limit.
@@ -279,6 +315,8 @@
         /// How many VMs the other knows of.
         vms_known: u16,
     },
+    /// The VM that hands the state over, as the address of its datagrams; none for the one that was asked.
+    Giver(Option<SocketAddr>),
     /// The tokens were taken out of the pool for who asked.
     Granted,
     /// The pool has too few; in how many ms it has enough.
@@ -327,6 +365,8 @@
     pub unreadable: Vec<SmolStr>,
     /// The zones that are evacuated.
     pub evacuated: Vec<ZoneName>,
+    /// The VMs of the site.
+    pub members: Members,
 }
 
 /// Writes a state.
@@ -347,6 +387,24 @@
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
+/// Writes the VMs that one knows.
+///
+/// # Errors
+///
+/// [`crate::Error::Binary`] if they can't be written.
+pub fn encode_members(m: &Members) -> Result<Vec<u8>> {
+    postcard::to_extend(m, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
+}
+
+/// Reads the VMs that another one knows.
+///
+/// # Errors
+///
+/// [`crate::Error::Version`] or [`crate::Error::Binary`].
+pub fn decode_members(bytes: &[u8]) -> Result<Members> {
+    postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
+}
+
 /// Writes records of requests under which endpoints crashed.
 ///
 /// # Errors
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`workspace`], [`confirmation`] and [`quota`] say who callers are, for how long a key counts and what a workspace may use
 //!   (`docs/design/workspaces.md`).
 //! * [`backpressure`] is what endpoints say of what they want to be sent (`docs/design/backpressure.md`).
+//! * [`start_tree`] says from whom a VM that starts gets what the others know (`docs/design/fleet.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
 //!   [`group_lease`], [`late_loads`], [`load_window`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
@@ -77,6 +78,7 @@
 pub mod retry_window;
 pub mod roster;
 pub mod routing;
+pub mod start_tree;
 pub mod verdict;
 pub mod workspace;
 
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -57,6 +57,8 @@
     /// Whether it can read the list of endpoints, as far as it said.
     reads_list: bool,
     heard: Option<Instant>,
+    /// When this VM learnt of it.
+    learnt: Instant,
     /// The starts of its process that were heard, the last one first.
     starts: VecDeque<u64>,
     /// The number of its last message in the last start.
@@ -143,7 +145,7 @@
     /// Counts the VMs of the zone that can read the store and are stronger than this one.
     fn reader_rank(&self, now: Instant) -> usize {
         let mine = (Reverse(self.millicores), &self.me);
-        let readers = self.heard_here(now).filter(|(_, p)| p.reads_list);
+        let readers = self.present_here(now).filter(|(_, p)| p.reads_list);
         let before = readers.filter(|(name, p)| (Reverse(p.millicores), *name) < mine);
         before.count()
     }
@@ -198,6 +200,12 @@
         name == self.me || self.rows.get(name).is_some_and(here)
     }
 
+    /// Gives all other VMs that are known, with zone, address and processor.
+    pub fn vms(&self) -> impl Iterator<Item = (&SmolStr, &ZoneName, SocketAddr, u32)> {
+        let rows = self.rows.iter();
+        rows.map(|(name, p)| (name, &p.zone, p.address, p.millicores))
+    }
+
     /// Gives where a VM's datagrams arrive.
     #[must_use]
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
@@ -252,6 +260,16 @@
         rows.map(move |(name, p)| (name, p.heard.map(|t| now.duration_since(t))))
     }
 
+    /// Gives the VMs of the own zone that are heard, and those that were learnt of so lately that nothing can have been heard of
+    /// them. Without these each of many VMs that start together would take itself for the one that reads for all.
+    fn present_here(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, &Peer)> {
+        let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
+        here.filter(move |(_, p)| match p.heard {
+            Some(t) => now.duration_since(t) < SILENT_AFTER,
+            None => now.duration_since(p.learnt) < INTRODUCTION,
+        })
+    }
+
     fn heard_here(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, &Peer)> {
         let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
         here.filter(move |(_, p)| {
@@ -287,6 +305,7 @@
             reaches_store: true,
             reads_list: true,
             heard: None,
+            learnt: Instant::now(),
             starts: VecDeque::new(),
             number: 0,
         };
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -116,6 +116,11 @@
 #[tokio::test(start_paused = true)]
 async fn is_zone_reader_not_beside_a_stronger_one_that_can_read() {
     let mut p = peers();
+    assert!(
+        !p.is_zone_reader(Instant::now()),
+        "vm-1 comes before, and can't have been heard yet"
+    );
+    advance(Duration::from_millis(1600)).await;
     let now = Instant::now();
     assert!(p.is_zone_reader(now), "nobody else is heard");
     p.receive(now, "vm-1", START, 1);
--- /dev/null
+++ b/crates/limehollow/tests/start_tree.rs
@@ -0,0 +1,68 @@
+//! From whom VMs that start get the site's state.
+
+use limehollow::start_tree::{FANOUT, Giver, StartTree};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn vm(n: u16) -> SocketAddr {
+    ([10, 0, 0, 1], n).into()
+}
+
+/// Places so many VMs of one zone. Gives the parent of each.
+fn place(tree: &mut StartTree, now: Instant, vms: u16) -> Vec<Giver> {
+    let numbers = 1..=vms;
+    numbers
+        .map(|n| tree.place(now, &"a".into(), vm(n)))
+        .collect()
+}
+
+#[test]
+fn place_bounds_what_one_vm_hands_over_and_the_steps() {
+    for vms in [1, 2, 30, 300, 2000] {
+        let givers = place(&mut StartTree::default(), Instant::now(), vms);
+        let mut children: HashMap<SocketAddr, usize> = HashMap::new();
+        let mut steps: HashMap<SocketAddr, u32> = HashMap::new();
+        for (n, giver) in (1..).zip(&givers) {
+            let before = match giver {
+                Giver::Me => 0,
+                Giver::Other(parent) => {
+                    *children.entry(*parent).or_default() += 1;
+                    steps[parent]
+                }
+            };
+            steps.insert(vm(n), before + 1);
+        }
+        assert!(children.values().all(|n| *n <= FANOUT), "{vms} VMs");
+        let most: u32 = steps.values().max().copied().unwrap_or(0);
+        let log = f64::from(vms).log(3.0).ceil();
+        assert!(f64::from(most) <= log + 1.0, "{vms} VMs: {most} steps");
+        let by_me = givers.iter().filter(|g| **g == Giver::Me).count();
+        assert_eq!(by_me, 1, "{vms} VMs");
+    }
+}
+
+#[test]
+fn place_again_goes_up_to_the_one_that_was_asked() {
+    let (mut tree, now) = (StartTree::default(), Instant::now());
+    place(&mut tree, now, 30);
+    let mut givers = Vec::new();
+    while givers.last() != Some(&Giver::Me) {
+        givers.push(tree.place(now, &"a".into(), vm(30)));
+        assert!(givers.len() < 6, "{givers:?}");
+    }
+    // The parent of the 30th is the tenth, whose own is the third.
+    assert_eq!(
+        givers,
+        [Giver::Other(vm(3)), Giver::Other(vm(1)), Giver::Me]
+    );
+}
+
+#[test]
+fn place_forgets_those_of_long_ago() {
+    let (mut tree, now) = (StartTree::default(), Instant::now());
+    place(&mut tree, now, 5);
+    let later = now + Duration::from_secs(11);
+    assert_eq!(tree.place(later, &"a".into(), vm(9)), Giver::Me);
+}
