Calls to the store and datagrams between VMs are counted by kind

No metric told which calls and which bytes grow. `counted` wraps the store and counts by call, subject and outcome; `traffic` counts datagrams and bytes by kind, sent and received. Both are on the metrics address, and a line each ten seconds has the totals.

--- /dev/null
+++ b/crates/limehollow-node/src/counted.rs
@@ -0,0 +1,150 @@
+//! The platform's store with its calls counted, by call and outcome: each is paid for, and all VMs share what the store can do.
+
+use crate::edge::{Changes, Feed, Store, StoreError, Vm};
+use crate::metrics::{ByCall, Metrics};
+use limehollow::crash_record::CrashRecord;
+use limehollow::fingerprint::Fingerprint;
+use limehollow::group_lease::Dealt;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What is called, and about what.
+const CALLS: [(&str, &str); 13] = [
+    ("newest", "configuration"),
+    ("newest", "endpoints"),
+    ("newest", "vms"),
+    ("newest", "crashes"),
+    ("changes", "configuration"),
+    ("changes", "endpoints"),
+    ("changes", "vms"),
+    ("wait", "configuration"),
+    ("wait", "vms"),
+    ("append", "vms"),
+    ("append", "crashes"),
+    ("join", "lease"),
+    ("leave", "lease"),
+];
+const ANSWERED: &str = "answered";
+const NO_ANSWER: &str = "no answer";
+const TURNED_AWAY: &str = "turned away";
+const HISTORY_GONE: &str = "history gone";
+const FAILED: &str = "failed";
+/// How a call ends.
+const OUTCOMES: [&str; 5] = [ANSWERED, NO_ANSWER, TURNED_AWAY, HISTORY_GONE, FAILED];
+
+/// A store whose calls are counted.
+#[derive(Clone, Debug)]
+pub struct Counted<S> {
+    store: S,
+    calls: Family<ByCall, Counter>,
+}
+
+impl<S> Counted<S>
+where
+    S: Store,
+{
+    /// Counts the calls to a store.
+    #[must_use]
+    pub fn new(store: S, metrics: &Metrics) -> Self {
+        Self {
+            store,
+            calls: metrics.store_calls.clone(),
+        }
+    }
+
+    fn note<T>(
+        &self,
+        call: &'static str,
+        about: &'static str,
+        res: Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let outcome = match &res {
+            Ok(_) => ANSWERED,
+            Err(StoreError::NoAnswer { .. }) => NO_ANSWER,
+            Err(StoreError::TurnedAway { .. }) => TURNED_AWAY,
+            Err(StoreError::Forgotten { .. }) => HISTORY_GONE,
+            Err(StoreError::Refused { .. } | StoreError::Malformed { .. }) => FAILED,
+        };
+        let by = ByCall {
+            call,
+            about,
+            outcome,
+        };
+        self.calls.get_or_create(&by).inc();
+        res
+    }
+}
+
+/// Gives how often each call ended in each way so far.
+pub(crate) fn totals(metrics: &Metrics) -> BTreeMap<String, u64> {
+    let mut out = BTreeMap::new();
+    for (call, about) in CALLS {
+        for outcome in OUTCOMES {
+            let by = ByCall {
+                call,
+                about,
+                outcome,
+            };
+            let n = metrics.store_calls.get(&by).map_or(0, |c| c.get());
+            if n > 0 {
+                out.insert(format!("{call} {about} {outcome}"), n);
+            }
+        }
+    }
+    out
+}
+
+fn name(feed: Feed) -> &'static str {
+    match feed {
+        Feed::Configuration => "configuration",
+        Feed::Endpoints => "endpoints",
+        Feed::Vms => "vms",
+    }
+}
+
+impl<S> Store for Counted<S>
+where
+    S: Store,
+{
+    async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
+        let res = self.store.newest(feed).await;
+        self.note("newest", name(feed), res)
+    }
+
+    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+        let call = if wait.is_zero() { "changes" } else { "wait" };
+        let res = self.store.changes(feed, from, wait).await;
+        self.note(call, name(feed), res)
+    }
+
+    async fn announce(&self, vms: &[Vm]) -> Result<(), StoreError> {
+        let res = self.store.announce(vms).await;
+        self.note("append", "vms", res)
+    }
+
+    async fn join(&self, member: &str, generation: u64) -> Result<Dealt, StoreError> {
+        let res = self.store.join(member, generation).await;
+        self.note("join", "lease", res)
+    }
+
+    async fn crash_records(&self) -> Result<Vec<CrashRecord>, StoreError> {
+        let res = self.store.crash_records().await;
+        self.note("newest", "crashes", res)
+    }
+
+    async fn keep_crash_record(
+        &self,
+        request: Fingerprint,
+        record: Option<&CrashRecord>,
+    ) -> Result<(), StoreError> {
+        let res = self.store.keep_crash_record(request, record).await;
+        self.note("append", "crashes", res)
+    }
+
+    async fn leave(&self, member: &str) -> Result<(), StoreError> {
+        let res = self.store.leave(member).await;
+        self.note("leave", "lease", res)
+    }
+}
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -2,7 +2,6 @@
 
 use crate::edge::{Change, Feed, Protocol, States, StoreError};
 use crate::logbook::may_log;
-use crate::metrics::Metrics;
 use crate::site::Site;
 use limehollow::roster::Roster;
 use limehollow_wire::gossip::{Ages, ListChange, Positions, Reading, State};
@@ -137,7 +136,6 @@
 
     /// Notes that a read that began at this moment failed.
     pub(crate) fn lose(&mut self, began: Instant, e: &StoreError) {
-        Metrics::count(&self.site.metrics.store_calls, "failed");
         self.site.known().readings.fail(self.feed, began);
         if self.lost.is_none() {
             tracing::warn!(feed = ?self.feed, error = %e, "store lost");
@@ -147,7 +145,6 @@
 
     /// Notes that a read that began at this moment was answered.
     pub(crate) fn regained(&mut self, began: Instant) {
-        Metrics::count(&self.site.metrics.store_calls, "answered");
         if self.feed == Feed::Configuration {
             self.site.known().confirmation.confirm(began);
         }
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -13,8 +13,9 @@
 use crate::sender::GONE_SAID_FOR;
 pub use crate::sender::{Outgoing, Sender};
 use crate::site::Site;
+use crate::traffic::{self, Way};
 use limehollow::balance::MESSAGE_LIFE;
-use limehollow_wire::gossip::{Answer, Datagram, Message, decode, encode};
+use limehollow_wire::gossip::{Datagram, Message, decode, encode};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,7 +51,7 @@
         last = site.now();
         note_lost_time(&site);
         for (message, to) in s.outgoing(last) {
-            send_all(&socket, message, &to).await;
+            send_all(&site.metrics, &socket, message, &to).await;
         }
     }
 }
@@ -68,11 +69,16 @@
     }
 }
 
-async fn send_all(socket: &UdpSocket, message: Message, to: &[SocketAddr]) {
-    send_datagram(socket, &Datagram::Message(Box::new(message)), to).await;
+async fn send_all(metrics: &Metrics, socket: &UdpSocket, message: Message, to: &[SocketAddr]) {
+    send_datagram(metrics, socket, &Datagram::Message(Box::new(message)), to).await;
 }
 
-async fn send_datagram(socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
+async fn send_datagram(
+    metrics: &Metrics,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    to: &[SocketAddr],
+) {
     let bytes = match encode(datagram) {
         Ok(b) => b,
         Err(e) => {
@@ -80,6 +86,7 @@
             return;
         }
     };
+    traffic::count(metrics, Way::Sent, datagram, bytes.len(), to.len());
     for a in to {
         // A VM that is gone refuses or is silent; its silence shows elsewhere.
         if let Err(e) = socket.send_to(&bytes, *a).await {
@@ -102,19 +109,23 @@
                 continue;
             }
         };
-        let w = match decode(&buf[..n]) {
-            Ok(Datagram::Message(w)) => *w,
-            Ok(Datagram::Question(q)) => {
-                let answer: Answer = question::answer(&site, q);
-                send_datagram(&socket, &Datagram::Answer(answer), &[from]).await;
+        let datagram = match decode(&buf[..n]) {
+            Ok(d) => d,
+            Err(e) => {
+                tracing::debug!(error = %e, "a message can't be read");
                 continue;
             }
-            Ok(Datagram::Answer(a)) => {
-                site.questions.answered(a);
+        };
+        traffic::count(&site.metrics, Way::Received, &datagram, n, 1);
+        let w = match datagram {
+            Datagram::Message(w) => *w,
+            Datagram::Question(q) => {
+                let answer = Datagram::Answer(question::answer(&site, q));
+                send_datagram(&site.metrics, &socket, &answer, &[from]).await;
                 continue;
             }
-            Err(e) => {
-                tracing::debug!(error = %e, "a message can't be read");
+            Datagram::Answer(a) => {
+                site.questions.answered(a);
                 continue;
             }
         };
@@ -122,7 +133,7 @@
             wanted.notify_one();
         }
         if let Some((message, to)) = hear(&site, w) {
-            send_all(&socket, message, &to).await;
+            send_all(&site.metrics, &socket, message, &to).await;
         }
     }
 }
@@ -136,7 +147,7 @@
         return;
     };
     while let Some((to, q)) = rx.recv().await {
-        send_datagram(&socket, &Datagram::Question(q), &[to]).await;
+        send_datagram(&site.metrics, &socket, &Datagram::Question(q), &[to]).await;
     }
 }
 
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`follow`] keeps configuration and list up to date, [`gossip`] what VMs tell each other, [`peer_state`]
 //!   what one has read that another can't.
 //! * [`controller`] moves models and adapters while this VM holds the lease; [`outbox`] has what it then tells.
+//! * [`counted`] and [`traffic`] count what the store and the other VMs are asked and told.
 //! * [`site`] is the state that they share, [`known`] what is known in it, [`clock`] the time, [`operator`] what operators can tell;
 //!   [`run`] puts all together.
 //!
@@ -26,6 +27,7 @@
 pub mod caller;
 pub mod clock;
 pub mod controller;
+pub mod counted;
 mod crash_probe;
 mod dispatch;
 pub mod edge;
@@ -61,3 +63,4 @@
 pub mod site;
 mod small_server;
 pub mod start;
+pub mod traffic;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -14,6 +14,26 @@
     pub what: &'static str,
 }
 
+/// The label of a call to the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByCall {
+    /// What is done.
+    pub call: &'static str,
+    /// With what.
+    pub about: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// The label of datagrams between VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByKind {
+    /// What they say.
+    pub kind: &'static str,
+    /// Whether they are sent or received.
+    pub way: &'static str,
+}
+
 /// The label of a workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByWorkspace {
@@ -41,8 +61,12 @@
     pub first_byte: Histogram,
     /// Orders by how they ended.
     pub orders: Family<By, Counter>,
-    /// Calls to the platform's store by how they ended.
-    pub store_calls: Family<By, Counter>,
+    /// Calls to the platform's store, by what is called and how it ended.
+    pub store_calls: Family<ByCall, Counter>,
+    /// Datagrams to and from other VMs by kind.
+    pub datagrams: Family<ByKind, Counter>,
+    /// Their bytes.
+    pub datagram_bytes: Family<ByKind, Counter>,
     /// Whether this process holds the lease.
     pub holds_lease: Gauge,
     /// Endpoints on the list.
@@ -86,6 +110,8 @@
             first_byte: Histogram::new(BOUNDS),
             orders: Family::default(),
             store_calls: Family::default(),
+            datagrams: Family::default(),
+            datagram_bytes: Family::default(),
             holds_lease: Gauge::default(),
             endpoints: Gauge::default(),
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
@@ -119,6 +145,54 @@
         self.over_limit.get_or_create(&by).inc();
     }
 
+    /// Registers what is asked of the store and said between VMs.
+    fn register_traffic(&self, r: &mut Registry) {
+        r.register(
+            "store_calls",
+            "Calls to the store by what is called and how it ended",
+            self.store_calls.clone(),
+        );
+        r.register(
+            "datagrams",
+            "Datagrams to and from other VMs by kind",
+            self.datagrams.clone(),
+        );
+        r.register(
+            "datagram_bytes",
+            "Bytes of datagrams to and from other VMs by kind",
+            self.datagram_bytes.clone(),
+        );
+    }
+
+    /// Registers what endpoints, and operators for them, want to be sent.
+    fn register_limits(&self, r: &mut Registry) {
+        r.register(
+            "rests",
+            "Answers in which an endpoint asked this VM for rest",
+            self.rests.clone(),
+        );
+        r.register(
+            "endpoints_said_leaving",
+            "Endpoints that said themselves that they leave",
+            self.endpoints_said_leaving.clone(),
+        );
+        r.register(
+            "endpoints_limited",
+            "Endpoints that name a limit of requests a second",
+            self.endpoints_limited.clone(),
+        );
+        r.register(
+            "endpoints_cold",
+            "Endpoints that are cold and bear less than later",
+            self.endpoints_cold.clone(),
+        );
+        r.register(
+            "zones_evacuated",
+            "Zones whose endpoints get no new work",
+            self.zones_evacuated.clone(),
+        );
+    }
+
     /// Gives the registry that the administration port shows.
     #[must_use]
     pub fn registry(&self) -> Registry {
@@ -150,11 +224,6 @@
             self.first_byte.clone(),
         );
         r.register("orders", "Orders by how they ended", self.orders.clone());
-        r.register(
-            "store_calls",
-            "Calls to the store by how they ended",
-            self.store_calls.clone(),
-        );
         r.register(
             "holds_lease",
             "Whether this process holds the lease",
@@ -176,21 +245,8 @@
             "Endpoints that were seen to start again under their id",
             self.endpoint_restarts.clone(),
         );
-        r.register(
-            "rests",
-            "Answers in which an endpoint asked this VM for rest",
-            self.rests.clone(),
-        );
-        r.register(
-            "endpoints_said_leaving",
-            "Endpoints that said themselves that they leave",
-            self.endpoints_said_leaving.clone(),
-        );
-        r.register(
-            "endpoints_limited",
-            "Endpoints that name a limit of requests a second",
-            self.endpoints_limited.clone(),
-        );
+        self.register_traffic(&mut r);
+        self.register_limits(&mut r);
         r.register(
             "requests_quarantined",
             "Requests refused because they crash the endpoints that run them",
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -1,11 +1,13 @@
 //! Puts the process together.
 
+use crate::counted::Counted;
 use crate::edge::{Feed, Protocol, Store};
 use crate::peer_state::HttpStates;
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{
     caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync, start,
+    traffic,
 };
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
@@ -52,6 +54,7 @@
     let socket = Arc::new(socket);
     let states = listen(&peers.to_string()).await?;
     let site = Site::new(settings, protocol);
+    let store = Counted::new(store, &site.metrics);
     let (stop_tx, stop) = watch::channel(false);
     let wanted = Arc::new(Notify::new());
     tokio::spawn(start_following(Arc::clone(&site), store.clone()));
@@ -74,6 +77,7 @@
         Arc::clone(&wanted),
     ));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
+    tokio::spawn(traffic::say(Arc::clone(&site)));
     tokio::spawn(controller::run(
         Arc::clone(&site),
         store,
