Configuration and large changes go from VM to VM; who can't read the store tries less often in large zones

What else each VM asked of the store, by reading and by the counts: every VM read each new configuration whole; more than 100 changes of the list at once were read by every VM; after the store had dropped its history every VM read the list whole; while the store is away every VM tried once a second for each feed.

Change: listeners get a configuration from a VM that has it, the first to have it hand it on; changes are passed on in parts that fit in a datagram; a gap in the history is made good over the tree of a start; the longest pause between tries grows with the zone, drawn at random, so that eight tries a second and zone are made whatever its size, and a copy that is too old is kept longer while those who read for the zone say that they can't (up to eight VMs in a zone nothing changes).

--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -214,7 +214,18 @@
     /// What went wrong, for a log line.
     fn fetch(&self, from: SocketAddr) -> impl Future<Output = Result<State, String>> + Send;
 
-    /// Asks another VM for what a VM needs for a start; gives none while the other hasn't got it itself.
+    /// Asks another VM for the configuration that it has; the rest of the state is empty.
+    ///
+    /// # Errors
+    ///
+    /// What went wrong, for a log line.
+    fn fetch_configuration(
+        &self,
+        from: SocketAddr,
+    ) -> impl Future<Output = Result<State, String>> + Send;
+
+    /// Asks another VM for its state, if it has all of it and has read the list further than to this position; gives none while it
+    /// hasn't.
     ///
     /// # Errors
     ///
@@ -222,6 +233,7 @@
     fn fetch_start(
         &self,
         from: SocketAddr,
+        beyond: u64,
     ) -> impl Future<Output = Result<Option<State>, String>> + Send;
 
     /// Asks another VM for the VMs that it knows.
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
-use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt, PeerState, position};
+use crate::follower::{Follower, Learnt, PeerState, position};
 use crate::list;
 use crate::site::Site;
 use crate::start::{self, jittered};
@@ -52,7 +52,7 @@
         next,
         began: is_given.then_some(now),
         is_behind: false,
-        pause: FIRST_PAUSE,
+        failures: 0,
         looks: looks(now, feed),
     };
     loop {
@@ -61,6 +61,9 @@
             w.ask_for_vms().await;
             continue;
         }
+        if w.is_given_configuration().await {
+            continue;
+        }
         if let Some(answer) = w.read().await {
             w.take(answer).await;
         }
@@ -119,8 +122,8 @@
     began: Option<Instant>,
     /// Whether there is something to read, or the copy is too old: the next call doesn't wait.
     is_behind: bool,
-    /// The time until the next try after a failure.
-    pause: Duration,
+    /// How many calls have failed since the last that was answered.
+    failures: u32,
     /// When this VM looks again by itself.
     looks: VecDeque<Instant>,
 }
@@ -200,6 +203,21 @@
         }
     }
 
+    /// Takes the configuration from a VM that has read it further, where others read for this VM: what is read of the store would
+    /// grow with the VMs. The first to get it hand it on.
+    async fn is_given_configuration(&mut self) -> bool {
+        let listens = self.f.feed == Feed::Configuration && self.role() == Role::Listens;
+        if !listens || self.next.is_none() || !self.f.is_behind() {
+            return false;
+        }
+        let Some(state) = self.f.fetch_ahead().await else {
+            return false;
+        };
+        self.next = self.f.take_state(state).or(self.next);
+        self.is_behind = false;
+        true
+    }
+
     /// Makes one call. Gives none where it was given up, to be made anew without waiting or because another VM has
     /// handed its state over.
     async fn read(&mut self) -> Option<Answer> {
@@ -239,7 +257,7 @@
         match read {
             Ok(changes) => {
                 self.f.regained(began);
-                self.pause = FIRST_PAUSE;
+                self.failures = 0;
                 self.next = Some(changes.next);
                 self.f.note_position(changes.next);
                 self.f.apply(Learnt::Store, changes.changes, whole);
@@ -254,8 +272,8 @@
                 if let Some(state) = self.f.fetch_ahead().await {
                     self.next = self.f.take_state(state).or(self.next);
                 }
-                sleep(self.pause).await;
-                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                self.failures += 1;
+                sleep(self.f.pause(self.failures)).await;
             }
         }
     }
@@ -299,9 +317,10 @@
 
     /// Gives when the copy is too old: for its own bound, or for keys to count.
     fn stale_at(&self, luck: f64) -> Option<Instant> {
+        let patience = self.f.patience(luck);
         let known = self.f.site.known();
         let freshness = known.readings.freshness(self.f.feed)?;
-        let due = freshness.complete_at() + self.pace()?.stale_after(luck);
+        let due = freshness.complete_at() + self.pace()?.stale_after(luck) + patience;
         let keys = self.f.site.settings.load().key_bound();
         let keys = keys.filter(|_| self.f.feed == Feed::Configuration);
         let keys = keys.and_then(|b| Some(known.confirmation.at()? + b.read_after(luck)));
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -3,6 +3,7 @@
 use crate::edge::{Change, Feed, Protocol, States, StoreError};
 use crate::logbook::may_log;
 use crate::site::Site;
+use crate::start::jittered;
 use limehollow::roster::Roster;
 use limehollow_wire::gossip::{Ages, ListChange, Positions, Reading, State};
 use smol_str::SmolStr;
@@ -18,6 +19,10 @@
 /// says about two seconds.
 pub const SETTLE: Duration = Duration::from_millis(2500);
 
+/// How many VMs of a zone go on trying at that pace while they can't read the store. With more of them each waits longer, so that what they ask of
+/// it together stays the same however many they are.
+const TRYING: f64 = 8.0;
+
 /// From where a change was learnt, for the lines on endpoints.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Learnt {
@@ -58,6 +63,42 @@
         }
     }
 
+    /// Gives the longest time between two tries to read the store.
+    pub(crate) fn longest_pause(&self) -> Duration {
+        let here = self.site.known().peers.alive_here(self.site.now());
+        #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
+        let here = here as f64;
+        LONGEST_PAUSE.mul_f64((here / TRYING).max(1.0))
+    }
+
+    /// Gives the time until the next try after so many failures.
+    pub(crate) fn pause(&self, failures: u32) -> Duration {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.saturating_sub(1).min(16));
+        if pause <= LONGEST_PAUSE {
+            return pause;
+        }
+        let longest = self.longest_pause();
+        if longest <= LONGEST_PAUSE {
+            return LONGEST_PAUSE;
+        }
+        jittered(pause.min(longest))
+    }
+
+    /// Gives how much longer a copy may stay as it is that is too old, where those who read for the zone say that they can't: the store
+    /// is away for them, and many VMs that try as well would find it away too. `luck` of 0 to 1 spreads them.
+    pub(crate) fn patience(&self, luck: f64) -> Duration {
+        let now = self.site.now();
+        let is_alone = {
+            let known = self.site.known();
+            known.peers.is_zone_waiter(now) || known.peers.failing_here(now) == 0
+        };
+        if is_alone {
+            return Duration::ZERO;
+        }
+        let beyond = self.longest_pause().saturating_sub(LONGEST_PAUSE);
+        beyond.mul_f64(luck)
+    }
+
     /// Waits until another VM has read further, and for as long as this one would take to hear of it
     /// otherwise.
     pub(crate) async fn behind(&self, own_time: Duration) {
@@ -97,7 +138,11 @@
             }
             (vm.clone(), known.peers.address(vm)?)
         };
-        match self.states.fetch(address).await {
+        let fetched = match self.feed {
+            Feed::Configuration => self.states.fetch_configuration(address).await,
+            Feed::Endpoints | Feed::Vms => self.states.fetch(address).await,
+        };
+        match fetched {
             Ok(state) => Some(PeerState { vm, state }),
             Err(why) => {
                 tracing::info!(%vm, why, "no state from another VM");
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -8,8 +8,9 @@
 
 use crate::clock::Clock;
 use crate::edge::{Change, Changes, Feed, NoAnswerSnafu, Protocol, States, Store, StoreError};
-use crate::follower::{FIRST_PAUSE, Follower, LONGEST_PAUSE, Learnt};
+use crate::follower::{Follower, Learnt};
 use crate::site::Site;
+use crate::start;
 use limehollow::freshness::ReadPace;
 use limehollow_wire::gossip::{ListChange, ListChanges};
 use smol_str::SmolStr;
@@ -20,9 +21,10 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
-/// Changes of the list that go into one message at most; beyond, each VM reads them itself. With a few hundred
-/// bytes each they fit in a datagram beside the rest.
-const MAX_PASSED_ON: usize = 100;
+/// How long another VM's state is waited for where the history is gone: as long as a call that is begun anew.
+const CATCH_UP_WITHIN: Duration = Duration::from_millis(1000);
+/// Records of the list that go into one part of what is passed on: with a few hundred bytes each they fit in a datagram beside the rest.
+const PART: usize = 64;
 /// How long a call may take at most that was begun anew after others got no answer: the store answers in 4 ms, so it
 /// may be slow two hundred times. A call that began in an outage is never answered, so this is what an outage is longer
 /// for this VM than for the store.
@@ -127,6 +129,7 @@
 
     /// Gives when the store is to be read.
     fn due(&self) -> Instant {
+        let patience = self.f.patience(self.luck);
         let known = self.f.site.known();
         let (Some(began), Some(freshness)) =
             (self.began, known.readings.freshness(Feed::Endpoints))
@@ -137,7 +140,7 @@
         let due = if known.peers.is_zone_reader(self.f.site.now()) {
             began + pace.every()
         } else {
-            freshness.complete_at() + pace.stale_after(self.luck)
+            freshness.complete_at() + pace.stale_after(self.luck) + patience
         };
         due.max(self.retry_at)
     }
@@ -185,8 +188,7 @@
             Ok(changes) => self.succeed(began, from, changes),
             Err(StoreError::Forgotten { .. }) => {
                 tracing::info!(feed = ?Feed::Endpoints, "history is gone; reading anew");
-                self.next = None;
-                self.began = None;
+                self.read_anew().await;
             }
             Err(e) => {
                 self.f.lose(began, &e);
@@ -199,6 +201,19 @@
         }
     }
 
+    /// Gets the list whole, from another VM where one has read on.
+    async fn read_anew(&mut self) {
+        let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
+        let others_know = !reads_for_others && self.f.is_behind();
+        let caught_up = async { start::catch_up(&self.f.site, &self.f.states).await };
+        if others_know && timeout(CATCH_UP_WITHIN, caught_up).await == Ok(true) {
+            self.next = Some(self.f.site.positions().endpoints);
+            return;
+        }
+        self.next = None;
+        self.began = None;
+    }
+
     /// Tells whether this VM finds out for its zone when the store is back.
     fn seeks_return(&self) -> bool {
         let now = self.f.site.now();
@@ -210,8 +225,7 @@
         if self.seeks_return() {
             return SEEK_EVERY;
         }
-        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.saturating_sub(1));
-        pause.min(LONGEST_PAUSE)
+        self.f.pause(self.failures)
     }
 
     /// Gives how long a call may take: longer after failures, since the store may only be slow.
@@ -267,23 +281,14 @@
         let Some(from) = from else {
             return;
         };
-        let changes = read.changes.iter().filter_map(|c| match c {
-            Change::Endpoint(e) => Some(ListChange::Listed(e.clone())),
-            Change::EndpointGone(id) => Some(ListChange::Gone(id.clone())),
-            Change::Malformed { key, .. } => Some(ListChange::Unreadable(key.clone())),
-            Change::Catalog(_) | Change::Vm(_) | Change::Evacuation { .. } => None,
-        });
-        let news = ListChanges {
-            from,
-            to: read.next,
-            changes: newest(changes),
-        };
-        if news.to > news.from && news.changes.len() <= MAX_PASSED_ON {
-            let mut known = self.f.site.known();
-            known.list_news.push_back((self.f.site.now(), news));
-            drop(known);
-            self.f.site.urgent.notify_one();
+        let parts = parts(from, read);
+        if parts.is_empty() {
+            return;
         }
+        let now = self.f.site.now();
+        let parts = parts.into_iter().map(|p| (now, p));
+        self.f.site.known().list_news.extend(parts);
+        self.f.site.urgent.notify_one();
     }
 }
 
@@ -335,6 +340,49 @@
     .fail()
 }
 
+/// Divides what was read from a position on into parts that can be passed on, in their order. Where positions can't be told for each
+/// record, it is one part.
+fn parts(from: u64, read: &Changes) -> Vec<ListChanges> {
+    let records = read.next.saturating_sub(from);
+    if records == 0 {
+        return Vec::new();
+    }
+    let is_one_each = usize::try_from(records).is_ok_and(|n| n == read.changes.len());
+    let size = if is_one_each { PART } else { usize::MAX };
+    let mut at = from;
+    let chunks = read.changes.chunks(size.min(read.changes.len().max(1)));
+    let mut out: Vec<ListChanges> = chunks
+        .map(|chunk| {
+            let part = ListChanges {
+                from: at,
+                to: at + u64::try_from(chunk.len()).unwrap_or(u64::MAX),
+                changes: newest(chunk.iter().filter_map(passed_on)),
+            };
+            at = part.to;
+            part
+        })
+        .collect();
+    if let Some(last) = out.last_mut() {
+        last.to = read.next;
+    } else {
+        out.push(ListChanges {
+            from,
+            to: read.next,
+            changes: Vec::new(),
+        });
+    }
+    out
+}
+
+fn passed_on(c: &Change) -> Option<ListChange> {
+    match c {
+        Change::Endpoint(e) => Some(ListChange::Listed(e.clone())),
+        Change::EndpointGone(id) => Some(ListChange::Gone(id.clone())),
+        Change::Malformed { key, .. } => Some(ListChange::Unreadable(key.clone())),
+        Change::Catalog(_) | Change::Vm(_) | Change::Evacuation { .. } => None,
+    }
+}
+
 /// Leaves of each endpoint what its last state follows from: an entry stands alone, or after what took a former start
 /// of the endpoint out of use.
 fn newest<I>(changes: I) -> Vec<ListChange>
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -28,8 +28,9 @@
 /// What is asked for: what has been read of the store, and the requests under which endpoints crashed.
 const STATE: &str = "/";
 const CRASHES: &str = "/crashes";
-/// What a VM asks for that starts: the state too, once it is whole.
-const START: &str = "/start";
+/// What a VM asks for that starts: the state too, once it is whole and the list read beyond the position that follows.
+const START: &str = "/start/";
+const CONFIGURATION: &str = "/configuration";
 const MEMBERS: &str = "/members";
 /// How long a VM may take to hand over its state: some MB on the slowest links.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(2000);
@@ -51,8 +52,14 @@
 where
     P: Protocol,
 {
+    if let Some(beyond) = path.strip_prefix(START) {
+        let beyond = beyond.parse().unwrap_or(u64::MAX);
+        if !site.has_all(beyond) {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
     let body = match path {
-        START if !start::has_all(site) => return empty(StatusCode::SERVICE_UNAVAILABLE),
+        CONFIGURATION => encode_state(&site.configuration()),
         MEMBERS => encode_members(&start::members(site)),
         CRASHES => {
             let records = site.known().quarantine.records(site.now());
@@ -85,8 +92,13 @@
         decode_state(&body).map_err(|e| e.to_string())
     }
 
-    async fn fetch_start(&self, from: SocketAddr) -> Result<Option<State>, String> {
-        match ask_in_time(from, START).await {
+    async fn fetch_configuration(&self, from: SocketAddr) -> Result<State, String> {
+        let body = ask_in_time(from, CONFIGURATION).await?;
+        decode_state(&body).map_err(|e| e.to_string())
+    }
+
+    async fn fetch_start(&self, from: SocketAddr, beyond: u64) -> Result<Option<State>, String> {
+        match ask_in_time(from, &format!("{START}{beyond}")).await {
             Ok(body) => decode_state(&body).map(Some).map_err(|e| e.to_string()),
             Err(AskError::Status {
                 status: StatusCode::SERVICE_UNAVAILABLE,
@@ -130,18 +142,18 @@
     AskError::Broken { why: e.to_string() }
 }
 
-async fn ask_in_time(from: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
+async fn ask_in_time(from: SocketAddr, path: &str) -> Result<Bytes, AskError> {
     let asked = timeout(FETCH_TIMEOUT, ask(from, path)).await;
     asked.unwrap_or(Err(AskError::Silent))
 }
 
-async fn ask(from: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
+async fn ask(from: SocketAddr, path: &str) -> Result<Bytes, AskError> {
     let stream = TcpStream::connect(from).await.map_err(broken)?;
     let handshake = client::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(broken)?;
     let driver = tokio::spawn(driver);
     let mut req = Request::new(Full::<Bytes>::default());
-    *req.uri_mut() = Uri::from_static(path);
+    *req.uri_mut() = path.parse::<Uri>().map_err(broken)?;
     let host = HeaderValue::from_static("vm");
     req.headers_mut().insert(header::HOST, host);
     let res = sender.send_request(req).await.map_err(broken)?;
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -12,7 +12,7 @@
 use limehollow::id::{EndpointKey, VmName};
 use limehollow::instance::Instance;
 use limehollow::roster::ModelRef;
-use limehollow_wire::gossip::{LeaseNotice, Message, RateSaid, Scope};
+use limehollow_wire::gossip::{LeaseNotice, ListChanges, Message, RateSaid, Scope};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -34,6 +34,8 @@
 pub(crate) const GONE_SAID_FOR: Duration = Duration::from_millis(1000);
 /// How many of them go into one message: a fifth of the endpoints of the largest site.
 const MAX_GONE: usize = 64;
+/// How many changes of the list go into one message.
+const MAX_LISTED: usize = 64;
 /// For how long VMs are told of a change of the limit that an endpoint names.
 const RATE_SAID_FOR: Duration = Duration::from_millis(1000);
 /// How often all limits are said: as long as a VM that has started again may send to an endpoint without knowing of its limit.
@@ -116,6 +118,10 @@
             self.summed = now;
             outgoing.push((sums(&own, now, known), known.peers.zone_targets()));
         }
+        for list in list_parts(known) {
+            let part = list_part(&own, list);
+            outgoing.push((part, known.peers.neighbours()));
+        }
         outgoing.push((own, to));
         outgoing
     }
@@ -177,7 +183,7 @@
             demand: rates(known.arrivals.rates(now)),
             wants: std::mem::take(&mut known.wants).into_iter().collect(),
             reports: known.reports.take(),
-            list: known.list_news.iter().map(|(_, l)| l.clone()).collect(),
+            list: Vec::new(),
             lease: own_notice(now, known),
             positions: known.positions,
             reading: known.readings.told(now),
@@ -212,6 +218,35 @@
     rates.into_iter().map(narrow).collect()
 }
 
+/// Gives what is passed on of the list, in parts that each fit in a message.
+fn list_parts(known: &Known) -> Vec<Vec<ListChanges>> {
+    let mut out: Vec<Vec<ListChanges>> = Vec::new();
+    let mut room = 0;
+    for (_, l) in &known.list_news {
+        let n = l.changes.len().max(1);
+        match out.last_mut().filter(|_| n <= room) {
+            Some(part) => part.push(l.clone()),
+            None => {
+                out.push(vec![l.clone()]);
+                room = MAX_LISTED;
+            }
+        }
+        room = room.saturating_sub(n);
+    }
+    out
+}
+
+/// Makes a message that only carries changes of the list, for the VMs of the zone.
+fn list_part(own: &Message, list: Vec<ListChanges>) -> Message {
+    Message {
+        forward: false,
+        reports: Vec::new(),
+        lease: None,
+        list,
+        ..news(own)
+    }
+}
+
 /// Makes a message that only carries under which requests endpoints crashed.
 fn crashes(own: &Message, crashes: Vec<CrashRecord>) -> Message {
     Message {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -269,9 +269,9 @@
         }
     }
 
-    /// Tells whether this process has what another VM needs for a start.
-    pub fn has_all(&self) -> bool {
-        start::has_all(self)
+    /// Tells whether this process has what another VM needs for a start, with the list read beyond a position.
+    pub fn has_all(&self, beyond: u64) -> bool {
+        start::has_all(self, beyond)
     }
 
     /// Gives what this process has read of the store, for a VM that can't read it.
@@ -291,6 +291,18 @@
         }
     }
 
+    /// Gives the configuration that this process has read of the store.
+    pub fn configuration(&self) -> State {
+        let known = self.known();
+        State {
+            positions: known.positions,
+            reading: known.readings.of_state(self.now()),
+            catalog: self.catalog.load().as_deref().cloned(),
+            evacuated: known.roster.evacuated().cloned().collect(),
+            ..State::default()
+        }
+    }
+
     /// Gives all that the process knows, for operators.
     pub fn dump(&self) -> serde_json::Value {
         let now = self.now();
--- a/crates/limehollow-node/src/start.rs
+++ b/crates/limehollow-node/src/start.rs
@@ -128,15 +128,33 @@
     Asked::Given
 }
 
+/// Gets the state of a VM that has read the list further than this one, or of one that got it there, as at a start: the
+/// history between is gone, and all VMs of the zone miss it at once.
+pub(crate) async fn catch_up<P, T>(site: &Arc<Site<P>>, states: &T) -> bool
+where
+    P: Protocol,
+    T: States,
+{
+    let ahead = {
+        let known = site.known();
+        let vm = known.ahead.get(&Feed::Endpoints).map(|(vm, _)| vm);
+        vm.and_then(|vm| known.peers.address(vm))
+    };
+    match ahead {
+        Some(vm) => ask(site, states, vm).await == Asked::Given,
+        None => false,
+    }
+}
+
 /// Waits until a VM has the state and hands it over; gives none if it is gone, or hasn't got it for too long.
 async fn wait_for_state<P, T>(site: &Site<P>, states: &T, giver: SocketAddr) -> Option<State>
 where
     P: Protocol,
     T: States,
 {
-    let until = site.now() + GIVER_WITHIN;
+    let (until, beyond) = (site.now() + GIVER_WITHIN, site.positions().endpoints);
     loop {
-        match states.fetch_start(giver).await {
+        match states.fetch_start(giver, beyond).await {
             Ok(Some(state)) => return Some(state),
             Ok(None) if site.now() < until => sleep(jittered(POLL_EVERY)).await,
             Ok(None) => return None,
@@ -251,14 +269,14 @@
     })
 }
 
-/// Tells whether this VM has what others need for a start.
-pub(crate) fn has_all<P>(site: &Site<P>) -> bool
+/// Tells whether this VM has what others need for a start, with the list read beyond a position.
+pub(crate) fn has_all<P>(site: &Site<P>, beyond: u64) -> bool
 where
     P: Protocol,
 {
     let known = site.known();
     let p = known.positions;
-    known.has_vms && p.endpoints > 0 && p.configuration > 0 && site.catalog.load().is_some()
+    known.has_vms && p.endpoints > beyond && p.configuration > 0 && site.catalog.load().is_some()
 }
 
 /// Has the store show this VM, and those that asked this one at their start, for as long as the process lives.
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -410,10 +410,16 @@
         Ok(site.state())
     }
 
-    async fn fetch_start(&self, from: SocketAddr) -> Result<Option<State>, String> {
+    async fn fetch_configuration(&self, from: SocketAddr) -> Result<State, String> {
         sleep(WAY).await;
         let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
-        if !site.has_all() {
+        Ok(site.configuration())
+    }
+
+    async fn fetch_start(&self, from: SocketAddr, beyond: u64) -> Result<Option<State>, String> {
+        sleep(WAY).await;
+        let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
+        if !site.has_all(beyond) {
             return Ok(None);
         }
         let state = site.state();
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -396,7 +396,11 @@
         Err("no other VM is there".to_owned())
     }
 
-    async fn fetch_start(&self, _: SocketAddr) -> Result<Option<State>, String> {
+    async fn fetch_configuration(&self, _: SocketAddr) -> Result<State, String> {
+        Err("no other VM is there".to_owned())
+    }
+
+    async fn fetch_start(&self, _: SocketAddr, _: u64) -> Result<Option<State>, String> {
         Err("no other VM is there".to_owned())
     }
 
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -350,7 +350,7 @@
 }
 
 /// What a process has read of the platform's store, for one that can't read it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     /// How far it has read.
     pub positions: Positions,
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -150,6 +150,12 @@
         before.count()
     }
 
+    /// Counts the VMs of the zone that say that they can't read the list of endpoints.
+    #[must_use]
+    pub fn failing_here(&self, now: Instant) -> usize {
+        self.heard_here(now).filter(|(_, p)| !p.reads_list).count()
+    }
+
     /// Gives the VM that speaks for the own zone, unless it is this one.
     #[must_use]
     pub fn zone_leader(&self, now: Instant) -> Option<&SmolStr> {
