Sums of a zone fit in datagrams, go to one VM of each zone, and cost what they change

The work for each message heard grew with all endpoints in use: the sums were reckoned anew; now they change by what the message changes (and anew once a second). The sums of a zone went to two VMs of each other zone, each of which passed them on to all its neighbours at once; now to the one that speaks for the zone, to others only while it is silent, and it passes them on more slowly the more neighbours it has. Their size grew with the endpoints in use, and beyond 60 kB the sending failed with a line at the lowest level: now they go in parts, each endpoint always in the same one, and a message that doesn't fit is counted and logged as an error.

--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -86,6 +86,15 @@
             return;
         }
     };
+    if bytes.len() > MAX_MESSAGE {
+        metrics.datagrams_too_large.inc();
+        tracing::error!(
+            bytes = bytes.len(),
+            kind = traffic::kind(datagram),
+            "a message doesn't fit in a datagram"
+        );
+        return;
+    }
     traffic::count(metrics, Way::Sent, datagram, bytes.len(), to.len());
     for a in to {
         // A VM that is gone refuses or is silent; its silence shows elsewhere.
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -48,6 +48,10 @@
     pub demand: BTreeMap<VmName, (Instant, Vec<(ModelRef, f32)>)>,
     /// What other VMs have at the endpoints, as the VMs of this zone said it last.
     pub taken: BTreeMap<VmName, (Instant, Vec<(Instance, Taken)>)>,
+    /// When each part of another zone's sums was passed on last, by this VM.
+    pub passed_on: BTreeMap<(SmolStr, u8), Instant>,
+    /// In how many parts each zone said its sums last.
+    pub zone_parts: BTreeMap<SmolStr, u8>,
     /// Starts of endpoints that are gone, though the list still shows them, and when that was learnt.
     pub gone: BTreeMap<Instance, Instant>,
     /// Starts of endpoints that said that they leave, and when that was heard.
@@ -121,6 +125,8 @@
             arrivals: Arrivals::default(),
             demand: BTreeMap::new(),
             taken: BTreeMap::new(),
+            passed_on: BTreeMap::new(),
+            zone_parts: BTreeMap::new(),
             gone: BTreeMap::new(),
             leaving: BTreeMap::new(),
             wants: BTreeSet::new(),
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -67,6 +67,8 @@
     pub datagrams: Family<ByKind, Counter>,
     /// Their bytes.
     pub datagram_bytes: Family<ByKind, Counter>,
+    /// Datagrams that were not sent because they are larger than another VM reads.
+    pub datagrams_too_large: Counter,
     /// Whether this process holds the lease.
     pub holds_lease: Gauge,
     /// Endpoints on the list.
@@ -112,6 +114,7 @@
             store_calls: Family::default(),
             datagrams: Family::default(),
             datagram_bytes: Family::default(),
+            datagrams_too_large: Counter::default(),
             holds_lease: Gauge::default(),
             endpoints: Gauge::default(),
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
@@ -162,6 +165,11 @@
             "Bytes of datagrams to and from other VMs by kind",
             self.datagram_bytes.clone(),
         );
+        r.register(
+            "datagrams_too_large",
+            "Datagrams larger than another VM reads, which were not sent",
+            self.datagrams_too_large.clone(),
+        );
     }
 
     /// Registers what endpoints, and operators for them, want to be sent.
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -3,7 +3,7 @@
 use crate::edge::Protocol;
 use crate::hearing;
 use crate::quarantine_sync::Said;
-use crate::sender::Outgoing;
+use crate::sender::{Outgoing, pace_of_sums};
 use crate::site::Site;
 use limehollow::balance::Taken;
 use limehollow::candidacy::Notice;
@@ -21,7 +21,8 @@
     let is_forwarded = std::mem::take(&mut w.forward);
     take_in_crashes(site, &mut w);
     let says_nothing = w.scope == Scope::News && w.reports.is_empty() && w.crashes.is_empty();
-    let on = (is_forwarded && !says_nothing).then(|| (w.clone(), site.known().peers.neighbours()));
+    let passes_on = is_forwarded && !says_nothing && is_due(site, &w);
+    let on = passes_on.then(|| (w.clone(), site.known().peers.neighbours()));
     take_in(site, w);
     on
 }
@@ -60,6 +61,26 @@
     }
 }
 
+/// Tells whether what another VM said for its zone is to be passed on now. Sums are, from time to time: each VM of the zone gets
+/// a copy.
+fn is_due<P>(site: &Site<P>, w: &Message) -> bool
+where
+    P: Protocol,
+{
+    if w.scope != Scope::Zone {
+        return true;
+    }
+    let now = site.now();
+    let mut known = site.known();
+    let pace = pace_of_sums(known.peers.neighbours().len());
+    let last = known.passed_on.get(&(w.zone.clone(), w.part));
+    if last.is_some_and(|t| now.duration_since(*t) < pace) {
+        return false;
+    }
+    known.passed_on.insert((w.zone.clone(), w.part), now);
+    true
+}
+
 fn take_in<P>(site: &Site<P>, w: Message)
 where
     P: Protocol,
@@ -103,9 +124,17 @@
                 known
                     .peers
                     .receive_zone(now, zone, w.from.clone(), usize::from(w.vms));
-                let from = zone_name(&w.zone);
+                let before = known.zone_parts.insert(w.zone.clone(), w.parts);
+                for part in 0..before.filter(|n| *n != w.parts).unwrap_or(0) {
+                    // An endpoint is in another part now, and would count twice.
+                    let former = zone_name(&w.zone, part);
+                    known.balance.receive(now, former, Vec::new());
+                }
+                let from = zone_name(&w.zone, w.part);
                 known.balance.receive(now, from.clone(), taken);
-                known.demand.insert(from, (now, w.demand));
+                if w.part == 0 {
+                    known.demand.insert(from, (now, w.demand));
+                }
             }
             Scope::Zone | Scope::News => {}
         }
@@ -143,9 +172,9 @@
     }
 }
 
-/// The name under which a zone's sums are kept beside the messages of VMs.
-fn zone_name(zone: &str) -> VmName {
-    VmName::from(format!("{ZONE_MARK}{zone}"))
+/// The name under which a part of a zone's sums is kept beside the messages of VMs.
+fn zone_name(zone: &str, part: u8) -> VmName {
+    VmName::from(format!("{ZONE_MARK}{zone}/{part}"))
 }
 
 /// No VM's name begins with it.
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How often a VM sends inside its zone, and one for it to other zones: a tenth of the tightest objective
 /// of the kinds that run models. What is older than that costs worth: at 120 ms inside and 240 ms between
@@ -28,6 +29,8 @@
 /// [`SLOWEST`], so that what a VM has to read stays bounded.
 const FEW: usize = 8;
 const SLOWEST: Duration = Duration::from_millis(240);
+/// The slowest pace at which the sums of another zone are passed on inside a zone: they count for half as long again.
+const SLOWEST_SUMS: Duration = Duration::from_millis(1000);
 /// For how long changes of the list are repeated inside the zone; who misses them reads the store.
 const LIST_REPEATED_FOR: Duration = Duration::from_millis(250);
 /// For how long VMs are told of a start of an endpoint that is gone, or leaves: some messages, some of which may be lost.
@@ -40,9 +43,28 @@
 const RATE_SAID_FOR: Duration = Duration::from_millis(1000);
 /// How often all limits are said: as long as a VM that has started again may send to an endpoint without knowing of its limit.
 const LIMITS_SAID_EVERY: Duration = Duration::from_millis(1000);
+/// How many endpoints a part of a zone's sums names, about.
+const MAX_TAKEN: usize = 128;
 /// How many limits go into one message.
 const MAX_RATES: usize = 64;
 
+/// Gives how often a VM with so many neighbours speaks.
+fn pace(neighbours: usize) -> Duration {
+    slowed(neighbours).min(SLOWEST)
+}
+
+/// Gives how often a VM with so many neighbours passes on what another zone says: each of them gets a copy, and the sums of a zone count for
+/// longer than this.
+pub(crate) fn pace_of_sums(neighbours: usize) -> Duration {
+    slowed(neighbours).min(SLOWEST_SUMS)
+}
+
+fn slowed(neighbours: usize) -> Duration {
+    #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
+    let slower = neighbours as f64 / FEW as f64;
+    EVERY.mul_f64(slower.max(1.0))
+}
+
 /// A message and where it goes.
 pub type Outgoing = (Message, Vec<SocketAddr>);
 
@@ -82,10 +104,7 @@
     /// Gives the time until the next message.
     #[must_use]
     pub fn pace(&self) -> Duration {
-        let neighbours = self.site.known().peers.neighbours().len();
-        #[expect(clippy::cast_precision_loss, reason = "a zone has few VMs")]
-        let slower = neighbours as f64 / FEW as f64;
-        EVERY.mul_f64(slower.max(1.0)).min(SLOWEST)
+        pace(self.site.known().peers.neighbours().len())
     }
 
     /// Gives what is to be said now, and to whom.
@@ -109,14 +128,18 @@
         }
         let mut outgoing = Vec::new();
         if !own.reports.is_empty() {
-            outgoing.push((news(&own), known.peers.zone_targets()));
+            outgoing.push((news(&own), known.peers.zone_targets(now)));
         }
         if !told.abroad.is_empty() {
             outgoing.push((crashes(&own, told.abroad), known.peers.zone_turns()));
         }
-        if now.duration_since(self.summed) >= EVERY && known.peers.is_zone_leader(now) {
+        let is_due = now.duration_since(self.summed) >= pace(known.peers.neighbours().len());
+        if is_due && known.peers.is_zone_leader(now) {
             self.summed = now;
-            outgoing.push((sums(&own, now, known), known.peers.zone_targets()));
+            let targets = known.peers.zone_targets(now);
+            for part in sums(&own, now, known) {
+                outgoing.push((part, targets.clone()));
+            }
         }
         for list in list_parts(known) {
             let part = list_part(&own, list);
@@ -192,6 +215,8 @@
             reads_list: known.readings.reads(Feed::Endpoints),
             vms_known: u16::try_from(known.quotas.vms()).unwrap_or(u16::MAX),
             rates: Vec::new(),
+            part: 0,
+            parts: 1,
             from: me,
         }
     }
@@ -276,8 +301,8 @@
     }
 }
 
-/// Makes the message of a zone: the sums over its VMs.
-fn sums(own: &Message, now: Instant, known: &Known) -> Message {
+/// Makes the messages of a zone: the sums over its VMs, in as many parts as it takes for each to fit in a datagram.
+fn sums(own: &Message, now: Instant, known: &Known) -> Vec<Message> {
     let here = |vm: &VmName| !is_zone(vm);
     let fresh = |at: &Instant| now.duration_since(*at) < MESSAGE_LIFE;
     let mut taken: BTreeMap<Instance, Taken> = own.taken.iter().cloned().collect();
@@ -297,10 +322,9 @@
     for (m, d) in others.flat_map(|(_, (_, d))| d) {
         *demand.entry(m.clone()).or_default() += d;
     }
-    Message {
+    let whole = Message {
         scope: Scope::Zone,
         vms: u16::try_from(known.peers.alive_here(now)).unwrap_or(u16::MAX),
-        taken: taken.into_iter().collect(),
         demand: demand.into_iter().collect(),
         gone: own.gone.clone(),
         leaving: own.leaving.clone(),
@@ -308,6 +332,45 @@
         reports: Vec::new(),
         lease: zone_notice(now, known),
         ..news(own)
+    };
+    in_parts(&whole, taken.into_iter().collect())
+}
+
+/// Divides what a zone has at the endpoints among as many messages as it takes. An endpoint is always in the same one as long as
+/// their number stays, so that each replaces what the one before it said.
+fn in_parts(whole: &Message, taken: Vec<(Instance, Taken)>) -> Vec<Message> {
+    let parts = taken.len().div_ceil(MAX_TAKEN).max(1).next_power_of_two();
+    let mut rows = vec![Vec::new(); parts];
+    for row in taken {
+        let at = usize::try_from(xxh3_64(row.0.id.as_bytes())).unwrap_or(0) % parts;
+        rows[at].push(row);
+    }
+    let parts = u8::try_from(parts).unwrap_or(u8::MAX);
+    let messages = rows.into_iter().zip(0..).map(|(taken, part)| {
+        let first = if part == 0 {
+            whole.clone()
+        } else {
+            rest(whole)
+        };
+        Message {
+            taken,
+            part,
+            parts,
+            ..first
+        }
+    });
+    messages.collect()
+}
+
+/// Makes a further part of a zone's sums, which says nothing else.
+fn rest(whole: &Message) -> Message {
+    Message {
+        demand: Vec::new(),
+        gone: Vec::new(),
+        leaving: Vec::new(),
+        rates: Vec::new(),
+        lease: None,
+        ..whole.clone()
     }
 }
 
--- a/crates/limehollow-node/src/traffic.rs
+++ b/crates/limehollow-node/src/traffic.rs
@@ -69,7 +69,7 @@
 }
 
 /// Names what a datagram is.
-fn kind(d: &Datagram) -> &'static str {
+pub(crate) fn kind(d: &Datagram) -> &'static str {
     match d {
         Datagram::Message(m) => message_kind(m),
         Datagram::Question(q) => match q.about {
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -127,6 +127,10 @@
     pub start: u64,
     /// Rises with each message of one start of the process.
     pub number: u64,
+    /// Which part of what is taken this is, of so many.
+    pub part: u8,
+    /// Of how many parts.
+    pub parts: u8,
     /// What its requests take at each endpoint.
     pub taken: Vec<(Instance, Taken)>,
     /// The endpoints that it could not reach lately; only for the VMs of its zone.
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Takes off what another has no more.
+    fn subtract(&mut self, other: &Self) {
+        self.requests = (self.requests - other.requests).max(0.0);
+        self.tokens = (self.tokens - other.tokens).max(0.0);
+        for (a, b) in self.ahead_ms.iter_mut().zip(other.ahead_ms) {
+            *a = (*a - b).max(0.0);
+        }
+    }
+
     /// Gives the work that goes before a request of a rank.
     fn ahead(&self, level: usize) -> f64 {
         self.ahead_ms[..=level].iter().map(|a| f64::from(*a)).sum()
@@ -590,12 +599,31 @@
     }
 
     /// Takes in what another gateway has at the endpoints.
+    ///
+    /// The sums change by what the message changes: a VM hears hundreds of messages a second, and there are thousands of endpoints.
     pub fn receive(&mut self, now: Instant, from: VmName, taken: Vec<(EndpointKey, Taken)>) {
+        let before = self.messages.remove(&from);
+        for (key, t) in before.iter().flat_map(|(_, w)| w) {
+            if let Some(row) = self.rows.get_mut(*key) {
+                row.others.subtract(t);
+            }
+        }
+        for (key, t) in &taken {
+            if let Some(row) = self.row(now, *key) {
+                row.others.add(t);
+            }
+        }
         self.messages.insert(from, (now, taken));
-        self.refresh(now);
+        let mut ages = self
+            .messages
+            .values()
+            .map(|(at, _)| now.duration_since(*at));
+        if ages.any(|age| age >= MESSAGE_LIFE) {
+            self.refresh(now);
+        }
     }
 
-    /// Drops what other gateways said too long ago.
+    /// Drops what other gateways said too long ago, and sums up anew what is left.
     pub fn refresh(&mut self, now: Instant) {
         self.messages
             .retain(|_, (at, _)| now.duration_since(*at) < MESSAGE_LIFE);
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -34,7 +34,8 @@
 /// After how long without a sum a zone counts as silent.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2000);
 
-/// After how long without a sum the leader of another zone is no keeper: three of the sums that a large zone sends.
+/// After how long without a sum the leader of another zone is no keeper, nor the one that is told of other zones: three of the sums that
+/// a large zone sends.
 const KEEPER_SILENT_AFTER: Duration = Duration::from_millis(800);
 
 /// Orders zones for a name, each name in another way.
@@ -382,17 +383,20 @@
         by_zone
     }
 
-    /// Gives to whom in the other zones a message goes: in each the VM that was heard last for it, and one more
-    /// in turn, so that a zone whose leader is gone is reached soon.
-    pub fn zone_targets(&mut self) -> Vec<SocketAddr> {
+    /// Gives to whom in the other zones a message goes: in each to the VM that speaks for it. Where none was heard to lately, it goes to
+    /// the last one that was, and to one more in turn, so that a zone whose leader is gone is reached soon.
+    pub fn zone_targets(&mut self, now: Instant) -> Vec<SocketAddr> {
         self.turn += 1;
         let mut out = Vec::new();
         for (zone, vms) in self.other_zones() {
-            let (name, address) = vms[self.turn % vms.len()];
-            out.push(address);
-            let last = self.zones.get(zone).map(|z| &z.from);
-            let last = last.and_then(|from| vms.iter().find(|(n, _)| *n == from && *n != name));
+            let spoke = self.zones.get(zone);
+            let last = spoke.and_then(|z| vms.iter().find(|(n, _)| **n == z.from));
             out.extend(last.map(|(_, a)| *a));
+            let is_heard = |z: &OtherZone| now.duration_since(z.heard) < KEEPER_SILENT_AFTER;
+            if last.is_none() || !spoke.is_some_and(is_heard) {
+                let (_, next) = vms[self.turn % vms.len()];
+                out.extend((!out.contains(&next)).then_some(next));
+            }
         }
         out
     }
