A start in as many steps as the logarithm of the VMs; nobody stands for the lease before it knows the site

But 429 of 985 VMs were ready when traffic began: VMs that had not heard their reader after 1.5 s read for themselves, and passed on all that they had read to all neighbours, up to 51 MB each.

Change: a VM that was learnt of may be silent for a time that grows with the logarithm of the VMs before it counts as gone; the list isn't read for its age while the zone's reader is expected; states are packed (lz4_flex, a library of the registry); weak VMs get no children in the tree; candidates wait until they know the site.

--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -94,6 +94,8 @@
     pub has_vms: bool,
     /// Whether another VM handed its state over at the start.
     pub is_given: bool,
+    /// Whether this VM is still getting to know the site.
+    pub is_starting: bool,
     /// The VMs that the store shows.
     pub listed: BTreeMap<SmolStr, Vm>,
     /// Whether this VM is among them.
@@ -152,6 +154,7 @@
             cold_specs: BTreeMap::new(),
             has_vms: false,
             is_given: false,
+            is_starting: false,
             listed: BTreeMap::new(),
             is_listed: false,
             unlisted: BTreeMap::new(),
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -107,7 +107,10 @@
         let holder = known.candidacy.holder(now);
         return holder.is_none_or(|h| *h == site.me.as_str());
     }
-    let rank = known.peers.candidate_rank(now);
+    let rank = known
+        .peers
+        .candidate_rank(now)
+        .filter(|_| !known.is_starting);
     rank.is_some_and(|r| known.candidacy.stands(now, r))
 }
 
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -142,7 +142,8 @@
         } else {
             freshness.complete_at() + pace.stale_after(self.luck) + patience
         };
-        due.max(self.retry_at)
+        let expected = known.peers.reader_expected(self.f.site.now());
+        due.max(self.retry_at).max(expected.unwrap_or(due))
     }
 
     /// Gives how long a VM that can't read the store waits before it asks another one that is further.
--- a/crates/limehollow-node/src/start.rs
+++ b/crates/limehollow-node/src/start.rs
@@ -39,8 +39,24 @@
 const ANNOUNCE_AFTER: Duration = Duration::from_secs(8);
 const LONGEST_ANNOUNCE_PAUSE: Duration = Duration::from_secs(60);
 
-/// Gets the site's state from another VM, if one has it; otherwise what follows reads the store.
+/// Gets to know the site. Until then this VM doesn't stand for the lease: it knows nobody who may hold it.
 pub async fn start<P, T>(site: &Arc<Site<P>>, states: &T)
+where
+    P: Protocol,
+    T: States,
+{
+    site.known().is_starting = true;
+    get_state(site, states).await;
+    let now = site.now();
+    let mut known = site.known();
+    known.is_starting = false;
+    if known.candidacy.fresh(now).is_none() {
+        known.candidacy.listen(now);
+    }
+}
+
+/// Gets the site's state from another VM, if one has it; otherwise what follows reads the store.
+async fn get_state<P, T>(site: &Arc<Site<P>>, states: &T)
 where
     P: Protocol,
     T: States,
@@ -258,7 +274,9 @@
     let now = site.now();
     let mut known = site.known();
     known.learn(&vm);
-    let giver = known.start_tree.place(now, &vm.zone, vm.address);
+    let giver = known
+        .start_tree
+        .place(now, &vm.zone, vm.address, vm.millicores);
     if known.listed.get(&vm.name) != Some(&vm) {
         known.unlisted.insert(vm.name.clone(), vm);
         site.vm_unlisted.notify_one();
--- a/crates/limehollow-wire/src/error.rs
+++ b/crates/limehollow-wire/src/error.rs
@@ -23,6 +23,12 @@
         /// The length of the message.
         len: usize,
     },
+    /// The bytes can't be unpacked.
+    #[snafu(display("packed message: {source}"))]
+    Packed {
+        /// What the codec said.
+        source: lz4_flex::block::DecompressError,
+    },
     /// The message is of a version that this release doesn't know.
     #[snafu(display("schema version {version} is not known; this release reads {known}"))]
     Version {
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -1,6 +1,6 @@
 //! What the processes of a site say to each other by datagram: one version byte, then postcard.
 
-use crate::error::{BinarySnafu, Result, VersionSnafu};
+use crate::error::{BinarySnafu, FieldSnafu, PackedSnafu, Result, VersionSnafu};
 use limehollow::backpressure::RateWord;
 use limehollow::balance::Taken;
 use limehollow::catalog::Catalog;
@@ -21,6 +21,9 @@
 /// The schema version that this release writes and reads.
 pub const SCHEMA: u8 = 8;
 
+/// The largest state that is unpacked, in bytes: many times that of the largest deployment.
+const MAX_STATE: usize = 64 << 20;
+
 /// What a message speaks of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
@@ -379,16 +382,30 @@
 ///
 /// [`crate::Error::Binary`] if the state can't be written.
 pub fn encode_state(s: &State) -> Result<Vec<u8>> {
-    postcard::to_extend(s, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
+    let plain = postcard::to_stdvec(s).context(BinarySnafu { len: 0_usize })?;
+    // The same names stand in it thousands of times.
+    let mut out = vec![SCHEMA];
+    out.extend(lz4_flex::compress_prepend_size(&plain));
+    Ok(out)
 }
 
 /// Reads a state.
 ///
 /// # Errors
 ///
-/// [`crate::Error::Version`] or [`crate::Error::Binary`].
+/// [`crate::Error::Version`], [`crate::Error::Binary`], or [`crate::Error::Packed`], [`crate::Error::Field`] if it is too large.
 pub fn decode_state(bytes: &[u8]) -> Result<State> {
-    postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
+    let packed = body(bytes)?;
+    let (plain_len, _) = lz4_flex::block::uncompressed_size(packed).context(PackedSnafu)?;
+    if plain_len > MAX_STATE {
+        return FieldSnafu {
+            field: "state",
+            why: "is larger than any site's",
+        }
+        .fail();
+    }
+    let plain = lz4_flex::decompress_size_prepended(packed).context(PackedSnafu)?;
+    postcard::from_bytes(&plain).context(BinarySnafu { len: bytes.len() })
 }
 
 /// Writes the VMs that one knows.
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -18,6 +18,8 @@
 /// For how long after its start a VM takes those that it hasn't heard yet for alive: as long as makes a VM silent,
 /// with some room for slow starts.
 const INTRODUCTION: Duration = Duration::from_millis(1500);
+/// The logarithm of a small site's VMs, up to which that is long enough.
+const FEW_STEPS: f64 = 3.0;
 /// How many VMs of each zone stand for the lease: one, and one for when it is lost. Each change among those who
 /// stand may move the lease, and with it comes a pause in which no orders are given: with all 71 VMs
 /// of a site it moved each four seconds.
@@ -80,7 +82,6 @@
     zone: ZoneName,
     /// This VM's processor, in thousandths of a core.
     millicores: u32,
-    started: Instant,
     rows: BTreeMap<SmolStr, Peer>,
     zones: BTreeMap<ZoneName, OtherZone>,
     turn: usize,
@@ -95,7 +96,6 @@
             me,
             zone,
             millicores,
-            started: Instant::now(),
             rows: BTreeMap::new(),
             zones: BTreeMap::new(),
             turn: 0,
@@ -151,6 +151,22 @@
         before.count()
     }
 
+    /// Gives until when a VM is expected that reads for the zone and hasn't been heard yet, since it starts as this one does; none where
+    /// this VM is to read, or one is heard that does.
+    #[must_use]
+    pub fn reader_expected(&self, now: Instant) -> Option<Instant> {
+        let readers = || self.present_here(now).filter(|(_, p)| p.reads_list);
+        if self
+            .strongest(readers().filter(|(_, p)| p.heard.is_some()))
+            .is_some()
+        {
+            return None;
+        }
+        let expected = self.strongest(readers())?;
+        let learnt = self.rows.get(expected)?.learnt;
+        Some(learnt + self.introduction())
+    }
+
     /// Counts the VMs of the zone that say that they can't read the list of endpoints.
     #[must_use]
     pub fn failing_here(&self, now: Instant) -> usize {
@@ -182,13 +198,12 @@
     /// Gives this VM's place among the candidates for the lease, the first of each zone before the second of any.
     #[must_use]
     pub fn candidate_rank(&self, now: Instant) -> Option<usize> {
-        let is_new = now.duration_since(self.started) < INTRODUCTION;
         let mine = (Reverse(self.millicores), &self.me);
         let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
         let before = here.filter(|(name, p)| {
             let is_alive = match p.heard {
                 Some(t) => now.duration_since(t) < SILENT_AFTER,
-                None => is_new,
+                None => now.duration_since(p.learnt) < self.introduction(),
             };
             is_alive && (Reverse(p.millicores), *name) < mine
         });
@@ -273,10 +288,18 @@
         let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
         here.filter(move |(_, p)| match p.heard {
             Some(t) => now.duration_since(t) < SILENT_AFTER,
-            None => now.duration_since(p.learnt) < INTRODUCTION,
+            None => now.duration_since(p.learnt) < self.introduction(),
         })
     }
 
+    /// Gives for how long a VM that was learnt of may be silent because it is starting as well: a start takes as many steps as the
+    /// logarithm of the VMs.
+    fn introduction(&self) -> Duration {
+        #[expect(clippy::cast_precision_loss, reason = "a site has few VMs")]
+        let steps = (self.known() as f64).log2();
+        INTRODUCTION.mul_f64((steps / FEW_STEPS).max(1.0))
+    }
+
     fn heard_here(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, &Peer)> {
         let here = self.rows.iter().filter(|(_, p)| p.zone == self.zone);
         here.filter(move |(_, p)| {
--- a/crates/limehollow/src/start_tree.rs
+++ b/crates/limehollow/src/start_tree.rs
@@ -13,20 +13,20 @@
 //! let now = Instant::now();
 //! let mut tree = StartTree::default();
 //! let vm = |n: u8| std::net::SocketAddr::from(([10, 0, 0, n], 7000));
-//! assert_eq!(tree.place(now, &"a".into(), vm(1)), Giver::Me);
-//! assert_eq!(tree.place(now, &"a".into(), vm(2)), Giver::Other(vm(1)));
+//! assert_eq!(tree.place(now, &"a".into(), vm(1), 250), Giver::Me);
+//! assert_eq!(tree.place(now, &"a".into(), vm(2), 250), Giver::Other(vm(1)));
 //! // Another zone has a tree of its own: the state crosses to it once.
-//! assert_eq!(tree.place(now, &"b".into(), vm(3)), Giver::Me);
+//! assert_eq!(tree.place(now, &"b".into(), vm(3), 250), Giver::Me);
 //! ```
 
 use crate::id::ZoneName;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// How many VMs get the state from the same one.
-pub const FANOUT: usize = 3;
+pub const FANOUT: usize = 4;
 /// After how long without a VM that asks a tree is forgotten: those in it may be gone by then.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 
@@ -47,40 +47,86 @@
 
 #[derive(Debug)]
 struct Branch {
-    /// In the order in which they asked: the children of the first are the next [`FANOUT`], and so on.
-    vms: Vec<SocketAddr>,
+    /// In the order in which they asked.
+    vms: Vec<Placed>,
     /// Where in that order each is, and how often it has asked.
     asked: HashMap<SocketAddr, (usize, usize)>,
+    /// Those that may get children, the ones first that asked first.
+    open: VecDeque<usize>,
+    /// The processor of all that asked, in thousandths of a core.
+    millicores: u64,
     last: Instant,
 }
 
-impl StartTree {
-    /// Gives from whom a VM gets the state that has just started.
-    ///
-    /// One that asks again got nothing from its parent, and is sent to the parent's parent.
-    pub fn place(&mut self, now: Instant, zone: &ZoneName, vm: SocketAddr) -> Giver {
-        let branch = self.zones.entry(zone.clone()).or_insert_with(|| Branch {
+#[derive(Debug)]
+struct Placed {
+    vm: SocketAddr,
+    /// Its parent's place; none where it gets the state from the VM that was asked.
+    parent: Option<usize>,
+    children: usize,
+}
+
+impl Branch {
+    fn new(now: Instant) -> Self {
+        Self {
             vms: Vec::new(),
             asked: HashMap::new(),
+            open: VecDeque::new(),
+            millicores: 0,
             last: now,
+        }
+    }
+
+    /// Places a VM that asks for the first time. Weaker ones than most get no children: whoever waits for them waits long.
+    fn add(&mut self, vm: SocketAddr, millicores: u32) -> usize {
+        let parent = self.open.front().copied();
+        if let Some(p) = parent {
+            self.vms[p].children += 1;
+            if self.vms[p].children >= FANOUT {
+                self.open.pop_front();
+            }
+        }
+        let at = self.vms.len();
+        self.vms.push(Placed {
+            vm,
+            parent,
+            children: 0,
         });
+        self.millicores += u64::from(millicores);
+        let number = u64::try_from(self.vms.len()).unwrap_or(u64::MAX);
+        if u64::from(millicores) * number >= self.millicores || self.open.is_empty() {
+            self.open.push_back(at);
+        }
+        at
+    }
+}
+
+impl StartTree {
+    /// Gives from whom a VM gets the state that has just started, with its processor in thousandths of a core.
+    ///
+    /// One that asks again got nothing from its parent, and is sent to the parent's parent.
+    pub fn place(
+        &mut self,
+        now: Instant,
+        zone: &ZoneName,
+        vm: SocketAddr,
+        millicores: u32,
+    ) -> Giver {
+        let branch = self.zones.entry(zone.clone());
+        let branch = branch.or_insert_with(|| Branch::new(now));
         if now.saturating_duration_since(branch.last) > FORGOTTEN_AFTER {
-            branch.vms.clear();
-            branch.asked.clear();
+            *branch = Branch::new(now);
         }
         branch.last = now;
-        let place = branch.asked.entry(vm).or_insert_with(|| {
-            branch.vms.push(vm);
-            (branch.vms.len() - 1, 0)
-        });
-        place.1 += 1;
-        let (mut at, ups) = *place;
-        for _ in 0..ups {
-            let Some(before) = at.checked_sub(1) else {
-                return Giver::Me;
-            };
-            at = before / FANOUT;
+        let (at, before) = match branch.asked.get(&vm) {
+            Some(place) => *place,
+            None => (branch.add(vm, millicores), 0),
+        };
+        branch.asked.insert(vm, (at, before + 1));
+        let mut giver = branch.vms[at].parent;
+        for _ in 0..before {
+            giver = giver.and_then(|p| branch.vms[p].parent);
         }
-        Giver::Other(branch.vms[at])
+        giver.map_or(Giver::Me, |p| Giver::Other(branch.vms[p].vm))
     }
 }
