A VM that is behind gets the list from others, not from the store; only the zone's reader passes much on

Cause of the 51 MB: each VM that found its list too old read the changes from the store and passed them on like the zone's reader. Now such a VM passes on one part at most, the reader eight; what is more, or didn't arrive, is got over the tree once others have been ahead for 0.3 s. A tree belongs to how far the VM that is asked has read, so that the next thing that all miss makes a new one.

--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -21,8 +21,13 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
-/// How long another VM's state is waited for where the history is gone: as long as a call that is begun anew.
-const CATCH_UP_WITHIN: Duration = Duration::from_millis(1000);
+/// How long another VM's state is waited for: some steps of the tree.
+const CATCH_UP_WITHIN: Duration = Duration::from_millis(1500);
+/// How long a VM is behind others before it asks them: what they pass on arrives with the word that they are ahead.
+const BEHIND_FOR: Duration = Duration::from_millis(300);
+/// How many parts are passed on of one reading. Of more each VM of the zone would be sent megabytes by the one that reads; they get the state over
+/// the tree of [`limehollow::start_tree`] instead.
+const MAX_PARTS: usize = 8;
 /// Records of the list that go into one part of what is passed on: with a few hundred bytes each they fit in a datagram beside the rest.
 const PART: usize = 64;
 /// How long a call may take at most that was begun anew after others got no answer: the store answers in 4 ms, so it
@@ -46,6 +51,8 @@
     Read,
     /// Asks another VM for its state.
     Fetch,
+    /// Gets the state as at a start: what others have read wasn't passed on, or didn't arrive.
+    CatchUp,
     /// Drops what was held back.
     Settle,
 }
@@ -92,8 +99,15 @@
     loop {
         match l.work().await {
             Work::Take(offer) => l.take(offer),
-            Work::Read => l.read().await,
+            Work::Read => {
+                if l.failures > 0 || !l.catch_up().await {
+                    l.read().await;
+                }
+            }
             Work::Fetch => l.fetch().await,
+            Work::CatchUp => {
+                l.catch_up().await;
+            }
             Work::Settle => {}
         }
         l.f.drop_withheld();
@@ -123,6 +137,7 @@
                     }
                 }
                 () = self.f.behind(fetch_after), if can_fetch => return Work::Fetch,
+                () = self.f.behind(BEHIND_FOR + fetch_after), if !can_fetch => return Work::CatchUp,
             }
         }
     }
@@ -202,13 +217,23 @@
         }
     }
 
+    /// Gets the state of a VM that is ahead, where others read for this VM. Gives whether it did.
+    async fn catch_up(&mut self) -> bool {
+        let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
+        if reads_for_others || !self.f.is_behind() {
+            return false;
+        }
+        let caught_up = start::catch_up(&self.f.site, &self.f.states);
+        if timeout(CATCH_UP_WITHIN, caught_up).await != Ok(true) {
+            return false;
+        }
+        self.next = Some(self.f.site.positions().endpoints);
+        true
+    }
+
     /// Gets the list whole, from another VM where one has read on.
     async fn read_anew(&mut self) {
-        let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
-        let others_know = !reads_for_others && self.f.is_behind();
-        let caught_up = async { start::catch_up(&self.f.site, &self.f.states).await };
-        if others_know && timeout(CATCH_UP_WITHIN, caught_up).await == Ok(true) {
-            self.next = Some(self.f.site.positions().endpoints);
+        if self.catch_up().await {
             return;
         }
         self.next = None;
@@ -283,7 +308,10 @@
             return;
         };
         let parts = parts(from, read);
-        if parts.is_empty() {
+        let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
+        // Of those that read because they heard nothing, each may have read the same.
+        let most = if reads_for_others { MAX_PARTS } else { 1 };
+        if parts.is_empty() || parts.len() > most {
             return;
         }
         let now = self.f.site.now();
--- a/crates/limehollow-node/src/start.rs
+++ b/crates/limehollow-node/src/start.rs
@@ -144,8 +144,8 @@
     Asked::Given
 }
 
-/// Gets the state of a VM that has read the list further than this one, or of one that got it there, as at a start: the
-/// history between is gone, and all VMs of the zone miss it at once.
+/// Gets the state of a VM that has read the list further than this one, or of one that got it there, as at a start: all VMs of the zone
+/// may miss the same at once. Gives whether the list is further than before.
 pub(crate) async fn catch_up<P, T>(site: &Arc<Site<P>>, states: &T) -> bool
 where
     P: Protocol,
@@ -157,7 +157,10 @@
         vm.and_then(|vm| known.peers.address(vm))
     };
     match ahead {
-        Some(vm) => ask(site, states, vm).await == Asked::Given,
+        Some(vm) => {
+            let before = site.positions().endpoints;
+            ask(site, states, vm).await == Asked::Given && site.positions().endpoints > before
+        }
         None => false,
     }
 }
@@ -274,9 +277,8 @@
     let now = site.now();
     let mut known = site.known();
     known.learn(&vm);
-    let giver = known
-        .start_tree
-        .place(now, &vm.zone, vm.address, vm.millicores);
+    let (who, position) = ((vm.address, vm.millicores), known.positions.endpoints);
+    let giver = known.start_tree.place(now, &vm.zone, who, position);
     if known.listed.get(&vm.name) != Some(&vm) {
         known.unlisted.insert(vm.name.clone(), vm);
         site.vm_unlisted.notify_one();
@@ -287,14 +289,16 @@
     })
 }
 
-/// Tells whether this VM has what others need for a start, with the list read beyond a position.
+/// Tells whether this VM has what others need that have read the list up to a position: all, where they have nothing yet.
 pub(crate) fn has_all<P>(site: &Site<P>, beyond: u64) -> bool
 where
     P: Protocol,
 {
     let known = site.known();
     let p = known.positions;
-    known.has_vms && p.endpoints > beyond && p.configuration > 0 && site.catalog.load().is_some()
+    let has_list = p.endpoints > beyond;
+    let has_rest = known.has_vms && p.configuration > 0 && site.catalog.load().is_some();
+    has_list && (beyond > 0 || has_rest)
 }
 
 /// Has the store show this VM, and those that asked this one at their start, for as long as the process lives.
--- a/crates/limehollow/src/start_tree.rs
+++ b/crates/limehollow/src/start_tree.rs
@@ -13,10 +13,10 @@
 //! let now = Instant::now();
 //! let mut tree = StartTree::default();
 //! let vm = |n: u8| std::net::SocketAddr::from(([10, 0, 0, n], 7000));
-//! assert_eq!(tree.place(now, &"a".into(), vm(1), 250), Giver::Me);
-//! assert_eq!(tree.place(now, &"a".into(), vm(2), 250), Giver::Other(vm(1)));
+//! assert_eq!(tree.place(now, &"a".into(), (vm(1), 250), 7), Giver::Me);
+//! assert_eq!(tree.place(now, &"a".into(), (vm(2), 250), 7), Giver::Other(vm(1)));
 //! // Another zone has a tree of its own: the state crosses to it once.
-//! assert_eq!(tree.place(now, &"b".into(), vm(3), 250), Giver::Me);
+//! assert_eq!(tree.place(now, &"b".into(), (vm(3), 250), 7), Giver::Me);
 //! ```
 
 use crate::id::ZoneName;
@@ -56,6 +56,7 @@
     /// The processor of all that asked, in thousandths of a core.
     millicores: u64,
     last: Instant,
+    position: u64,
 }
 
 #[derive(Debug)]
@@ -67,8 +68,9 @@
 }
 
 impl Branch {
-    fn new(now: Instant) -> Self {
+    fn new(now: Instant, position: u64) -> Self {
         Self {
+            position,
             vms: Vec::new(),
             asked: HashMap::new(),
             open: VecDeque::new(),
@@ -104,18 +106,20 @@
 impl StartTree {
     /// Gives from whom a VM gets the state that has just started, with its processor in thousandths of a core.
     ///
-    /// One that asks again got nothing from its parent, and is sent to the parent's parent.
+    /// One that asks again got nothing from its parent, and is sent to the parent's parent. `position` is how far the list has been read by
+    /// the VM that is asked: once it has read on, those that ask miss something else, and there is a new tree for them.
     pub fn place(
         &mut self,
         now: Instant,
         zone: &ZoneName,
-        vm: SocketAddr,
-        millicores: u32,
+        (vm, millicores): (SocketAddr, u32),
+        position: u64,
     ) -> Giver {
         let branch = self.zones.entry(zone.clone());
-        let branch = branch.or_insert_with(|| Branch::new(now));
-        if now.saturating_duration_since(branch.last) > FORGOTTEN_AFTER {
-            *branch = Branch::new(now);
+        let branch = branch.or_insert_with(|| Branch::new(now, position));
+        let is_old = now.saturating_duration_since(branch.last) > FORGOTTEN_AFTER;
+        if is_old || position != branch.position {
+            *branch = Branch::new(now, position);
         }
         branch.last = now;
         let (at, before) = match branch.asked.get(&vm) {
