What other zones have read makes nobody catch up

It got the whole state each time.

Change: only VMs of the own zone count for that. Test: changes of the list each third of a second over 8, 71 and 150 VMs for ten seconds, and no state handed over.

--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// Waits until a VM of this zone has read the list further than this one for so long.
+    pub(crate) async fn behind_here(&self, time: Duration) {
+        loop {
+            self.site.endpoints_behind.notified().await;
+            sleep(time).await;
+            if self.site.known().is_behind_here() {
+                return;
+            }
+        }
+    }
+
     /// Tells whether another VM has read further.
     pub(crate) fn is_behind(&self) -> bool {
         self.site.known().is_behind(self.feed)
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -74,6 +74,8 @@
     pub withheld: BTreeSet<SmolStr>,
     /// The VM that has read each feed furthest, and how far.
     pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
+    /// The VM of this zone that has read the list furthest, and how far.
+    pub ahead_here: Option<(SmolStr, u64)>,
     /// What the controller on this VM found out lately, for the other VMs.
     pub reports: Outbox,
     /// Whether this VM can't stand for the lease: its last call for it failed, or it was told to end.
@@ -140,6 +142,7 @@
             readings: Readings::default(),
             withheld: BTreeSet::new(),
             ahead: BTreeMap::new(),
+            ahead_here: None,
             reports: Outbox::default(),
             lease_failing: false,
             peers: Peers::new(
@@ -170,6 +173,28 @@
         theirs > position(self.positions, feed)
     }
 
+    /// Takes in how far a VM of this zone has read the list.
+    pub(crate) fn note_ahead_here(&mut self, vm: &SmolStr, position: u64) {
+        let best = self.ahead_here.as_ref().map_or(0, |(_, at)| *at);
+        if position >= best && position > 0 {
+            self.ahead_here = Some((vm.clone(), position));
+        }
+    }
+
+    /// Tells whether a VM of this zone has read the list further than this one. Other zones are read for at other moments: what
+    /// they are ahead comes by the own zone's reader.
+    pub(crate) fn is_behind_here(&self) -> bool {
+        let theirs = self.ahead_here.as_ref().map_or(0, |(_, at)| *at);
+        theirs > self.positions.endpoints
+    }
+
+    /// Gives the VM from which a list is got that is further: one of this zone, if there is one.
+    pub(crate) fn ahead_in_list(&self) -> Option<&SmolStr> {
+        let here = self.ahead_here.as_ref().filter(|_| self.is_behind_here());
+        let any = self.ahead.get(&Feed::Endpoints);
+        here.or(any).map(|(vm, _)| vm)
+    }
+
     /// Takes in where a VM is.
     pub(crate) fn learn(&mut self, vm: &Vm) -> bool {
         let (name, zone) = (vm.name.clone(), vm.zone.clone());
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -23,7 +23,7 @@
 
 /// How long another VM's state is waited for: some steps of the tree.
 const CATCH_UP_WITHIN: Duration = Duration::from_millis(1500);
-/// How long a VM is behind others before it asks them: what they pass on arrives with the word that they are ahead.
+/// How long a VM is behind others of its zone before it asks them: what they pass on arrives with the word that they are ahead.
 const BEHIND_FOR: Duration = Duration::from_millis(300);
 /// How many parts are passed on of one reading. Of more each VM of the zone would be sent megabytes by the one that reads; they get the state over
 /// the tree of [`limehollow::start_tree`] instead.
@@ -137,7 +137,7 @@
                     }
                 }
                 () = self.f.behind(fetch_after), if can_fetch => return Work::Fetch,
-                () = self.f.behind(BEHIND_FOR + fetch_after), if !can_fetch => return Work::CatchUp,
+                () = self.f.behind_here(BEHIND_FOR + fetch_after), if !can_fetch => return Work::CatchUp,
             }
         }
     }
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -111,6 +111,7 @@
                 if is_new && zone == site.zone {
                     known.peers.note_store(&w.from, w.reaches_store);
                     known.peers.note_list(&w.from, w.reads_list);
+                    known.note_ahead_here(&w.from, w.positions.endpoints);
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
                     for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
--- a/crates/limehollow-node/src/start.rs
+++ b/crates/limehollow-node/src/start.rs
@@ -14,7 +14,7 @@
 use limehollow_wire::gossip::{About, Introduction, Member, Members, Reply, State};
 use rand::seq::SliceRandom;
 use smol_str::{SmolStr, format_smolstr};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -35,6 +35,8 @@
 const READ_SPREAD: Duration = Duration::from_secs(2);
 /// How long VMs that asked are gathered before they are written into the store together.
 const GATHER: Duration = Duration::from_millis(250);
+/// The pause after VMs could not be written into the store; it doubles, up to the longest.
+const WRITE_AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// After how long a VM that the store doesn't show yet makes itself known; it doubles, up to the longest.
 const ANNOUNCE_AFTER: Duration = Duration::from_secs(8);
 const LONGEST_ANNOUNCE_PAUSE: Duration = Duration::from_secs(60);
@@ -91,22 +93,19 @@
 
 /// Gives where the datagrams of the VMs arrive that the settings name, other than this one's.
 pub(crate) fn named(settings: &NodeSettings) -> Vec<SocketAddr> {
-    let all = settings
-        .seeds
-        .iter()
-        .filter_map(|s| s.parse::<SocketAddr>().ok());
-    let others = all.filter(|a| a.ip() != settings.ip);
+    let others = all_named(settings).filter(|ip| *ip != settings.ip);
     others
-        .map(|a| SocketAddr::new(a.ip(), settings.peer_port))
+        .map(|ip| SocketAddr::new(ip, settings.peer_port))
         .collect()
 }
 
 fn is_named(settings: &NodeSettings) -> bool {
-    let all = settings
-        .seeds
-        .iter()
-        .filter_map(|s| s.parse::<SocketAddr>().ok());
-    all.into_iter().any(|a| a.ip() == settings.ip)
+    all_named(settings).any(|ip| ip == settings.ip)
+}
+
+fn all_named(settings: &NodeSettings) -> impl Iterator<Item = IpAddr> {
+    let addresses = settings.seeds.iter();
+    addresses.filter_map(|s| Some(s.parse::<SocketAddr>().ok()?.ip()))
 }
 
 /// Draws a time around this one, so that those that failed together don't come back together.
@@ -153,7 +152,7 @@
 {
     let ahead = {
         let known = site.known();
-        let vm = known.ahead.get(&Feed::Endpoints).map(|(vm, _)| vm);
+        let vm = known.ahead_in_list();
         vm.and_then(|vm| known.peers.address(vm))
     };
     match ahead {
@@ -310,7 +309,7 @@
     P: Protocol,
     S: Store,
 {
-    let mut pause = ANNOUNCE_AFTER;
+    let (mut pause, mut again) = (ANNOUNCE_AFTER, WRITE_AGAIN_AFTER);
     let mut own_due = site.now() + own_turn(&site);
     loop {
         let due = (!site.known().is_listed).then_some(own_due);
@@ -327,11 +326,14 @@
                 pause = (pause * 2).min(LONGEST_ANNOUNCE_PAUSE);
             }
         }
-        if let Err(e) = write_unlisted(&site, &store).await {
-            tracing::info!(error = %e, "VMs could not be made known yet");
-            sleep(jittered(pause)).await;
-            pause = (pause * 2).min(LONGEST_ANNOUNCE_PAUSE);
-            site.vm_unlisted.notify_one();
+        match write_unlisted(&site, &store).await {
+            Ok(()) => again = WRITE_AGAIN_AFTER,
+            Err(e) => {
+                tracing::info!(error = %e, "VMs could not be made known yet");
+                sleep(jittered(again)).await;
+                again = (again * 2).min(LONGEST_ANNOUNCE_PAUSE);
+                site.vm_unlisted.notify_one();
+            }
         }
     }
 }
--- a/crates/limehollow-node/tests/cold_start.rs
+++ b/crates/limehollow-node/tests/cold_start.rs
@@ -44,3 +44,18 @@
         assert!(took < READY_WITHIN, "{vms} VMs start again: {took:?}");
     }
 }
+
+/// Changes of the list come each third of a second, and the zones are read for at different moments.
+#[tokio::test(start_paused = true)]
+async fn changes_of_the_list_make_nobody_catch_up() {
+    for (zones, vms, leaving_ms) in [(3, 8, 2000), (3, 71, 3000), (5, 150, 5000)] {
+        let fleet = Fleet::start(zones, vms, leaving_ms, 40).await;
+        let before = fleet.handed_over();
+        for i in 0..30 {
+            fleet.list(i);
+            sleep(Duration::from_millis(330)).await;
+        }
+        let states = fleet.handed_over() - before;
+        assert_eq!(states, 0, "{vms} VMs");
+    }
+}
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -539,6 +539,12 @@
         ways.sending.values().map(|(_, n)| *n).max().unwrap_or(0)
     }
 
+    /// Gives how many states all VMs have handed over.
+    pub fn handed_over(&self) -> usize {
+        let ways = self.net.0.lock().expect("sound");
+        ways.sending.values().map(|(_, n)| *n).sum()
+    }
+
     /// Gives the fewest VMs of its zone that a running VM knows, itself left out.
     pub fn fewest_neighbours(&self) -> usize {
         let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
