--- a/crates/limehollow-bench/src/lib.rs
+++ b/crates/limehollow-bench/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod losses;
 pub mod placing;
 pub mod routing;
+mod unserved;
--- a/crates/limehollow-bench/src/losses.rs
+++ b/crates/limehollow-bench/src/losses.rs
@@ -5,6 +5,7 @@
 //! each by time and by model, beside what the controller was doing.
 
 use crate::lines;
+use crate::unserved::{self, Unserved};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display, Formatter};
@@ -33,6 +34,9 @@
     #[serde(default)]
     id: String,
     model: Option<String>,
+    adapter: Option<String>,
+    action: Option<String>,
+    status: Option<u16>,
     reason: Option<String>,
     why: Option<String>,
     outcome: Option<String>,
@@ -64,6 +68,7 @@
     control: BTreeMap<u64, Control>,
     /// The models of requests, by id: a refusal's own line doesn't name it.
     models: BTreeMap<String, String>,
+    unserved: Unserved,
     window_s: f64,
     unread: usize,
 }
@@ -97,11 +102,31 @@
             return;
         };
         match l.said {
-            Ok(said) => self.note(window(l.at_s, bounds.window_s), l.vm, &said, bounds),
+            Ok(said) => {
+                self.note_service(l.at_s, &said);
+                self.note(window(l.at_s, bounds.window_s), l.vm, &said, bounds);
+            }
             Err(_) => self.unread += 1,
         }
     }
 
+    /// Takes in what a line says of what was asked for, served and loaded.
+    fn note_service(&mut self, at_s: f64, l: &Line) {
+        let name = l.model.as_deref();
+        let name = name.map(|m| unserved::name(m, l.adapter.as_deref()));
+        match (l.message.as_str(), name) {
+            ("sent" | "given up", Some(name)) => self.unserved.note_asked(at_s, &l.id, name),
+            ("refused", _) if is_missing(l.reason.as_deref()) => {
+                self.unserved.note_missed(at_s, &l.id);
+            }
+            ("answer begins", _) if l.status.is_some_and(|s| s < 300) => {
+                self.unserved.note_answered(&l.id);
+            }
+            ("order", Some(name)) if is_load(l) => self.unserved.note_load(at_s, &name),
+            _ => {}
+        }
+    }
+
     fn note(&mut self, at: u64, vm: &str, l: &Line, bounds: Bounds) {
         match l.message.as_str() {
             "sent" | "given up" => {
@@ -162,6 +187,15 @@
     }
 }
 
+/// Tells whether a refusal's reason is that what was asked for is nowhere.
+fn is_missing(reason: Option<&str>) -> bool {
+    reason.is_some_and(|r| r.starts_with("no endpoint holds"))
+}
+
+fn is_load(order: &Line) -> bool {
+    order.action.as_deref() == Some("Load") && order.outcome.as_deref() == Some("taken")
+}
+
 /// Gives the number of the window that a time is in; what was before the first is in it.
 fn window(time_s: f64, window_s: f64) -> u64 {
     #[expect(
@@ -223,6 +257,7 @@
             write_counts(f, row)?;
             writeln!(f)?;
         }
+        write!(f, "\n# asked for all along\n{}", self.unserved)?;
         if self.unread > 0 {
             writeln!(f, "\n{} lines could not be read", self.unread)?;
         }
--- a/crates/limehollow-bench/tests/losses.rs
+++ b/crates/limehollow-bench/tests/losses.rs
@@ -58,3 +58,39 @@
     let text = Losses::read(Vec::<String>::new(), BOUNDS).to_string();
     assert!(text.contains("# by kind"), "{text}");
 }
+
+/// An adapter that is refused to four callers and loaded after each has left, and one that is served.
+fn late_loads() -> Vec<String> {
+    let mut lines = Vec::new();
+    for caller in 0..4 {
+        let asked = f64::from(caller) * 4.0;
+        let loaded = asked + 2.0;
+        let id = caller.to_string();
+        lines.push(format!(
+            r#"{asked} vm-1 {{"message":"given up","id":"{id}","model":"big","adapter":"rare"}}"#
+        ));
+        lines.push(format!(
+            r#"{asked} vm-1 {{"message":"refused","id":"{id}","reason":"no endpoint holds the adapter"}}"#
+        ));
+        lines.push(format!(
+            r#"{loaded} vm-2 {{"message":"order","action":"Load","model":"big","adapter":"rare","outcome":"taken"}}"#
+        ));
+        lines.push(format!(
+            r#"{asked} vm-1 {{"message":"sent","id":"s{id}","model":"big","adapter":"common"}}"#
+        ));
+        lines.push(format!(
+            r#"{asked} vm-1 {{"message":"answer begins","id":"s{id}","status":200}}"#
+        ));
+    }
+    lines
+}
+
+#[test]
+fn display_what_was_never_served() {
+    let text = Losses::read(late_loads(), BOUNDS).to_string();
+    assert!(text.contains("1 of 2 never served big/rare"), "{text}");
+    assert!(
+        text.contains("4 loads after a refusal, 2.00 s, 2.00 s, 2.00 s later"),
+        "{text}"
+    );
+}
