Adapters go first to callers that wait; a replica just loaded takes adapters before the next model

Cause: the holder of the lease kept those that are nowhere in line by how much and how long they had been asked for. Both grow for seconds after a request, so where places are short each load answered a caller that had left: half of the loads came 3.5 to 4.8 s after the first refusal, were kept for 1.5 s and made way unused, while the caller that waited just then had the least weight of all. Class: a backlog that is served in its order although those who are in it have gone. And places were short because every other holder of the busiest model was loading some other model, for 9 s each time, and takes no adapter meanwhile: a replica just loaded got its next order within 10 ms, before any adapter.

Ruled out: orders refused or not given (each was taken; the lease rested); requests that leave no trace (orders followed each refusal). A trial that orders adapters of endpoints that load a model: refused with a conflict each time, reverted.

Change: an adapter for which a caller waits, or is about to come back, goes first, the latest first, and takes the place of the one least asked for that has been there for 1.5 s and that no caller waits for. After a load an endpoint gets no other model for a second while adapters of its models are missing. The VM that holds the lease counts what waits at itself.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -180,7 +180,7 @@
                 _ => (reason, after),
             };
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
-                self.site.known().wants.insert(m.clone());
+                self.site.known().want(now, m);
                 self.site.urgent.notify_one();
             }
             let may_come_in_time = match reason {
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -58,7 +58,7 @@
     pub leaving: BTreeMap<Instance, Instant>,
     /// What requests wait for here that isn't loaded, until it is told.
     pub wants: BTreeSet<ModelRef>,
-    /// What other VMs' requests wait for, and when that was heard.
+    /// What requests of any VM wait for, and when that was last heard.
     pub wanted: BTreeMap<ModelRef, Instant>,
     /// Who holds the lease to give orders, as far as is known.
     pub candidacy: Candidacy,
@@ -195,6 +195,12 @@
         here.or(any).map(|(vm, _)| vm)
     }
 
+    /// Takes in that a request waits here for something that isn't loaded.
+    pub(crate) fn want(&mut self, now: Instant, m: &ModelRef) {
+        self.wants.insert(m.clone());
+        self.wanted.insert(m.clone(), now);
+    }
+
     /// Takes in where a VM is.
     pub(crate) fn learn(&mut self, vm: &Vm) -> bool {
         let (name, zone) = (vm.name.clone(), vm.zone.clone());
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -28,6 +28,9 @@
 pub const HIGH_LOAD: f64 = 350.0;
 /// How long a replica stays at least, so that a swing of demand doesn't move it twice.
 const MIN_STAY: Duration = Duration::from_secs(5);
+/// For how long after a load an endpoint gets no other model while adapters of those that it holds are missing: its places
+/// for them are filled in half of that, and while it loads a model it takes none.
+const ADAPTERS_FIRST: Duration = Duration::from_secs(1);
 /// How long an endpoint whose move failed gets no other.
 const FAILED_REST: Duration = Duration::from_secs(3);
 /// The same for a move of an adapter: a report is as of some hundred ms ago.
@@ -163,6 +166,8 @@
     recent: Recent,
     observed: Option<Instant>,
     moves: BTreeMap<EndpointKey, ModelMove>,
+    /// What callers wait for, and when that was last heard.
+    waited_for: BTreeMap<ModelRef, Instant>,
     /// Since when adapters have been asked for that are nowhere.
     missing: BTreeMap<ModelRef, Instant>,
     /// Adapters that were loaded lately, and when that began.
@@ -170,6 +175,8 @@
     /// Adapters on their way.
     coming: BTreeMap<EndpointKey, ModelRef>,
     loaded: BTreeMap<(EndpointKey, SmolStr), Instant>,
+    /// When endpoints last ended a model's move well.
+    settled: BTreeMap<EndpointKey, Instant>,
     /// Endpoints whose last move failed, and when.
     failed: BTreeMap<EndpointKey, Instant>,
     /// Endpoints whose last move of an adapter found nothing that could be done, and when.
@@ -204,6 +211,14 @@
         now + trend.max(0.0) * FORESIGHT
     }
 
+    /// Tells whether an endpoint is to get adapters before it is ordered another model.
+    fn takes_adapters_first(&self, key: EndpointKey, e: &Endpoint, spec: &EngineSpec) -> bool {
+        let held: usize = e.holdings.values().map(|h| h.adapters.len()).sum();
+        let has_place = held < spec.adapter_places;
+        let is_missing = |m: &ModelRef| e.holdings.contains_key(&m.model);
+        self.settled.contains_key(&key) && has_place && self.missing.keys().any(is_missing)
+    }
+
     /// Gives the endpoints that can be reached and take work.
     fn open<'r>(
         &'r self,
@@ -247,6 +262,12 @@
         self.fast = models;
     }
 
+    /// Takes in that a caller waits for something that isn't loaded, as was heard at a moment.
+    pub fn note_waiting(&mut self, heard: Instant, wanted: &ModelRef) {
+        let last = self.waited_for.entry(wanted.clone()).or_insert(heard);
+        *last = heard.max(*last);
+    }
+
     /// Takes in which endpoints are listed but out of reach: what they hold has to be elsewhere, and they take no
     /// orders. The list drops an endpoint that crashed three to five seconds later.
     pub fn observe_lost(&mut self, lost: BTreeSet<EndpointKey>) {
@@ -263,6 +284,8 @@
         ceiling: LoadCeiling,
     ) -> Vec<(EndpointKey, ModelMove)> {
         self.loaded.retain(|_, t| now.duration_since(*t) < MIN_STAY);
+        self.settled
+            .retain(|_, t| now.duration_since(*t) < ADAPTERS_FIRST);
         self.failed
             .retain(|_, t| now.duration_since(*t) < FAILED_REST);
         self.recent.note_placement(|| replicas_of(roster, service));
@@ -304,6 +327,7 @@
         self.moves.remove(&key);
         if is_done {
             self.failed.remove(&key);
+            self.settled.insert(key, now);
         } else {
             self.failed.insert(key, now);
         }
--- a/crates/limehollow/src/rebalance/adapters.rs
+++ b/crates/limehollow/src/rebalance/adapters.rs
@@ -1,14 +1,16 @@
 //! Where adapters are loaded.
 //!
-//! Adapters load in some ms and their places are few. Those that are asked for and nowhere go first, by how
-//! much and how long they have been asked for; then those whose replicas carry much; then free places are
-//! filled before anybody asks.
+//! Adapters load in some ms and their places are few. Those go first for which a caller waits, or is about to come
+//! back, the latest first: where places are short, a load in the order of asking comes after its caller has left. Then
+//! those that are nowhere, by how much and how long they have been asked for; then those whose replicas carry much; then
+//! free places are filled before anybody asks.
 
 use super::{ADAPTER_FAILED_REST, AdapterMove, HIGH_LOAD, Rebalancer, used};
 use crate::catalog::{EngineSpec, ModelSpec};
 use crate::id::{EndpointKey, ServiceName};
 use crate::roster::{ModelRef, Roster, holds};
 use smol_str::SmolStr;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -18,13 +20,14 @@
 /// An adapter whose replicas carry more than this is loaded into free places as well, so that its
 /// requests have a choice of endpoints; those that are missing go first.
 const ADAPTER_SPREAD: f64 = 8.0;
-const SPREAD_LAST: f64 = 1e6;
 /// An adapter makes way for one that is wanted this many times more.
 const ADAPTER_EDGE: f64 = 1.5;
 /// What an adapter that has other replicas counts, when one has to make way.
 const SPARE_ADAPTER: f64 = 0.2;
 /// How long an adapter stays at least, so that callers who were told to come back find it.
 const ADAPTER_STAY: Duration = Duration::from_millis(1500);
+/// For how long after a caller was last heard to wait for an adapter it is there, or about to come back.
+const CALLER_THERE_FOR: Duration = Duration::from_secs(1);
 /// How long an adapter that is asked for and nowhere waits until it counts twice as much. Adapters load in
 /// some ms, so one that is rarely asked for may take turns with others like it.
 const PATIENCE_S: f64 = 1.0;
@@ -71,24 +74,10 @@
             .retain(|_, t| now.duration_since(*t) < ADAPTER_STAY);
         self.adapter_failed
             .retain(|_, t| now.duration_since(*t) < ADAPTER_FAILED_REST);
+        self.waited_for
+            .retain(|_, t| now.duration_since(*t) < CALLER_THERE_FOR);
         self.note_missing(now, &replicas);
-        let mut wanted: Vec<(f64, &ModelRef, bool)> = Vec::new();
-        for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
-            let coming = self.coming.values().filter(|c| *c == m).count();
-            #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
-            let n = (replicas.get(m).copied().unwrap_or(0) + coming) as f64;
-            let since = self
-                .missing
-                .get(m)
-                .map(|t| now.duration_since(*t).as_secs_f64());
-            let weight = demand * (1.0 + since.unwrap_or(0.0) / PATIENCE_S);
-            if n < 1.0 || demand / n > ADAPTER_HIGH {
-                wanted.push((weight, m, true));
-            } else if demand / n > ADAPTER_SPREAD {
-                wanted.push((demand / n / SPREAD_LAST, m, false));
-            }
-        }
-        wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let wanted = self.wanted_adapters(now, &replicas);
         let weighing = AdapterWeighing {
             rebalancer: self,
             roster,
@@ -99,10 +88,9 @@
         let failed = &self.adapter_failed;
         let resting = |k: EndpointKey| resting(k) && !failed.contains_key(&k);
         let mut out: Vec<(EndpointKey, AdapterMove)> = Vec::new();
-        for (weight, m, may_evict) in wanted {
+        for (m, urgency) in wanted {
             let free = |k: EndpointKey| resting(k) && out.iter().all(|(o, _)| *o != k);
-            let weight = if may_evict { weight } else { 0.0 };
-            out.extend(weighing.place(m, weight, free));
+            out.extend(weighing.place(m, urgency, free));
         }
         let taken: BTreeSet<EndpointKey> = out.iter().map(|(k, _)| *k).collect();
         out.extend(weighing.fill(|k| resting(k) && !taken.contains(&k)));
@@ -113,6 +101,41 @@
         out
     }
 
+    /// Gives the adapters that are to be loaded, the most urgent first.
+    fn wanted_adapters(
+        &self,
+        now: Instant,
+        replicas: &BTreeMap<ModelRef, usize>,
+    ) -> Vec<(&ModelRef, Urgency)> {
+        let waited_for = self.waited_for.iter().filter(|(m, _)| {
+            let is_coming = self.coming.values().any(|c| c == *m);
+            m.adapter.is_some() && !is_coming && !replicas.contains_key(m)
+        });
+        let mut out: Vec<(&ModelRef, Urgency)> = waited_for
+            .map(|(m, t)| (m, Urgency::CallerWaits(*t)))
+            .collect();
+        for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
+            let coming = self.coming.values().filter(|c| *c == m).count();
+            #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
+            let n = (replicas.get(m).copied().unwrap_or(0) + coming) as f64;
+            if n < 1.0 && self.waited_for.contains_key(m) {
+                continue;
+            }
+            let since = self
+                .missing
+                .get(m)
+                .map(|t| now.duration_since(*t).as_secs_f64());
+            let weight = demand * (1.0 + since.unwrap_or(0.0) / PATIENCE_S);
+            if n < 1.0 || demand / n > ADAPTER_HIGH {
+                out.push((m, Urgency::Missed(weight)));
+            } else if demand / n > ADAPTER_SPREAD {
+                out.push((m, Urgency::Spread(demand / n)));
+            }
+        }
+        out.sort_by(|a, b| b.1.total_cmp(a.1));
+        out
+    }
+
     fn note_missing(&mut self, now: Instant, replicas: &BTreeMap<ModelRef, usize>) {
         let slow = &self.slow;
         self.missing
@@ -125,6 +148,46 @@
     }
 }
 
+/// How urgently an adapter is wanted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Urgency {
+    /// A caller waits for it, or comes back; when that was last heard.
+    CallerWaits(Instant),
+    /// It is nowhere, or has too few replicas; by demand, and by how long it has been nowhere.
+    Missed(f64),
+    /// Another replica would give its requests a choice; by the demand for one.
+    Spread(f64),
+}
+
+impl Urgency {
+    /// Tells whether one that is worth so much makes way for it.
+    fn outweighs(self, worth: f64) -> bool {
+        match self {
+            Self::CallerWaits(_) => true,
+            Self::Missed(weight) => worth * ADAPTER_EDGE <= weight,
+            Self::Spread(_) => false,
+        }
+    }
+
+    fn total_cmp(self, other: Self) -> Ordering {
+        match (self, other) {
+            (Self::CallerWaits(a), Self::CallerWaits(b)) => a.cmp(&b),
+            (Self::Missed(a), Self::Missed(b)) | (Self::Spread(a), Self::Spread(b)) => {
+                a.total_cmp(&b)
+            }
+            _ => self.rank().cmp(&other.rank()),
+        }
+    }
+
+    fn rank(self) -> u8 {
+        match self {
+            Self::CallerWaits(_) => 2,
+            Self::Missed(_) => 1,
+            Self::Spread(_) => 0,
+        }
+    }
+}
+
 /// One weighing of all places for adapters.
 struct AdapterWeighing<'a> {
     rebalancer: &'a Rebalancer,
@@ -136,7 +199,12 @@
 
 impl AdapterWeighing<'_> {
     /// Finds where an adapter is loaded best, among the endpoints for which the predicate holds.
-    fn place<F>(&self, m: &ModelRef, weight: f64, free: F) -> Option<(EndpointKey, AdapterMove)>
+    fn place<F>(
+        &self,
+        m: &ModelRef,
+        urgency: Urgency,
+        free: F,
+    ) -> Option<(EndpointKey, AdapterMove)>
     where
         F: Fn(EndpointKey) -> bool,
     {
@@ -157,17 +225,12 @@
             let load: f64 = there.iter().map(|(d, _)| d).sum();
             let is_full = there.len() >= self.spec.adapter_places
                 || used(&e.holdings, self.spec) + size > self.spec.megabytes;
-            let fresh = &self.rebalancer.fresh;
-            let may_go = there
-                .into_iter()
-                .filter(|(_, r)| !fresh.contains_key(&(key, r.clone())));
+            let may_go = there.into_iter().filter(|(_, r)| self.may_go(key, r));
             let least = may_go.min_by(|a, b| a.0.total_cmp(&b.0));
             // One that makes way is dearer than a free place.
             let (cost, evict) = match least {
                 _ if !is_full => (load, None),
-                Some((d, r)) if weight > 0.0 && d * ADAPTER_EDGE <= weight => {
-                    (load + d + HIGH_LOAD, Some(r))
-                }
+                Some((d, r)) if urgency.outweighs(d) => (load + d + HIGH_LOAD, Some(r)),
                 _ => continue,
             };
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
@@ -179,6 +242,13 @@
         Some((key, AdapterMove { load, evict }))
     }
 
+    /// Tells whether an adapter may make way at an endpoint: it has been there for a while, and no caller waits for it.
+    fn may_go(&self, at: EndpointKey, m: &ModelRef) -> bool {
+        let r = self.rebalancer;
+        let is_spare = self.replicas.get(m).is_some_and(|n| *n > 1);
+        !r.fresh.contains_key(&(at, m.clone())) && (is_spare || !r.waited_for.contains_key(m))
+    }
+
     /// Fills free places with adapters that are nowhere, before they are asked for: they load in some ms,
     /// but a request that finds none waits for that and for the order.
     fn fill<F>(&self, free: F) -> Vec<(EndpointKey, AdapterMove)>
--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -240,7 +240,7 @@
     /// Where each endpoint holds some model with adapters that is nowhere else, a bound without exception kept a hot
     /// model at one replica for ten seconds, and one that was nowhere away for thirty.
     fn may_move(&self, p: &Place, load: ModelIx, part: f64) -> bool {
-        if p.moving || p.holds(load) {
+        if p.moving || p.takes_adapters_first || p.holds(load) {
             return false;
         }
         // A replica that is needed may take the only endpoint of a model with adapters; a spare one may not.
--- a/crates/limehollow/src/rebalance/table.rs
+++ b/crates/limehollow/src/rebalance/table.rs
@@ -30,6 +30,8 @@
     copies: Vec<ModelIx>,
     pub(super) free: f64,
     pub(super) moving: bool,
+    /// Whether it is to get adapters before it is ordered another model.
+    pub(super) takes_adapters_first: bool,
     pub(super) load: f64,
 }
 
@@ -194,6 +196,7 @@
                 moving: under_way.is_some()
                     || rebalancer.coming.contains_key(&key)
                     || rebalancer.failed.contains_key(&key),
+                takes_adapters_first: rebalancer.takes_adapters_first(key, e, spec),
                 load: 0.0,
             }
         };
--- a/crates/limehollow/tests/rare_adapters.rs
+++ b/crates/limehollow/tests/rare_adapters.rs
@@ -214,6 +214,10 @@
             demand.entry(adapter(BASE, &r.adapter)).or_insert(WAITING);
         }
         self.rebalancer.observe(now, &demand);
+        for r in &self.waiting {
+            let m = adapter(BASE, &r.adapter);
+            self.rebalancer.note_waiting(now, &m);
+        }
         let taken: Vec<EndpointKey> = self.moves.iter().map(|(_, k, _)| *k).collect();
         let loading = (0..self.endpoints.len()).filter(|i| self.loads_model(*i));
         let loading = loading.filter_map(|i| self.roster.key(&self.endpoints[i].instance.id));
