A failing test: VMs don't follow a store that came back from a copy

8 and 71 VMs on paused time, a store that loses its last eight changes, after an outage and at once. With 8 VMs one still sends to an endpoint 60 s after it said that it leaves; the test stops there.

--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -464,6 +464,17 @@
         self.0.lock().expect("sound").transfer = transfer;
     }
 
+    /// Gives how many changes there are, for a copy.
+    pub fn len(&self) -> usize {
+        self.0.lock().expect("sound").changes.len()
+    }
+
+    /// Comes back from a copy that was made when there were so many changes: those since are gone.
+    pub fn return_from_copy(&self, len: usize) {
+        self.0.lock().expect("sound").changes.truncate(len);
+        self.1.notify_waiters();
+    }
+
     /// Drops the history, and sets what a whole read gives from now on.
     pub fn compact(&self, newest: Vec<Change>) {
         let mut kept = self.0.lock().expect("sound");
@@ -490,7 +501,7 @@
         if kept.is_away {
             return Err(away("changes"));
         }
-        if from < kept.first {
+        if from < kept.first || from > kept.changes.len() {
             return Err(StoreError::Forgotten { call: "changes" });
         }
         let later = kept.changes.iter().skip(from);
--- /dev/null
+++ b/crates/limehollow-node/tests/store_return.rs
@@ -0,0 +1,73 @@
+//! The store comes back from a copy some seconds old: what it acknowledged since is gone, and its positions go back and
+//! are given out again. All VMs follow what is written from then on, in time.
+
+mod rig;
+
+use limehollow_node::edge::Feed;
+use rig::fleet::{Fleet, Treats};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const ZONES: usize = 3;
+const ENDPOINTS: usize = 6;
+/// A site: VMs, and the time in which a change is in force.
+const SIZES: [(usize, u64); 2] = [(8, 2000), (71, 3000)];
+/// How long the store is away, if it is, and how long after its return the rules hold again.
+const AWAY: Duration = Duration::from_millis(2500);
+const CALM: Duration = Duration::from_millis(3000);
+
+/// Starts a site, has its operators and endpoints write after the copy was made, and brings the store back from it.
+///
+/// The operators write the newest configuration again, and endpoints their entries.
+async fn returned(vms: usize, bound_ms: u64, away: Duration) -> Fleet {
+    let fleet = Fleet::start(ZONES, vms, bound_ms, ENDPOINTS).await;
+    fleet.configure(1);
+    sleep(CALM).await;
+    let copy = fleet.store.len();
+    for version in 2..6 {
+        fleet.configure(version);
+        fleet.list(0);
+        sleep(Duration::from_millis(500)).await;
+    }
+    if !away.is_zero() {
+        fleet.treat_all(Treats::Silent);
+        sleep(away).await;
+    }
+    fleet.store.return_from_copy(copy);
+    fleet.treat_all(Treats::Well);
+    fleet.configure(5);
+    fleet.list(0);
+    sleep(CALM).await;
+    fleet
+}
+
+/// Checks that what is written now is in force in time on all VMs.
+async fn check_changes(case: &str, fleet: &Fleet, bound_ms: u64) {
+    let bound = Duration::from_millis(bound_ms);
+    let vms = fleet.vms.len();
+    for (endpoint, version) in [(1, 6), (2, 7), (3, 8)] {
+        fleet.configure(version);
+        let took = fleet.in_force(version).await;
+        assert!(
+            took <= bound,
+            "{case}, {vms} VMs: version {version} after {took:?}"
+        );
+        fleet.leave(endpoint);
+        let (took, last) = fleet.out_of_use(endpoint).await;
+        assert!(
+            took <= bound,
+            "{case}, {vms} VMs: {last} was last, after {took:?}"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn follow_changes_after_the_store_came_back_from_a_copy() {
+    for (vms, bound_ms) in SIZES {
+        for (case, away) in [("after an outage", AWAY), ("at once", Duration::ZERO)] {
+            let fleet = returned(vms, bound_ms, away).await;
+            check_changes(case, &fleet, bound_ms).await;
+            assert!(fleet.store.calls(Feed::Endpoints) > 0);
+        }
+    }
+}
