Positions are compared by era: VMs follow a store that came back from a copy

Cause: a position in the store's log was a number that rises for good, everywhere. After the return those who had read anew counted as behind those who hadn't: they were given the old state back (`history is gone`, then `read from another VM` with the former position), told the others nothing that was news, and a read that began beyond the new end was whole only as long as the log was shorter. Class: a number of somebody else's that is taken to rise for good.

Ruled out: VMs that hand a configuration on late (nobody said a position that was ahead of the listeners').

Change: `LogPosition` is an era and an offset, one type in messages, states, offers and calls. An answer of another era is as good as a forgotten history; a whole reading is of one era; what is overtaken is dropped for all feeds. What the system wrote is written again (VMs, quarantined requests). Entries that the copy lacks keep the grace of an outage, counted from the return; endpoints removed before it aren't used until they are written again. docs/design/store-eras.md.

--- a/crates/limehollow-node/src/counted.rs
+++ b/crates/limehollow-node/src/counted.rs
@@ -5,6 +5,7 @@
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::Dealt;
+use limehollow::log_position::LogPosition;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use std::collections::BTreeMap;
@@ -113,7 +114,12 @@
         self.note("newest", name(feed), res)
     }
 
-    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn changes(
+        &self,
+        feed: Feed,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         let call = if wait.is_zero() { "changes" } else { "wait" };
         let res = self.store.changes(feed, from, wait).await;
         self.note(call, name(feed), res)
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -11,6 +11,7 @@
 use limehollow::group_lease::Dealt;
 use limehollow::id::ZoneName;
 use limehollow::job::PromptPart;
+use limehollow::log_position::LogPosition;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
 use limehollow::workspace::KeyDigest;
@@ -89,7 +90,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
     /// Where to read on.
-    pub next: u64,
+    pub next: LogPosition,
     /// The changes.
     pub changes: Vec<Change>,
 }
@@ -114,7 +115,7 @@
         /// The answer's status.
         status: u16,
     },
-    /// The position is older than what is kept.
+    /// The position is older than what is kept, or the store has come back from a copy since.
     #[snafu(display("{call}: the history up to there is gone"))]
     Forgotten {
         /// The call.
@@ -153,11 +154,12 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError::Forgotten`] if the feed has to be read anew with [`Store::newest`].
+    /// [`StoreError::Forgotten`] if the feed has to be read anew with [`Store::newest`]: the history is gone, or the position is of
+    /// another era.
     fn changes(
         &self,
         feed: Feed,
-        from: u64,
+        from: LogPosition,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>> + Send;
 
@@ -233,7 +235,7 @@
     fn fetch_start(
         &self,
         from: SocketAddr,
-        beyond: u64,
+        beyond: LogPosition,
     ) -> impl Future<Output = Result<Option<State>, String>> + Send;
 
     /// Asks another VM for the VMs that it knows.
--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -11,6 +11,7 @@
 use crate::site::Site;
 use crate::start::{self, jittered};
 use limehollow::freshness::ReadPace;
+use limehollow::log_position::LogPosition;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,13 +72,13 @@
 }
 
 /// Gives where to read a feed on that another VM handed over at the start, and whether one did.
-fn given<P>(site: &Site<P>, feed: Feed) -> (Option<u64>, bool)
+fn given<P>(site: &Site<P>, feed: Feed) -> (Option<LogPosition>, bool)
 where
     P: Protocol,
 {
     match feed {
         Feed::Configuration | Feed::Endpoints => {
-            let next = Some(position(site.positions(), feed)).filter(|at| *at > 0);
+            let next = Some(position(site.positions(), feed)).filter(|at| !at.is_start());
             (next, next.is_some())
         }
         // Where the VMs are read on isn't handed over.
@@ -117,7 +118,7 @@
     f: Follower<P, T>,
     store: S,
     /// Where to read on; none while nothing has been read.
-    next: Option<u64>,
+    next: Option<LogPosition>,
     /// When the last call began that came to an end.
     began: Option<Instant>,
     /// Whether there is something to read, or the copy is too old: the next call doesn't wait.
@@ -255,6 +256,13 @@
     /// Takes in what a call gave, and rests for as long as its end asks for.
     async fn take(&mut self, Answer { began, whole, read }: Answer) {
         match read {
+            // Others may have told more than an answer that was long on its way.
+            Ok(changes) if self.f.is_overtaken(changes.next) => {
+                self.failures = 0;
+                self.next = Some(position(self.f.site.positions(), self.f.feed));
+                self.is_behind = true;
+                sleep(PAUSE).await;
+            }
             Ok(changes) => {
                 self.f.regained(began);
                 self.failures = 0;
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -4,6 +4,7 @@
 use crate::logbook::may_log;
 use crate::site::Site;
 use crate::start::jittered;
+use limehollow::log_position::LogPosition;
 use limehollow::roster::Roster;
 use limehollow_wire::gossip::{Ages, ListChange, Positions, Reading, State};
 use smol_str::SmolStr;
@@ -19,6 +20,10 @@
 /// says about two seconds.
 pub const SETTLE: Duration = Duration::from_millis(2500);
 
+/// How long after the store's return an entry may show an endpoint that was removed before: one that nobody writes goes after three
+/// heartbeats.
+const DOUBT: Duration = Duration::from_millis(6000);
+
 /// How many VMs of a zone go on trying at that pace while they can't read the store. With more of them each waits longer, so that what they ask of
 /// it together stays the same however many they are.
 const TRYING: f64 = 8.0;
@@ -130,7 +135,11 @@
         self.site.known().is_behind(self.feed)
     }
 
-    pub(crate) fn note_position(&self, next: u64) {
+    pub(crate) fn note_position(&self, next: LogPosition) {
+        let before = position(self.site.positions(), self.feed);
+        if !before.is_start() && next.era() > before.era() {
+            self.site.note_return(next.era());
+        }
         let mut known = self.site.known();
         match self.feed {
             Feed::Configuration => known.positions.configuration = next,
@@ -139,6 +148,11 @@
         }
     }
 
+    /// Tells whether more has been read than an answer gives.
+    pub(crate) fn is_overtaken(&self, next: LogPosition) -> bool {
+        next < position(self.site.positions(), self.feed)
+    }
+
     /// Asks the VM that has read furthest for what it has read, if it is further than this one.
     pub(crate) async fn fetch_ahead(&self) -> Option<PeerState> {
         let (vm, address) = {
@@ -164,12 +178,12 @@
     }
 
     /// Takes in what another VM has read. Gives the new position, if it is further than this VM.
-    pub(crate) fn take_state(&mut self, PeerState { vm, state }: PeerState) -> Option<u64> {
+    pub(crate) fn take_state(&mut self, PeerState { vm, state }: PeerState) -> Option<LogPosition> {
         let at = position(state.positions, self.feed);
         if at <= position(self.site.positions(), self.feed) {
             return None;
         }
-        tracing::info!(feed = ?self.feed, %vm, position = at, "read from another VM");
+        tracing::info!(feed = ?self.feed, %vm, position = %at, "read from another VM");
         self.note_position(at);
         let now = self.site.now();
         if let Some(ages) = ages(state.reading, self.feed) {
@@ -219,6 +233,7 @@
         let position = position(self.site.positions(), self.feed);
         let mut seen = BTreeSet::new();
         let mut evacuated = BTreeSet::new();
+        let mut vms = Vec::new();
         let mut news = false;
         for c in changes {
             match c {
@@ -233,23 +248,31 @@
                     seen.insert(e.instance.id.clone());
                     let (instance, leaving) = (e.instance.clone(), e.leaving);
                     let mut known = self.site.known();
+                    if whole && known.is_from_the_copy(&instance.id, position.era()) {
+                        tracing::info!(%instance, "an entry that was removed before the store's return is in doubt");
+                        known.doubtful.insert(instance.id, e);
+                        continue;
+                    }
+                    known.doubtful.remove(&instance.id);
                     known.withheld.remove(&instance.id);
                     let update = known.list(now, e);
                     drop(known);
                     self.site.note_restart(&instance, update, "list");
                     if leaving || update.is_news && !whole {
-                        tracing::info!(%instance, leaving, ?learnt, position, "endpoint listed");
+                        tracing::info!(%instance, leaving, ?learnt, %position, "endpoint listed");
                     }
                     news = true;
                 }
                 Change::EndpointGone(instance) => {
+                    self.site.known().doubtful.remove(&instance);
                     self.vanish(now, &instance);
                     news = true;
                 }
                 Change::Vm(vm) => {
                     let mut known = self.site.known();
                     known.learn(&vm);
-                    known.note_listed(vm);
+                    known.note_listed(vm.clone());
+                    vms.push(vm);
                 }
                 Change::Evacuation { zone, begins } => {
                     if begins {
@@ -271,9 +294,12 @@
             let mut known = self.site.known();
             known.has_vms = true;
             known.note_vms(now, 0);
+            if known.note_all_listed(vms) {
+                self.site.vm_unlisted.notify_one();
+            }
         }
         if whole && self.feed == Feed::Endpoints {
-            tracing::info!(endpoints = seen.len(), ?learnt, position, "the whole list");
+            tracing::info!(endpoints = seen.len(), ?learnt, %position, "the whole list");
             self.site.known().roster.retain_unreadable(&seen);
             let known = ids(&self.site.known().roster);
             for id in known.difference(&seen) {
@@ -301,7 +327,27 @@
     pub(crate) fn settled_at(&self) -> Option<Instant> {
         let known = self.site.known();
         let freshness = known.readings.freshness(self.feed)?;
-        Some(freshness.sound_since() + SETTLE)
+        let returned = known.returned.map(|r| r.at);
+        // An absence of a moment may lie between two calls; only the era shows it then.
+        let sound_since =
+            returned.map_or(freshness.sound_since(), |t| t.max(freshness.sound_since()));
+        Some(sound_since + SETTLE)
+    }
+
+    /// Gives until when entries are in doubt that were removed before the store's return.
+    pub(crate) fn doubted_until(&self) -> Option<Instant> {
+        let known = self.site.known();
+        Some(known.returned.filter(|_| !known.doubtful.is_empty())?.at + DOUBT)
+    }
+
+    /// Takes in the entries that were in doubt for long enough: they would be gone by now if nobody wrote them.
+    pub(crate) fn end_doubt(&mut self) {
+        if self.doubted_until().is_none_or(|t| self.site.now() < t) {
+            return;
+        }
+        let due = std::mem::take(&mut self.site.known().doubtful);
+        let changes = due.into_values().map(Change::Endpoint).collect();
+        self.apply(Learnt::Store, changes, false);
     }
 
     /// Notes a record that can't be read. An entry of the list takes its endpoint out of use; a line says so once, and
@@ -362,11 +408,11 @@
     }
 }
 
-pub(crate) fn position(p: Positions, feed: Feed) -> u64 {
+pub(crate) fn position(p: Positions, feed: Feed) -> LogPosition {
     match feed {
         Feed::Configuration => p.configuration,
         Feed::Endpoints => p.endpoints,
-        Feed::Vms => 0,
+        Feed::Vms => LogPosition::default(),
     }
 }
 
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -205,6 +205,7 @@
             forget_crashes(now, known);
             known.warm_up(now);
             known.drop_limits();
+            known.forget_removals(now);
             known.note_vms(now, 0);
             let settings = site.settings.load();
             known.quotas.set_allowance(now, settings.quota_allowance());
--- a/crates/limehollow-node/src/keys.rs
+++ b/crates/limehollow-node/src/keys.rs
@@ -177,7 +177,7 @@
     known.note_vms(site.now(), usize::from(vms_known));
     let mine = known.positions.configuration;
     let at = confirmed_ms.and_then(|ms| confirmed_at(asked, ms));
-    if let Some(at) = at.filter(|_| mine > 0 && position <= mine) {
+    if let Some(at) = at.filter(|_| !mine.is_start() && mine.holds(position)) {
         known.confirmation.confirm(at);
     }
 }
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -18,6 +18,7 @@
 use limehollow::fingerprint::Fingerprint;
 use limehollow::id::{EndpointKey, ServiceName, VmName, ZoneName};
 use limehollow::instance::Instance;
+use limehollow::log_position::LogPosition;
 use limehollow::peers::Peers;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::Quotas;
@@ -30,6 +31,25 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The removal of an endpoint from the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Removal {
+    at: Instant,
+    era: u64,
+}
+
+/// A return of the store from a copy.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreReturn {
+    /// The era that began with it.
+    pub era: u64,
+    /// When this VM learnt of it.
+    pub at: Instant,
+}
+
+/// How long a removal is remembered: a copy from which the store comes back is some seconds old.
+const REMOVAL_REMEMBERED: Duration = Duration::from_secs(60);
+
 /// What is known of endpoints, load and demand.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "each says another thing")]
@@ -72,10 +92,16 @@
     pub readings: Readings,
     /// Endpoints that vanished around an outage and may come back: they are still in use.
     pub withheld: BTreeSet<SmolStr>,
+    /// Endpoints that were removed lately, and in which era of the store.
+    pub removed: BTreeMap<SmolStr, Removal>,
+    /// Entries that the store shows since its return from a copy, of endpoints that were removed before: they are not in use.
+    pub doubtful: BTreeMap<SmolStr, Endpoint>,
+    /// The store's last return from a copy.
+    pub returned: Option<StoreReturn>,
     /// The VM that has read each feed furthest, and how far.
-    pub ahead: BTreeMap<Feed, (SmolStr, u64)>,
+    pub ahead: BTreeMap<Feed, (SmolStr, LogPosition)>,
     /// The VM of this zone that has read the list furthest, and how far.
-    pub ahead_here: Option<(SmolStr, u64)>,
+    pub ahead_here: Option<(SmolStr, LogPosition)>,
     /// What the controller on this VM found out lately, for the other VMs.
     pub reports: Outbox,
     /// Whether this VM can't stand for the lease: its last call for it failed, or it was told to end.
@@ -141,6 +167,9 @@
             positions: Positions::default(),
             readings: Readings::default(),
             withheld: BTreeSet::new(),
+            removed: BTreeMap::new(),
+            doubtful: BTreeMap::new(),
+            returned: None,
             ahead: BTreeMap::new(),
             ahead_here: None,
             reports: Outbox::default(),
@@ -169,14 +198,14 @@
 
     /// Tells whether another VM has read a feed further than this one.
     pub(crate) fn is_behind(&self, feed: Feed) -> bool {
-        let theirs = self.ahead.get(&feed).map_or(0, |(_, at)| *at);
-        theirs > position(self.positions, feed)
+        let theirs = self.ahead.get(&feed).map(|(_, at)| *at);
+        theirs > Some(position(self.positions, feed))
     }
 
     /// Takes in how far a VM of this zone has read the list.
-    pub(crate) fn note_ahead_here(&mut self, vm: &SmolStr, position: u64) {
-        let best = self.ahead_here.as_ref().map_or(0, |(_, at)| *at);
-        if position >= best && position > 0 {
+    pub(crate) fn note_ahead_here(&mut self, vm: &SmolStr, position: LogPosition) {
+        let best = self.ahead_here.as_ref().map(|(_, at)| *at);
+        if Some(position) >= best && !position.is_start() {
             self.ahead_here = Some((vm.clone(), position));
         }
     }
@@ -184,8 +213,8 @@
     /// Tells whether a VM of this zone has read the list further than this one. Other zones are read for at other moments: what
     /// they are ahead comes by the own zone's reader.
     pub(crate) fn is_behind_here(&self) -> bool {
-        let theirs = self.ahead_here.as_ref().map_or(0, |(_, at)| *at);
-        theirs > self.positions.endpoints
+        let theirs = self.ahead_here.as_ref().map(|(_, at)| *at);
+        theirs > Some(self.positions.endpoints)
     }
 
     /// Gives the VM from which a list is got that is further: one of this zone, if there is one.
@@ -216,6 +245,32 @@
         self.listed.insert(vm.name.clone(), vm);
     }
 
+    /// Takes in all VMs that the store shows. Gives whether it has lost some that it showed before: they are to be written again.
+    pub(crate) fn note_all_listed(&mut self, vms: Vec<Vm>) -> bool {
+        let shown = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        let before = std::mem::replace(&mut self.listed, shown);
+        let lost = before
+            .into_iter()
+            .filter(|(name, _)| !self.listed.contains_key(name));
+        let lost: Vec<_> = lost.collect();
+        self.is_listed = self.listed.get(&self.me.name) == Some(&self.me);
+        let has_lost = !lost.is_empty();
+        self.unlisted.extend(lost);
+        has_lost
+    }
+
+    /// Tells whether an entry that the store shows in this era was removed in an earlier one: it may be the copy's.
+    pub(crate) fn is_from_the_copy(&self, id: &str, era: u64) -> bool {
+        let is_known = self.roster.key(id).is_some();
+        !is_known && self.removed.get(id).is_some_and(|r| r.era < era)
+    }
+
+    /// Forgets removals that no copy can undo any more.
+    pub(crate) fn forget_removals(&mut self, now: Instant) {
+        self.removed
+            .retain(|_, r| now.duration_since(r.at) < REMOVAL_REMEMBERED);
+    }
+
     /// Takes in how many VMs another one knows of; limits are shared among the most that any knows. It is zero where that
     /// one doesn't know yet.
     pub fn note_vms(&mut self, now: Instant, told: usize) {
@@ -362,6 +417,11 @@
         let former = self.start_of(id);
         let gone = self.roster.remove(id);
         self.forget(now, gone, former);
+        if gone.is_some() {
+            let era = self.positions.endpoints.era();
+            self.removed
+                .insert(SmolStr::new(id), Removal { at: now, era });
+        }
         gone.is_some()
     }
 
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -12,6 +12,7 @@
 use crate::site::Site;
 use crate::start;
 use limehollow::freshness::ReadPace;
+use limehollow::log_position::LogPosition;
 use limehollow_wire::gossip::{ListChange, ListChanges};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -53,7 +54,7 @@
     Fetch,
     /// Gets the state as at a start: what others have read wasn't passed on, or didn't arrive.
     CatchUp,
-    /// Drops what was held back.
+    /// Drops what was held back, or takes in what was in doubt.
     Settle,
 }
 
@@ -62,7 +63,7 @@
     store: S,
     offers: UnboundedReceiver<ListChanges>,
     /// Where to read on; none while nothing has been read.
-    next: Option<u64>,
+    next: Option<LogPosition>,
     /// When the last read began.
     began: Option<Instant>,
     /// When the store may be tried again after failures, and how many there were.
@@ -85,7 +86,7 @@
     };
     let now = site.now();
     // Another VM may have handed the list over at the start.
-    let next = Some(site.positions().endpoints).filter(|at| *at > 0);
+    let next = Some(site.positions().endpoints).filter(|at| !at.is_start());
     let mut l = ListFollower {
         f: Follower::new(site, states, Feed::Endpoints),
         store,
@@ -111,6 +112,7 @@
             Work::Settle => {}
         }
         l.f.drop_withheld();
+        l.f.end_doubt();
     }
 }
 
@@ -124,7 +126,7 @@
     async fn work(&mut self) -> Work {
         loop {
             let due = self.due();
-            let settled_at = self.settled_at();
+            let settled_at = earliest(self.settled_at(), self.f.doubted_until());
             let (can_fetch, fetch_after) = (self.failures > 0, self.fetch_after());
             tokio::select! {
                 biased;
@@ -260,15 +262,16 @@
         limit.min(LONGEST_ANSWER)
     }
 
-    fn succeed(&mut self, began: Instant, from: Option<u64>, read: Changes) {
+    fn succeed(&mut self, began: Instant, from: Option<LogPosition>, read: Changes) {
         self.failures = 0;
         self.retry_at = began;
         self.f.regained(began);
         self.pass_on(from, &read);
         // Others may have told more than an answer that was long on its way: applied on top, it would bring back for good
         // what is gone.
-        let is_overtaken = self.next.is_some_and(|at| read.next < at);
-        if !is_overtaken {
+        if self.f.is_overtaken(read.next) {
+            self.next = Some(self.f.site.positions().endpoints);
+        } else {
             self.next = Some(read.next);
             self.f.note_position(read.next);
             self.f.apply(Learnt::Store, read.changes, from.is_none());
@@ -293,7 +296,8 @@
         let Some(at) = self.next else {
             return;
         };
-        if offer.to <= at || offer.from > at {
+        let follows_on = at.holds(offer.from) && offer.to > at;
+        if !follows_on {
             return;
         }
         self.next = Some(offer.to);
@@ -303,7 +307,7 @@
     }
 
     /// Puts changes of the list that were read into the messages for the VMs of the zone.
-    fn pass_on(&self, from: Option<u64>, read: &Changes) {
+    fn pass_on(&self, from: Option<LogPosition>, read: &Changes) {
         let Some(from) = from else {
             return;
         };
@@ -322,7 +326,7 @@
 }
 
 /// Reads the changes of the list from a position on, for so long.
-async fn changes<S>(store: S, from: u64, limit: Duration) -> Result<Changes, StoreError>
+async fn changes<S>(store: S, from: LogPosition, limit: Duration) -> Result<Changes, StoreError>
 where
     S: Store,
 {
@@ -340,7 +344,7 @@
 async fn seek<S>(
     store: S,
     clock: Arc<Clock>,
-    from: u64,
+    from: LogPosition,
     limit: Duration,
 ) -> (Instant, Result<Changes, StoreError>)
 where
@@ -361,6 +365,10 @@
     }
 }
 
+fn earliest(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
+    a.into_iter().chain(b).min()
+}
+
 fn no_answer(limit: Duration) -> Result<Changes, StoreError> {
     NoAnswerSnafu {
         call: "changes",
@@ -371,8 +379,8 @@
 
 /// Divides what was read from a position on into parts that can be passed on, in their order. Where positions can't be told for each
 /// record, it is one part.
-fn parts(from: u64, read: &Changes) -> Vec<ListChanges> {
-    let records = read.next.saturating_sub(from);
+fn parts(from: LogPosition, read: &Changes) -> Vec<ListChanges> {
+    let records = from.records_to(read.next);
     if records == 0 {
         return Vec::new();
     }
@@ -384,7 +392,7 @@
         .map(|chunk| {
             let part = ListChanges {
                 from: at,
-                to: at + u64::try_from(chunk.len()).unwrap_or(u64::MAX),
+                to: at.after(chunk.len()),
                 changes: newest(chunk.iter().filter_map(passed_on)),
             };
             at = part.to;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -97,6 +97,8 @@
     pub catalog: Gauge,
     /// How often this machine was suspended.
     pub suspensions: Counter,
+    /// Returns of the platform's store from a copy.
+    pub store_returns: Counter,
     /// Log lines left out for their rate.
     pub lines_left_out: Counter,
 }
@@ -129,6 +131,7 @@
             requests_suspected: Gauge::default(),
             catalog: Gauge::default(),
             suspensions: Counter::default(),
+            store_returns: Counter::default(),
             lines_left_out: Counter::default(),
         }
     }
@@ -270,6 +273,11 @@
             "Configuration in force",
             self.catalog.clone(),
         );
+        r.register(
+            "store_returns",
+            "Returns of the platform's store from a copy",
+            self.store_returns.clone(),
+        );
         r.register(
             "suspensions",
             "Times that this machine was suspended",
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1 as client;
 use hyper_util::rt::TokioIo;
 use limehollow::crash_record::CrashRecord;
+use limehollow::log_position::LogPosition;
 use limehollow_wire::gossip::{
     Members, State, decode_crashes, decode_members, decode_state, encode_crashes, encode_members,
     encode_state,
@@ -53,8 +54,8 @@
     P: Protocol,
 {
     if let Some(beyond) = path.strip_prefix(START) {
-        let beyond = beyond.parse().unwrap_or(u64::MAX);
-        if !site.has_all(beyond) {
+        let has_all = beyond.parse().is_ok_and(|p| site.has_all(p));
+        if !has_all {
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
     }
@@ -97,7 +98,11 @@
         decode_state(&body).map_err(|e| e.to_string())
     }
 
-    async fn fetch_start(&self, from: SocketAddr, beyond: u64) -> Result<Option<State>, String> {
+    async fn fetch_start(
+        &self,
+        from: SocketAddr,
+        beyond: LogPosition,
+    ) -> Result<Option<State>, String> {
         match ask_in_time(from, &format!("{START}{beyond}")).await {
             Ok(body) => decode_state(&body).map(Some).map_err(|e| e.to_string()),
             Err(AskError::Status {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
-use crate::known::Known;
+use crate::known::{Known, StoreReturn};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::question::Questions;
@@ -17,6 +17,7 @@
 use limehollow::freshness::Freshness;
 use limehollow::id::{VmName, ZoneName};
 use limehollow::instance::Instance;
+use limehollow::log_position::LogPosition;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::{Quotas, Subject};
 use limehollow::roster::{HoldingsReport, Update};
@@ -229,6 +230,23 @@
         self.known().positions
     }
 
+    /// Takes in that the store has come back from a copy: what was written there since the copy was made is gone.
+    pub(crate) fn note_return(&self, era: u64) {
+        let now = self.now();
+        let mut known = self.known();
+        if known.returned.is_some_and(|r| r.era >= era) {
+            return;
+        }
+        known.returned = Some(StoreReturn { era, at: now });
+        tracing::warn!(era, "the store has come back from a copy");
+        self.metrics.store_returns.inc();
+        if known.peers.is_zone_leader(now) {
+            known.quarantine.save_all(now);
+            drop(known);
+            self.quarantine_unsaved.notify_one();
+        }
+    }
+
     /// Takes in how far another VM has read and how fresh that is, and wakes the followers that are behind it.
     pub fn note_peer(&self, vm: &SmolStr, p: Positions, r: Reading) {
         let now = self.now();
@@ -236,14 +254,14 @@
         for feed in [Feed::Configuration, Feed::Endpoints] {
             let (theirs, mine) = (position(p, feed), position(known.positions, feed));
             if let Some(ages) = ages(r, feed) {
-                let has_all = theirs <= mine && mine > 0;
+                let has_all = mine.holds(theirs) && !mine.is_start();
                 self.meet(&mut known, feed, ages.told(now), has_all);
             }
             if theirs <= mine {
                 continue;
             }
-            let best = known.ahead.get(&feed).map_or(0, |(_, at)| *at);
-            if theirs >= best {
+            let best = known.ahead.get(&feed).map(|(_, at)| *at);
+            if Some(theirs) >= best {
                 known.ahead.insert(feed, (vm.clone(), theirs));
             }
             if let Some(behind) = self.behind(feed) {
@@ -270,7 +288,7 @@
     }
 
     /// Tells whether this process has what another VM needs for a start, with the list read beyond a position.
-    pub fn has_all(&self, beyond: u64) -> bool {
+    pub fn has_all(&self, beyond: LogPosition) -> bool {
         start::has_all(self, beyond)
     }
 
@@ -280,6 +298,7 @@
         let known = self.known();
         let listed = known.roster.iter().map(|(_, e)| e);
         let listed = listed.filter(|e| !known.withheld.contains(&e.instance.id));
+        let listed = listed.chain(known.doubtful.values());
         State {
             positions: known.positions,
             reading: known.readings.of_state(self.now()),
--- a/crates/limehollow-node/src/start.rs
+++ b/crates/limehollow-node/src/start.rs
@@ -10,6 +10,7 @@
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use limehollow::id::ZoneName;
+use limehollow::log_position::LogPosition;
 use limehollow::start_tree::Giver;
 use limehollow_wire::gossip::{About, Introduction, Member, Members, Reply, State};
 use rand::seq::SliceRandom;
@@ -289,15 +290,15 @@
 }
 
 /// Tells whether this VM has what others need that have read the list up to a position: all, where they have nothing yet.
-pub(crate) fn has_all<P>(site: &Site<P>, beyond: u64) -> bool
+pub(crate) fn has_all<P>(site: &Site<P>, beyond: LogPosition) -> bool
 where
     P: Protocol,
 {
     let known = site.known();
     let p = known.positions;
     let has_list = p.endpoints > beyond;
-    let has_rest = known.has_vms && p.configuration > 0 && site.catalog.load().is_some();
-    has_list && (beyond > 0 || has_rest)
+    let has_rest = known.has_vms && !p.configuration.is_start() && site.catalog.load().is_some();
+    has_list && (!beyond.is_start() || has_rest)
 }
 
 /// Has the store show this VM, and those that asked this one at their start, for as long as the process lives.
--- a/crates/limehollow-node/tests/following.rs
+++ b/crates/limehollow-node/tests/following.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+use limehollow::log_position::LogPosition;
 use limehollow_node::edge::{Change, Feed};
 use limehollow_node::follow::{SETTLE, follow};
 use limehollow_node::site::Site;
@@ -126,8 +127,8 @@
     sleep(SOON).await;
     store.add(Feed::Configuration, configuration(4));
     let ahead = limehollow_wire::gossip::Positions {
-        configuration: 99,
-        endpoints: 0,
+        configuration: LogPosition::new(0, 99),
+        ..Default::default()
     };
     site.note_peer(&"vm-2".into(), ahead, Reading::default());
     sleep(Duration::from_millis(800)).await;
@@ -146,8 +147,8 @@
     store.set_transfer(Duration::from_millis(900));
     store.add(Feed::Configuration, configuration(4));
     let ahead = limehollow_wire::gossip::Positions {
-        configuration: 99,
-        endpoints: 0,
+        configuration: LogPosition::new(0, 99),
+        ..Default::default()
     };
     for _ in 0..20 {
         site.note_peer(&"vm-2".into(), ahead, Reading::default());
@@ -180,8 +181,8 @@
         store.add(Feed::Endpoints, listed(2));
         sleep(Duration::from_millis(50) * phase).await;
         site.offer_list(ListChanges {
-            from: 1,
-            to: 99,
+            from: LogPosition::new(0, 1),
+            to: LogPosition::new(0, 99),
             changes: vec![ListChange::Gone("i-2".into())],
         });
         sleep(SOON).await;
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -9,6 +9,7 @@
 use limehollow::group_lease::Dealt;
 use limehollow::id::ServiceName;
 use limehollow::instance;
+use limehollow::log_position::LogPosition;
 use limehollow::quarantine::Standing;
 use limehollow::roster::Endpoint;
 use limehollow_node::edge::{Change, Changes, Feed, States, Store, StoreError, Vm};
@@ -213,7 +214,12 @@
         Ok(whole)
     }
 
-    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn changes(
+        &self,
+        feed: Feed,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         let is_deaf = self.treats().0 == Treats::Deaf;
         let call = self.call(async {
             if is_deaf {
@@ -416,7 +422,11 @@
         Ok(site.configuration())
     }
 
-    async fn fetch_start(&self, from: SocketAddr, beyond: u64) -> Result<Option<State>, String> {
+    async fn fetch_start(
+        &self,
+        from: SocketAddr,
+        beyond: LogPosition,
+    ) -> Result<Option<State>, String> {
         sleep(WAY).await;
         let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
         if !site.has_all(beyond) {
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -15,6 +15,7 @@
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::Dealt;
 use limehollow::id::ServiceName;
+use limehollow::log_position::LogPosition;
 use limehollow::rebalance::EndpointReport;
 use limehollow::retry::Repeat;
 use limehollow::roster::{Endpoint, ModelRef};
@@ -400,7 +401,7 @@
         Err("no other VM is there".to_owned())
     }
 
-    async fn fetch_start(&self, _: SocketAddr, _: u64) -> Result<Option<State>, String> {
+    async fn fetch_start(&self, _: SocketAddr, _: LogPosition) -> Result<Option<State>, String> {
         Err("no other VM is there".to_owned())
     }
 
@@ -420,6 +421,8 @@
 #[derive(Debug, Default)]
 struct Kept {
     changes: Vec<(Feed, Change)>,
+    /// How often it came back from a copy.
+    era: u64,
     /// What a whole read gives, where it isn't all changes.
     newest: Option<Vec<Change>>,
     /// Positions below this are gone.
@@ -464,6 +467,16 @@
         self.0.lock().expect("sound").transfer = transfer;
     }
 
+    /// Counts the VMs that it shows.
+    pub fn vms(&self) -> usize {
+        let kept = self.0.lock().expect("sound");
+        let names = kept.changes.iter().filter_map(|(_, c)| match c {
+            Change::Vm(vm) => Some(&vm.name),
+            _ => None,
+        });
+        names.collect::<std::collections::BTreeSet<_>>().len()
+    }
+
     /// Gives how many changes there are, for a copy.
     pub fn len(&self) -> usize {
         self.0.lock().expect("sound").changes.len()
@@ -471,7 +484,10 @@
 
     /// Comes back from a copy that was made when there were so many changes: those since are gone.
     pub fn return_from_copy(&self, len: usize) {
-        self.0.lock().expect("sound").changes.truncate(len);
+        let mut kept = self.0.lock().expect("sound");
+        kept.changes.truncate(len);
+        kept.era += 1;
+        drop(kept);
         self.1.notify_waiters();
     }
 
@@ -496,6 +512,15 @@
         c
     }
 
+    /// Reads on from a position, unless it is of another era.
+    fn read_on(&self, feed: Feed, from: LogPosition) -> Result<Changes, StoreError> {
+        let era = self.0.lock().expect("sound").era;
+        if from.era() != era {
+            return Err(StoreError::Forgotten { call: "changes" });
+        }
+        self.read(feed, usize::try_from(from.offset()).expect("it is small"))
+    }
+
     fn read(&self, feed: Feed, from: usize) -> Result<Changes, StoreError> {
         let kept = self.0.lock().expect("sound");
         if kept.is_away {
@@ -507,7 +532,7 @@
         let later = kept.changes.iter().skip(from);
         let changes = later.filter(|(f, _)| *f == feed).map(|(_, c)| c.clone());
         Ok(Changes {
-            next: kept.changes.len() as u64,
+            next: LogPosition::new(kept.era, kept.changes.len() as u64),
             changes: changes.collect(),
         })
     }
@@ -549,11 +574,15 @@
         Ok(out)
     }
 
-    async fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn changes(
+        &self,
+        feed: Feed,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         self.note_call(feed);
-        let from = usize::try_from(from).expect("it is small");
         let changed = self.1.notified();
-        let now = self.read(feed, from)?;
+        let now = self.read_on(feed, from)?;
         if !now.changes.is_empty() {
             return Ok(self.transferred(now).await);
         }
@@ -564,7 +593,7 @@
         }
         // The time-out is an answer without changes.
         let _timed_out = tokio::time::timeout(wait, changed).await;
-        let later = self.read(feed, from)?;
+        let later = self.read_on(feed, from)?;
         Ok(self.transferred(later).await)
     }
 
--- a/crates/limehollow-node/tests/store_return.rs
+++ b/crates/limehollow-node/tests/store_return.rs
@@ -71,3 +71,101 @@
         }
     }
 }
+
+/// Starts a site of 8 VMs whose store lets them be for a while. Gives it, and how much a copy made now has.
+async fn with_copy() -> (Fleet, usize) {
+    let fleet = Fleet::start(ZONES, 8, 2000, ENDPOINTS).await;
+    fleet.configure(1);
+    sleep(CALM).await;
+    let copy = fleet.store.len();
+    (fleet, copy)
+}
+
+fn users(fleet: &Fleet, endpoint: usize) -> usize {
+    (0..fleet.vms.len())
+        .filter(|vm| fleet.uses(*vm, endpoint))
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_the_copy_lacks_stays_in_use_until_it_is_written_again() {
+    let (fleet, copy) = with_copy().await;
+    fleet.list(ENDPOINTS);
+    sleep(CALM).await;
+    fleet.store.return_from_copy(copy);
+    fleet
+        .always_used(ENDPOINTS, Duration::from_millis(2000))
+        .await;
+    fleet.list(ENDPOINTS);
+    fleet.always_used(ENDPOINTS, Duration::from_secs(10)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_the_copy_lacks_and_nobody_writes_again_goes() {
+    let (fleet, copy) = with_copy().await;
+    fleet.list(ENDPOINTS);
+    sleep(CALM).await;
+    fleet.store.return_from_copy(copy);
+    let (took, last) = fleet.out_of_use(ENDPOINTS).await;
+    assert!(took <= Duration::from_secs(5), "{last}: {took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_removed_since_the_copy_is_not_used_again() {
+    let (fleet, copy) = with_copy().await;
+    fleet.vanish(0);
+    sleep(CALM).await;
+    assert_eq!(users(&fleet, 0), 0);
+    fleet.store.return_from_copy(copy);
+    for _ in 0..250 {
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(users(&fleet, 0), 0, "its entry is the copy's");
+    }
+    fleet.vanish(0);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(users(&fleet, 0), 0, "it is gone");
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_removed_since_the_copy_is_used_once_it_is_written_again() {
+    let (fleet, copy) = with_copy().await;
+    fleet.vanish(0);
+    fleet.vanish(1);
+    sleep(CALM).await;
+    fleet.store.return_from_copy(copy);
+    sleep(CALM).await;
+    fleet.list(0);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(users(&fleet, 0), 8, "it has written its entry");
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(users(&fleet, 1), 8, "nobody has removed its entry since");
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_endpoint_whose_word_the_copy_lacks_is_not_used_again() {
+    let (fleet, copy) = with_copy().await;
+    fleet.leave(0);
+    sleep(CALM).await;
+    fleet.store.return_from_copy(copy);
+    for _ in 0..500 {
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(users(&fleet, 0), 0);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn vms_that_the_copy_lacks_are_written_again() {
+    let mut fleet = Fleet::cold(ZONES, 8, ENDPOINTS, f64::INFINITY);
+    let copy = fleet.store.len();
+    fleet.all_ready(ENDPOINTS).await;
+    sleep(Duration::from_secs(20)).await;
+    let written = fleet.store.calls(Feed::Vms);
+    fleet.store.return_from_copy(copy);
+    sleep(Duration::from_secs(30)).await;
+    assert!(fleet.store.calls(Feed::Vms) > written);
+    let vms = fleet.store.vms();
+    assert_eq!(vms, 8, "a VM that starts later knows the others");
+    fleet.restart_all_cold();
+    fleet.all_ready(ENDPOINTS).await;
+    assert!(fleet.fewest_neighbours() >= 1);
+}
--- a/crates/limehollow-node/tests/workspaces.rs
+++ b/crates/limehollow-node/tests/workspaces.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use limehollow::catalog::{Catalog, Rule};
+use limehollow::log_position::LogPosition;
 use limehollow::quota::Limit;
 use limehollow::retry::Repeat;
 use limehollow::workspace::{Cost, KeyDigest, Workspace, Workspaces};
@@ -117,7 +118,7 @@
 #[tokio::test]
 async fn unknown_key_while_another_vm_has_read_further_may_come_again() {
     let (g, _server) = start(None).await;
-    let ahead = ("vm-2".into(), 7);
+    let ahead = ("vm-2".into(), LogPosition::new(0, 7));
     let feed = limehollow_node::edge::Feed::Configuration;
     g.site.known().ahead.insert(feed, ahead);
     let res = ask(&g, "/draft/1", "x-key: a new one\r\n").await;
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -9,6 +9,7 @@
 use limehollow::id::ZoneName;
 use limehollow::instance::Instance;
 use limehollow::job::Job;
+use limehollow::log_position::LogPosition;
 use limehollow::quota::Subject;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use serde::{Deserialize, Serialize};
@@ -51,9 +52,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListChanges {
     /// The position before them.
-    pub from: u64,
-    /// The position after them.
-    pub to: u64,
+    pub from: LogPosition,
+    /// The position after them, of the same era.
+    pub to: LogPosition,
     /// The changes.
     pub changes: Vec<ListChange>,
 }
@@ -316,7 +317,7 @@
     /// How far the configuration was read, and how long ago it was known to be the newest, in ms; none if it isn't known.
     Configuration {
         /// The position.
-        position: u64,
+        position: LogPosition,
         /// The age.
         confirmed_ms: Option<u32>,
         /// How many VMs the other knows of.
@@ -347,13 +348,13 @@
     Answer(Answer),
 }
 
-/// How far a process has read what it follows; zero where it has read nothing yet.
+/// How far a process has read what it follows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Positions {
     /// The operators' configuration.
-    pub configuration: u64,
+    pub configuration: LogPosition,
     /// The list of endpoints.
-    pub endpoints: u64,
+    pub endpoints: LogPosition,
 }
 
 /// What a process has read of the platform's store, for one that can't read it.
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -18,6 +18,8 @@
 //!   (`docs/design/workspaces.md`).
 //! * [`backpressure`] is what endpoints say of what they want to be sent (`docs/design/backpressure.md`).
 //! * [`start_tree`] says from whom a VM that starts gets what the others know (`docs/design/fleet.md`).
+//! * [`log_position`] says how far somebody has read what the platform's store keeps, which may come back from a copy
+//!   (`docs/design/store-eras.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
 //!   [`group_lease`], [`late_loads`], [`load_window`], [`order_book`] and [`rebalance`] drive the process of a site whose platform keeps configuration and
 //!   endpoints (`docs/design/system.md`).
@@ -60,6 +62,7 @@
 pub mod listing;
 pub mod load;
 pub mod load_window;
+pub mod log_position;
 pub mod membership;
 pub mod order;
 pub mod order_book;
--- a/crates/limehollow/src/quarantine.rs
+++ b/crates/limehollow/src/quarantine.rs
@@ -245,6 +245,14 @@
 
 /// Commands.
 impl Quarantine {
+    /// Has all quarantined requests kept again: the platform's store has lost what was written there lately.
+    pub fn save_all(&mut self, now: Instant) {
+        let all: Vec<Fingerprint> = self.quarantined(now).map(|(request, ..)| request).collect();
+        for request in all {
+            self.save(request);
+        }
+    }
+
     /// Notes that a start of an endpoint crashed while it had a request.
     pub fn note_crash(
         &mut self,
--- a/crates/limehollow/src/start_tree.rs
+++ b/crates/limehollow/src/start_tree.rs
@@ -7,19 +7,22 @@
 //! their number (`docs/design/fleet.md`).
 //!
 //! ```
+//! use limehollow::log_position::LogPosition;
 //! use limehollow::start_tree::{FANOUT, Giver, StartTree};
 //! use tokio::time::Instant;
 //!
 //! let now = Instant::now();
 //! let mut tree = StartTree::default();
 //! let vm = |n: u8| std::net::SocketAddr::from(([10, 0, 0, n], 7000));
-//! assert_eq!(tree.place(now, &"a".into(), (vm(1), 250), 7), Giver::Me);
-//! assert_eq!(tree.place(now, &"a".into(), (vm(2), 250), 7), Giver::Other(vm(1)));
+//! let read_to = LogPosition::new(0, 7);
+//! assert_eq!(tree.place(now, &"a".into(), (vm(1), 250), read_to), Giver::Me);
+//! assert_eq!(tree.place(now, &"a".into(), (vm(2), 250), read_to), Giver::Other(vm(1)));
 //! // Another zone has a tree of its own: the state crosses to it once.
-//! assert_eq!(tree.place(now, &"b".into(), (vm(3), 250), 7), Giver::Me);
+//! assert_eq!(tree.place(now, &"b".into(), (vm(3), 250), read_to), Giver::Me);
 //! ```
 
 use crate::id::ZoneName;
+use crate::log_position::LogPosition;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -56,7 +59,7 @@
     /// The processor of all that asked, in thousandths of a core.
     millicores: u64,
     last: Instant,
-    position: u64,
+    position: LogPosition,
 }
 
 #[derive(Debug)]
@@ -68,7 +71,7 @@
 }
 
 impl Branch {
-    fn new(now: Instant, position: u64) -> Self {
+    fn new(now: Instant, position: LogPosition) -> Self {
         Self {
             position,
             vms: Vec::new(),
@@ -113,7 +116,7 @@
         now: Instant,
         zone: &ZoneName,
         (vm, millicores): (SocketAddr, u32),
-        position: u64,
+        position: LogPosition,
     ) -> Giver {
         let branch = self.zones.entry(zone.clone());
         let branch = branch.or_insert_with(|| Branch::new(now, position));
--- a/crates/limehollow/tests/start_tree.rs
+++ b/crates/limehollow/tests/start_tree.rs
@@ -1,5 +1,6 @@
 //! From whom VMs that start get the site's state.
 
+use limehollow::log_position::LogPosition;
 use limehollow::start_tree::{FANOUT, Giver, StartTree};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,11 +11,15 @@
     ([10, 0, 0, 1], n).into()
 }
 
+fn at(offset: u64) -> LogPosition {
+    LogPosition::new(1, offset)
+}
+
 /// Places so many VMs of one zone. Gives the parent of each.
 fn place(tree: &mut StartTree, now: Instant, vms: u16) -> Vec<Giver> {
     let numbers = 1..=vms;
     numbers
-        .map(|n| tree.place(now, &"a".into(), (vm(n), 250), 7))
+        .map(|n| tree.place(now, &"a".into(), (vm(n), 250), at(7)))
         .collect()
 }
 
@@ -49,7 +54,7 @@
     place(&mut tree, now, 30);
     let mut givers = Vec::new();
     while givers.last() != Some(&Giver::Me) {
-        givers.push(tree.place(now, &"a".into(), (vm(30), 250), 7));
+        givers.push(tree.place(now, &"a".into(), (vm(30), 250), at(7)));
         assert!(givers.len() < 6, "{givers:?}");
     }
     // The parent of the 30th is the eighth, whose own is the second.
@@ -64,7 +69,10 @@
     let (mut tree, now) = (StartTree::default(), Instant::now());
     place(&mut tree, now, 5);
     let later = now + Duration::from_secs(11);
-    assert_eq!(tree.place(later, &"a".into(), (vm(9), 250), 7), Giver::Me);
+    assert_eq!(
+        tree.place(later, &"a".into(), (vm(9), 250), at(7)),
+        Giver::Me
+    );
 }
 
 #[test]
@@ -74,7 +82,7 @@
     let mut weak_parents = 0;
     for n in 1..=400 {
         let millicores = if n % 3 == 0 { 1000 } else { 120 };
-        if let Giver::Other(parent) = tree.place(now, &"a".into(), (vm(n), millicores), 7) {
+        if let Giver::Other(parent) = tree.place(now, &"a".into(), (vm(n), millicores), at(7)) {
             weak_parents += usize::from(parent.port() % 3 != 0);
         }
     }
@@ -86,7 +94,10 @@
 fn place_anew_once_the_list_was_read_on() {
     let (mut tree, now) = (StartTree::default(), Instant::now());
     place(&mut tree, now, 30);
-    assert_eq!(tree.place(now, &"a".into(), (vm(30), 250), 8), Giver::Me);
-    let next = tree.place(now, &"a".into(), (vm(29), 250), 8);
+    assert_eq!(
+        tree.place(now, &"a".into(), (vm(30), 250), at(8)),
+        Giver::Me
+    );
+    let next = tree.place(now, &"a".into(), (vm(29), 250), at(8));
     assert_eq!(next, Giver::Other(vm(30)));
 }
