Fencing numbers don't fall where the store came back from a copy

What callers would see: nothing is loaded for a while, and orders of two holders in which a lower fencing number follows a higher one.

Cause: the group's generation, which is the fencing number, goes back with the copy. The next holder's number is then below the last one's; endpoints that check fences refuse its orders until it has climbed past, and no VM hears its notices, so all candidates join and the lease moves.

Change: the fencing number has the era of the store above the generation. An answer of an earlier era deals nothing. A holder that stays a member keeps the lease.

Tests: fence_does_not_fall_where_the_store_came_back_from_a_copy, dealt_the_holder_keeps_the_lease_over_a_return_from_a_copy and hear_the_holder_after_the_store_came_back_from_a_copy; all three fail where the number is the generation alone, as it was.

--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -131,7 +131,7 @@
             }
             Some(LeaseChange::Lost) => {
                 known.lease_notice = None;
-                tracing::info!(generation = dealt.generation, "lease lost");
+                tracing::info!(term = ?dealt.term, "lease lost");
             }
             None => {}
         }
@@ -181,7 +181,7 @@
 {
     Notice {
         vm: SmolStr::new(site.me.as_str()),
-        fence: l.generation(),
+        fence: l.last_fence(),
         holds,
         last_order: l.last_order(),
     }
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -13,7 +13,7 @@
 use limehollow::catalog::{CallerLimits, Catalog, Rule, Share};
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
-use limehollow::group_lease::Dealt;
+use limehollow::group_lease::{Dealt, Term};
 use limehollow::id::ServiceName;
 use limehollow::log_position::LogPosition;
 use limehollow::rebalance::EndpointReport;
@@ -606,7 +606,10 @@
 
     async fn join(&self, _: &str, _: u64) -> Result<Dealt, StoreError> {
         Ok(Dealt {
-            generation: 1,
+            term: Term {
+                era: 0,
+                generation: 1,
+            },
             mine: true,
         })
     }
--- a/crates/limehollow/src/group_lease.rs
+++ b/crates/limehollow/src/group_lease.rs
@@ -1,7 +1,8 @@
 //! The right to give orders, held through membership of a group at the platform.
 //!
 //! The platform deals a partition to one member of a group at a time. Who is dealt it holds the lease.
-//! Its generation, which rises with each change of the group, is the fencing number. A new holder
+//! Its generation rises with each change of the group, but goes back with a store that comes back from a copy, so the
+//! fencing number is of the store's era first. A new holder
 //! first waits until orders of the one before can't arrive any more, and a holder that hasn't heard
 //! from the platform lately gives no orders (`docs/design/system.md`).
 
@@ -18,11 +19,32 @@
 /// What a new holder waits beyond the time that the site's rules ask for.
 const HANDOVER_MARGIN: Duration = Duration::from_millis(100);
 
+/// The bits of a fencing number that the generation takes; the era is in those above.
+const GENERATION_BITS: u32 = 32;
+
+/// When in the history of the group something was true: the store's era first, then the group's generation, which rises with each
+/// change of the group within an era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Term {
+    /// How often the store has come back from a copy.
+    pub era: u64,
+    /// The group's generation.
+    pub generation: u64,
+}
+
+impl Term {
+    /// Gives the fencing number, which never falls.
+    #[must_use]
+    pub fn fence(self) -> u64 {
+        (self.era << GENERATION_BITS) | self.generation
+    }
+}
+
 /// The platform's answer to a join.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Dealt {
-    /// Rises with each change of the group.
-    pub generation: u64,
+    /// The group's term.
+    pub term: Term,
     /// Whether the lease's partition is this member's.
     pub mine: bool,
 }
@@ -52,7 +74,7 @@
 #[derive(Debug)]
 pub struct GroupLease {
     handover: Duration,
-    generation: u64,
+    term: Term,
     /// Since when the lease has been held without a break, as far as this process knows.
     held_since: Option<Instant>,
     renewed: Option<Instant>,
@@ -67,7 +89,7 @@
     pub fn new(between_holders: Duration) -> Self {
         Self {
             handover: between_holders + HANDOVER_MARGIN,
-            generation: 0,
+            term: Term::default(),
             held_since: None,
             renewed: None,
             predecessor: Predecessor::Unknown,
@@ -78,7 +100,13 @@
     /// Gives the generation heard last, which the next join names.
     #[must_use]
     pub fn generation(&self) -> u64 {
-        self.generation
+        self.term.generation
+    }
+
+    /// Gives the fencing number of the term heard last, for what is said of the lease.
+    #[must_use]
+    pub fn last_fence(&self) -> u64 {
+        self.term.fence()
     }
 
     /// Gives the fencing number if orders may be given now.
@@ -94,7 +122,7 @@
             Predecessor::Ordered(last) => free_for(last),
             Predecessor::Idle => true,
         };
-        (fresh && is_free).then_some(self.generation)
+        (fresh && is_free).then_some(self.term.fence())
     }
 
     /// Tells whether the lease was held and may have passed on since: the platform hasn't confirmed it for so long.
@@ -143,8 +171,12 @@
 
     /// Takes in the answer to a join that was sent at `sent`.
     pub fn dealt(&mut self, sent: Instant, now: Instant, dealt: Dealt) -> Option<LeaseChange> {
+        if dealt.term.era < self.term.era {
+            // An answer that was long on its way: what it deals is gone.
+            return None;
+        }
         let lapsed = self.has_lapsed(now);
-        self.generation = self.generation.max(dealt.generation);
+        self.term = self.term.max(dealt.term);
         if !dealt.mine {
             self.renewed = None;
             return self.held_since.take().map(|_| LeaseChange::Lost);
@@ -155,7 +187,7 @@
             self.held_since = Some(now);
             self.predecessor = Predecessor::Unknown;
             self.last_order = None;
-            return Some(LeaseChange::Taken(self.generation));
+            return Some(LeaseChange::Taken(self.term.fence()));
         }
         None
     }
--- a/crates/limehollow/tests/candidacy.rs
+++ b/crates/limehollow/tests/candidacy.rs
@@ -1,7 +1,7 @@
 //! Who stands for the lease, and when, on paused time.
 
 use limehollow::candidacy::{Candidacy, HOLDER_SILENT, LISTEN_FIRST, NEXT_CANDIDATE, Notice};
-use limehollow::group_lease::Predecessor;
+use limehollow::group_lease::{Predecessor, Term};
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
@@ -111,3 +111,16 @@
     advance(LISTEN_FIRST).await;
     assert!(c.stands(Instant::now(), 0));
 }
+
+#[tokio::test(start_paused = true)]
+async fn hear_the_holder_after_the_store_came_back_from_a_copy() {
+    // Its generation is lower than that of the holder before; candidates that didn't hear it would join, and move the lease again and
+    // again.
+    let mut c = Candidacy::new(Instant::now());
+    let fence = |era, generation| Term { era, generation }.fence();
+    c.hear(Instant::now(), holds("vm-1", fence(0, 40)));
+    advance(HOLDER_SILENT).await;
+    c.hear(Instant::now(), holds("vm-2", fence(1, 36)));
+    let holder = c.holder(Instant::now());
+    assert!(holder.is_some_and(|vm| vm == "vm-2"), "{holder:?}");
+}
--- a/crates/limehollow/tests/group_lease.rs
+++ b/crates/limehollow/tests/group_lease.rs
@@ -1,13 +1,20 @@
 //! When a process may give orders: the lease through a group, on paused time.
 
-use limehollow::group_lease::{Dealt, GroupLease, LeaseChange, ORDER_WITHIN, Predecessor, TTL};
+use limehollow::group_lease::{
+    Dealt, GroupLease, LeaseChange, ORDER_WITHIN, Predecessor, TTL, Term,
+};
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
 const BETWEEN: Duration = Duration::from_secs(3);
 
 fn dealt(generation: u64, mine: bool) -> Dealt {
-    Dealt { generation, mine }
+    dealt_in(0, generation, mine)
+}
+
+fn dealt_in(era: u64, generation: u64, mine: bool) -> Dealt {
+    let term = Term { era, generation };
+    Dealt { term, mine }
 }
 
 /// Joins at once, with an answer.
@@ -141,3 +148,33 @@
     l.note_order(taken);
     assert_eq!(l.last_order(), Some(taken));
 }
+
+#[tokio::test(start_paused = true)]
+async fn fence_does_not_fall_where_the_store_came_back_from_a_copy() {
+    // The group is an older one again, and its generation with it: whoever holds the lease next is above all before.
+    let before = held().await.fence(Instant::now()).expect("it is held");
+    let mut next = GroupLease::new(BETWEEN);
+    let taken = join(&mut next, dealt_in(1, 2, true));
+    let Some(LeaseChange::Taken(fence)) = taken else {
+        panic!("{taken:?}");
+    };
+    assert!(fence > before, "{fence} after {before}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn dealt_the_holder_keeps_the_lease_over_a_return_from_a_copy() {
+    let mut l = held().await;
+    let before = l.fence(Instant::now()).expect("it is held");
+    assert_eq!(join(&mut l, dealt_in(1, 2, true)), None);
+    let after = l.fence(Instant::now()).expect("it goes on");
+    assert!(after > before, "{after} after {before}");
+    assert_eq!(l.generation(), 2, "the next join names what this era knows");
+}
+
+#[tokio::test(start_paused = true)]
+async fn dealt_an_answer_from_before_the_return_is_void() {
+    let mut l = GroupLease::new(BETWEEN);
+    join(&mut l, dealt_in(1, 2, false));
+    assert_eq!(join(&mut l, dealt_in(0, 9, true)), None);
+    assert!(!l.is_held());
+}
