A VM that is ahead and hands nothing over doesn't keep a configuration back

What callers would see: on listeners of a zone a configuration late by up to 2 s, where the VM that told of it has just gone.

Cause: a listener waited for the state of the VM that is ahead for as long as that call may take, and where the state that came was no further than its own it went back to listening, with the same VM still taken for the one ahead.

Change: after 0.7 s without a state that is further the store is asked, and the VM isn't taken for ahead until it says so again.

--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -15,16 +15,16 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long a call waits for a change: as long as the store holds one, less some time on the way.
 const WAIT: Duration = Duration::from_secs(25);
 /// How long this VM takes to hear of a change by itself, at most, where the store is sound: a pause
 /// between reads and a call.
 const OWN_TIME: Duration = Duration::from_millis(300);
-/// How long a VM that is behind others waits for the store before it asks one of them as well: a large
-/// configuration takes that long on a slow link, and one that has to be in force in two seconds can't wait for
-/// the end of a call that the store leaves unanswered.
+/// How long a VM that is behind others waits for the store before it asks one of them as well, or for one of them before it asks the
+/// store: a large configuration takes that long on a slow link, and one that has to be in force in two seconds can't wait for the end of
+/// a call that is left unanswered.
 const ASK_PEER_AFTER: Duration = Duration::from_millis(700);
 /// When after its start a VM looks again for VMs that started with it. Some make themselves known while it reads, and
 /// later ones send it messages. A call that waits would be woken by each of them: with 295 VMs four times a VM.
@@ -211,10 +211,14 @@
         if !listens || self.next.is_none() || !self.f.is_behind() {
             return false;
         }
-        let Some(state) = self.f.fetch_ahead().await else {
+        let fetched = timeout(ASK_PEER_AFTER, self.f.fetch_ahead()).await;
+        let taken = fetched.ok().flatten().and_then(|s| self.f.take_state(s));
+        let Some(next) = taken else {
+            // It is gone, or has no more than this VM: the store is asked.
+            self.f.forget_ahead();
             return false;
         };
-        self.next = self.f.take_state(state).or(self.next);
+        self.next = Some(next);
         self.is_behind = false;
         true
     }
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -171,12 +171,17 @@
             Ok(state) => Some(PeerState { vm, state }),
             Err(why) => {
                 tracing::info!(%vm, why, "no state from another VM");
-                self.site.known().ahead.remove(&self.feed);
+                self.forget_ahead();
                 None
             }
         }
     }
 
+    /// Forgets which VM has read furthest: it hands nothing over that is further. Who is ahead says so again.
+    pub(crate) fn forget_ahead(&self) {
+        self.site.known().ahead.remove(&self.feed);
+    }
+
     /// Takes in what another VM has read. Gives the new position, if it is further than this VM.
     pub(crate) fn take_state(&mut self, PeerState { vm, state }: PeerState) -> Option<LogPosition> {
         let at = position(state.positions, self.feed);
--- a/crates/limehollow-node/tests/departures.rs
+++ b/crates/limehollow-node/tests/departures.rs
@@ -12,6 +12,7 @@
 
 mod rig;
 
+use limehollow::log_position::LogPosition;
 use limehollow_node::edge::Feed;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -365,3 +366,29 @@
         "{calls} calls, at most {bound}"
     );
 }
+
+/// Tells all VMs of the first zone that another one, which is of another zone, has read the configuration much further.
+fn misled(fleet: &Fleet, by: usize) {
+    let name = fleet.vms[by].site.me.as_str().into();
+    let ahead = (name, LogPosition::new(0, 999));
+    for i in fleet.zone(0) {
+        let mut known = fleet.vms[i].site.known();
+        known.ahead.insert(Feed::Configuration, ahead.clone());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn configuration_while_the_vm_that_is_ahead_hands_nothing_over() {
+    for size in SIZES {
+        let fleet = size.start().await;
+        fleet.configure(1);
+        sleep(size.calm()).await;
+        let other = fleet.zone(1)[1];
+        fleet.set_still(other, true);
+        misled(&fleet, other);
+        fleet.configure(2);
+        let took = fleet.in_force_in(0, 2).await;
+        // The store is asked before half of the time is over.
+        assert!(took <= size.bound() / 2, "{} VMs: after {took:?}", size.vms);
+    }
+}
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -34,6 +34,8 @@
 const READ_WITHIN: Duration = Duration::from_millis(1200);
 const APPEND: Duration = Duration::from_millis(4);
 const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+/// How long a VM waits for the state of another one that stands still.
+const FETCH_WITHIN: Duration = Duration::from_secs(2);
 /// The bytes a second of a VM's link: that of the weakest on the users' sites.
 const LINK_BYTES_PER_S: f64 = 2.5e6;
 /// How often a test looks whether all VMs know.
@@ -418,6 +420,8 @@
 
     async fn fetch_configuration(&self, from: SocketAddr) -> Result<State, String> {
         sleep(WAY).await;
+        let goes_on = timeout(FETCH_WITHIN, self.0.goes_on(from)).await;
+        goes_on.map_err(|e| e.to_string())?;
         let (_, site) = self.0.reach(self.1, from).ok_or("cut off")?;
         Ok(site.configuration())
     }
@@ -834,6 +838,19 @@
         began.elapsed()
     }
 
+    /// Gives how long it takes from now on until a configuration is in force on all VMs of a zone.
+    pub async fn in_force_in(&self, zone: usize, version: u64) -> Duration {
+        let began = Instant::now();
+        let has = |i: &usize| {
+            let c = self.vms[*i].site.catalog.load();
+            c.as_ref().is_some_and(|c| c.version >= version)
+        };
+        while began.elapsed() < LOOK_FOR && !self.zone(zone).iter().all(has) {
+            sleep(LOOK_EVERY).await;
+        }
+        began.elapsed()
+    }
+
     /// Tells whether a running VM sends requests to an endpoint.
     pub fn uses(&self, vm: usize, endpoint: usize) -> bool {
         let vm = &self.vms[vm];
