--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 8;
+pub const SCHEMA: u8 = 9;
 
 /// The largest state that is unpacked, in bytes: many times that of the largest deployment.
 const MAX_STATE: usize = 64 << 20;
