Adapters that are in use aren't told to go while others are idle

Cause: what makes way was the adapter with the least demand over five seconds.

Change: what makes way is one that nobody has asked for in the last three seconds, if there is one.

--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -166,6 +166,9 @@
     recent: Recent,
     observed: Option<Instant>,
     moves: BTreeMap<EndpointKey, ModelMove>,
+    /// What each adapter was last told to be asked for, and when that last rose: a request for it came then.
+    told: BTreeMap<ModelRef, f64>,
+    asked: BTreeMap<ModelRef, Instant>,
     /// What callers wait for, and when that was last heard.
     waited_for: BTreeMap<ModelRef, Instant>,
     /// Since when adapters have been asked for that are nowhere.
@@ -257,6 +260,7 @@
             let slow = slow.get(m).copied().unwrap_or(0.0);
             self.trend.insert(m.clone(), (d - slow) / SLOW_S);
         }
+        self.note_asked(now, demand);
         self.trend.retain(|m, _| models.contains_key(m));
         self.recent.observe(now, &models);
         self.fast = models;
--- a/crates/limehollow/src/rebalance/adapters.rs
+++ b/crates/limehollow/src/rebalance/adapters.rs
@@ -1,9 +1,9 @@
 //! Where adapters are loaded.
 //!
 //! Adapters load in some ms and their places are few. Those go first for which a caller waits, or is about to come
-//! back, the latest first: where places are short, a load in the order of asking comes after its caller has left. Then
-//! those that are nowhere, by how much and how long they have been asked for; then those whose replicas carry much; then
-//! free places are filled before anybody asks.
+//! back, the latest first: where places are short, a load in the order of asking comes after its caller has left. What makes
+//! way is idle, if anything is. Then those that are nowhere, by how much and how long they have been asked for; then those
+//! whose replicas carry much; then free places are filled before anybody asks.
 
 use super::{ADAPTER_FAILED_REST, AdapterMove, HIGH_LOAD, Rebalancer, used};
 use crate::catalog::{EngineSpec, ModelSpec};
@@ -26,6 +26,9 @@
 const SPARE_ADAPTER: f64 = 0.2;
 /// How long an adapter stays at least, so that callers who were told to come back find it.
 const ADAPTER_STAY: Duration = Duration::from_millis(1500);
+/// For how long after a request for an adapter it is taken to be in use: as long as most streams run. One in use that is told to go
+/// does so when its last run ends, and keeps its endpoint from all other orders until then.
+const IN_USE_FOR: Duration = Duration::from_secs(3);
 /// For how long after a caller was last heard to wait for an adapter it is there, or about to come back.
 const CALLER_THERE_FOR: Duration = Duration::from_secs(1);
 /// How long an adapter that is asked for and nowhere waits until it counts twice as much. Adapters load in
@@ -101,6 +104,19 @@
         out
     }
 
+    /// Takes in which adapters were asked for since the last time: rates fall but for requests.
+    pub(super) fn note_asked(&mut self, now: Instant, demand: &BTreeMap<ModelRef, f64>) {
+        self.asked
+            .retain(|_, t| now.duration_since(*t) < IN_USE_FOR);
+        let adapters = demand.iter().filter(|(m, _)| m.adapter.is_some());
+        for (m, d) in adapters.clone() {
+            if self.told.get(m).is_none_or(|before| d > before) {
+                self.asked.insert(m.clone(), now);
+            }
+        }
+        self.told = adapters.map(|(m, d)| (m.clone(), *d)).collect();
+    }
+
     /// Gives the adapters that are to be loaded, the most urgent first.
     fn wanted_adapters(
         &self,
@@ -121,13 +137,8 @@
             if n < 1.0 && self.waited_for.contains_key(m) {
                 continue;
             }
-            let since = self
-                .missing
-                .get(m)
-                .map(|t| now.duration_since(*t).as_secs_f64());
-            let weight = demand * (1.0 + since.unwrap_or(0.0) / PATIENCE_S);
             if n < 1.0 || demand / n > ADAPTER_HIGH {
-                out.push((m, Urgency::Missed(weight)));
+                out.push((m, Urgency::Missed(self.weight(now, m))));
             } else if demand / n > ADAPTER_SPREAD {
                 out.push((m, Urgency::Spread(demand / n)));
             }
@@ -136,6 +147,18 @@
         out
     }
 
+    /// Gives how much an adapter is wanted that is nowhere, by how much and how long it has been asked for.
+    fn weight(&self, now: Instant, m: &ModelRef) -> f64 {
+        let demand = self.slow.get(m).copied().unwrap_or(0.0);
+        let since = now.duration_since(self.missing_since(now, m));
+        demand * (1.0 + since.as_secs_f64() / PATIENCE_S)
+    }
+
+    /// Gives since when an adapter has been asked for and nowhere.
+    fn missing_since(&self, now: Instant, m: &ModelRef) -> Instant {
+        self.missing.get(m).copied().unwrap_or(now)
+    }
+
     fn note_missing(&mut self, now: Instant, replicas: &BTreeMap<ModelRef, usize>) {
         let slow = &self.slow;
         self.missing
@@ -226,11 +249,12 @@
             let is_full = there.len() >= self.spec.adapter_places
                 || used(&e.holdings, self.spec) + size > self.spec.megabytes;
             let may_go = there.into_iter().filter(|(_, r)| self.may_go(key, r));
-            let least = may_go.min_by(|a, b| a.0.total_cmp(&b.0));
+            let may_go = may_go.map(|(d, r)| (self.rebalancer.asked.contains_key(&r), d, r));
+            let least = may_go.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
             // One that makes way is dearer than a free place.
             let (cost, evict) = match least {
                 _ if !is_full => (load, None),
-                Some((d, r)) if urgency.outweighs(d) => (load + d + HIGH_LOAD, Some(r)),
+                Some((_, d, r)) if urgency.outweighs(d) => (load + d + HIGH_LOAD, Some(r)),
                 _ => continue,
             };
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
--- a/crates/limehollow/tests/rare_adapters.rs
+++ b/crates/limehollow/tests/rare_adapters.rs
@@ -26,8 +26,7 @@
 const COMES_BACK: Duration = Duration::from_millis(500);
 /// What an adapter takes to load, from the plan to the word that it is there.
 const LOADS_IN: Duration = Duration::from_millis(60);
-/// Endpoints load models by turns, and take no adapters meanwhile: how long each time, and how often.
-const MODEL_LOAD: Duration = Duration::from_secs(6);
+/// Endpoints load models by turns, and take no adapters meanwhile: how often.
 const MODEL_LOAD_EVERY: Duration = Duration::from_secs(8);
 /// The work of one request in ms, and the time constant of the rates that gateways tell, in s.
 const REQUEST_MS: f64 = 60.0;
@@ -61,11 +60,21 @@
     }
 }
 
+/// What a site has to bear.
+#[derive(Clone, Copy)]
+struct Load {
+    /// Requests a second, over all adapters.
+    per_s: f64,
+    /// How long an endpoint loads models each time.
+    loading: Duration,
+    /// How long a request runs: an adapter that is told to go while it is in use goes after that, and its endpoint takes no other order until then.
+    runs: Duration,
+}
+
 struct Play {
     rng: StdRng,
     spec: EngineSpec,
-    /// Requests a second, over all adapters.
-    per_s: f64,
+    load: Load,
     endpoints: Vec<Endpoint>,
     roster: Roster,
     rebalancer: Rebalancer,
@@ -74,12 +83,14 @@
     waiting: Vec<Request>,
     away: Vec<(Instant, Request)>,
     moves: Vec<(Instant, EndpointKey, AdapterMove)>,
+    /// Until when each adapter is in use.
+    in_use: BTreeMap<SmolStr, Instant>,
     loads: usize,
     tallies: BTreeMap<SmolStr, Tally>,
 }
 
 impl Play {
-    fn new(seed: u64, endpoints: usize, adapters: usize, per_s: f64) -> Self {
+    fn new(seed: u64, endpoints: usize, adapters: usize, load: Load) -> Self {
         let mut spec = engine(1);
         spec.adapter_places = PLACES;
         let names = (1..=adapters).map(|n| format_smolstr!("a{n}"));
@@ -90,7 +101,7 @@
         let mut play = Self {
             rng: StdRng::seed_from_u64(seed),
             spec,
-            per_s,
+            load,
             endpoints: endpoints.collect(),
             roster: Roster::default(),
             rebalancer: Rebalancer::default(),
@@ -99,6 +110,7 @@
             waiting: Vec::new(),
             away: Vec::new(),
             moves: Vec::new(),
+            in_use: BTreeMap::new(),
             loads: 0,
             tallies: BTreeMap::new(),
         };
@@ -130,7 +142,7 @@
 
     /// Draws the callers of a step: few ask for most of the adapters now and then, many for some of them.
     fn arrive(&mut self) {
-        if !self.rng.random_bool(self.per_s * STEP.as_secs_f64()) {
+        if !self.rng.random_bool(self.load.per_s * STEP.as_secs_f64()) {
             return;
         }
         let names = &self.spec.models[BASE].adapters;
@@ -177,6 +189,7 @@
         let now = Instant::now();
         for r in std::mem::take(&mut self.waiting) {
             if self.is_there(&r.adapter) {
+                self.in_use.insert(r.adapter.clone(), now + self.load.runs);
                 let tally = self.tallies.entry(r.adapter).or_default();
                 tally.served += 1;
             } else if now < r.arrived + WAITS {
@@ -204,7 +217,7 @@
     fn loads_model(&self, i: usize) -> bool {
         let turn = MODEL_LOAD_EVERY / u32::try_from(self.endpoints.len()).expect("few");
         let since = self.began.elapsed() + turn * u32::try_from(i).expect("few");
-        since.as_millis() % MODEL_LOAD_EVERY.as_millis() < MODEL_LOAD.as_millis()
+        since.as_millis() % MODEL_LOAD_EVERY.as_millis() < self.load.loading.as_millis()
     }
 
     fn plan(&mut self) {
@@ -228,11 +241,13 @@
             .plan_adapters(now, &self.roster, &llm(), &self.spec, is_free);
         for (key, m) in begun {
             let i = self.index(key);
+            let mut begins = now;
             if let Some(name) = m.evict.as_ref().and_then(|e| e.adapter.clone()) {
                 self.adapters_at(i).remove(&name);
+                begins = self.in_use.get(&name).map_or(now, |until| now.max(*until));
             }
             self.loads += 1;
-            self.moves.push((now + LOADS_IN, key, m));
+            self.moves.push((begins + LOADS_IN, key, m));
         }
     }
 
@@ -278,11 +293,11 @@
 }
 
 /// Plays some seeds, and gives the part of callers served in each and the adapters never served in any.
-async fn play(endpoints: usize, adapters: usize, per_s: f64) -> (Vec<f64>, usize) {
+async fn play(endpoints: usize, adapters: usize, load: Load) -> (Vec<f64>, usize) {
     let mut served = Vec::new();
     let mut never = 0;
     for seed in 0..5 {
-        let p = Play::new(seed, endpoints, adapters, per_s).run().await;
+        let p = Play::new(seed, endpoints, adapters, load).run().await;
         eprintln!(
             "seed {seed}: {:.3} served, {} loads, never served: {:?}",
             p.served(),
@@ -297,7 +312,27 @@
 
 #[tokio::test(start_paused = true)]
 async fn plan_adapters_not_loaded_after_their_callers_left() {
-    let (served, never) = play(4, 63, 20.0).await;
+    let load = Load {
+        per_s: 20.0,
+        loading: Duration::from_secs(6),
+        runs: Duration::ZERO,
+    };
+    let (served, never) = play(4, 63, load).await;
     assert_eq!(never, 0, "adapters that are asked for all along are served");
     assert!(served.iter().all(|s| *s >= 0.85), "{served:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn plan_adapters_in_use_are_not_told_to_go_while_others_are_idle() {
+    let load = Load {
+        per_s: 20.0,
+        loading: Duration::from_secs(4),
+        runs: Duration::from_secs(3),
+    };
+    let (served, never) = play(4, 63, load).await;
+    assert!(
+        never <= 3,
+        "{never} that are asked for all along, of five seeds"
+    );
+    assert!(served.iter().all(|s| *s >= 0.64), "{served:?}");
+}
