--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -42,7 +42,7 @@
     let mut s = Sender::new(Arc::clone(&site));
     let mut last = site.now();
     loop {
-        let urgent = timeout(s.pace(), site.urgent.notified()).await.is_ok();
+        let urgent = timeout(s.pause(), site.urgent.notified()).await.is_ok();
         if urgent {
             // The controller may be on this VM.
             wanted.notify_one();
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -5,6 +5,7 @@
 //! kept in the platform's store, for when all VMs are started anew at once.
 
 use crate::edge::{Protocol, States, Store};
+use crate::sender::pace;
 use crate::site::Site;
 use limehollow::balance::MESSAGE_LIFE;
 use limehollow::crash_record::CrashRecord;
@@ -15,12 +16,15 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// How long two VMs may differ before one asks the other: what has just changed is still on its way in messages. It is drawn anew
-/// each time up to twice this, so that not all VMs of a zone ask the same one at once.
+/// How long two VMs may differ before one asks the other, in messages of a VM and at most: what has just changed is still on its
+/// way in messages. It is drawn anew each time up to twice this, so that not all VMs of a zone ask the same one at once.
+const DIFFERS_FOR_MESSAGES: f64 = 2.5;
 const DIFFERS_FOR: Duration = Duration::from_millis(300);
+/// How long nothing may have changed before a VM asks: in a burst of crashes messages bring most of it.
+const RESTS_FOR: Duration = Duration::from_millis(300);
 /// The time between two questions, and how much longer it is for each record that came: a record takes 32 bytes, and half of
 /// the 12 kB a second that a VM may take for what it tells others is left for these.
-const ASK_EVERY: Duration = Duration::from_millis(500);
+const ASK_EVERY: Duration = Duration::from_millis(100);
 const PAUSE_PER_RECORD: Duration = Duration::from_millis(5);
 /// The time between tries to reach the store, at first and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
@@ -37,23 +41,49 @@
     loop {
         site.quarantine_differs.notified().await;
         if !has_nothing(&site) {
-            sleep(DIFFERS_FOR.mul_f64(1.0 + rand::random::<f64>())).await;
+            come_to_rest(&site).await;
+        }
+        while let Some((vm, said)) = differing(&site) {
+            let came = ask(&site, &states, &vm, said).await;
+            sleep(ASK_EVERY.max(PAUSE_PER_RECORD.saturating_mul(came))).await;
+        }
+    }
+}
+
+/// Waits until what has just changed here, or at others, had time to arrive in messages.
+async fn come_to_rest<P>(site: &Site<P>)
+where
+    P: Protocol,
+{
+    let neighbours = site.known().peers.neighbours().len();
+    let differs_for = pace(neighbours)
+        .mul_f64(DIFFERS_FOR_MESSAGES)
+        .min(DIFFERS_FOR);
+    loop {
+        sleep(differs_for.mul_f64(1.0 + rand::random::<f64>())).await;
+        let rests = site.known().quarantine.unchanged_for(site.now());
+        if rests.is_none_or(|t| t >= RESTS_FOR) {
+            return;
+        }
+    }
+}
+
+/// Asks another VM for all that it knows. Gives how many records came.
+async fn ask<P, S>(site: &Site<P>, states: &S, vm: &str, said: Said) -> u32
+where
+    P: Protocol,
+    S: States,
+{
+    match states.fetch_crashes(said.address).await {
+        Ok(records) => {
+            take_in(site, vm, &records);
+            site.known().quarantine.note_contained(said.digest);
+            u32::try_from(records.len()).unwrap_or(u32::MAX)
+        }
+        Err(why) => {
+            tracing::debug!(%vm, why, "no records of crashing requests");
+            0
         }
-        let Some((vm, said)) = differing(&site) else {
-            continue;
-        };
-        let came = match states.fetch_crashes(said.address).await {
-            Ok(records) => {
-                take_in(&site, &vm, &records);
-                site.known().quarantine.note_contained(said.digest);
-                u32::try_from(records.len()).unwrap_or(u32::MAX)
-            }
-            Err(why) => {
-                tracing::debug!(%vm, why, "no records of crashing requests");
-                0
-            }
-        };
-        sleep(ASK_EVERY.max(PAUSE_PER_RECORD.saturating_mul(came))).await;
     }
 }
 
@@ -77,21 +107,19 @@
     pub address: SocketAddr,
 }
 
-/// Gives a VM that knows other records, if what is known here has come to rest.
+/// Gives a VM that knows other records by what it has said since something changed here: what it said before may be outdated.
 fn differing<P>(site: &Site<P>) -> Option<(SmolStr, Said)>
 where
     P: Protocol,
 {
     let now = site.now();
     let known = site.known();
-    let rests = known.quarantine.unchanged_for(now);
-    if rests.is_some_and(|t| t < DIFFERS_FOR) {
-        return None;
-    }
     let heard = known.quarantines.iter();
     let heard = heard.filter(|(_, s)| now.duration_since(s.at) < MESSAGE_LIFE);
+    let unchanged = known.quarantine.unchanged_for(now);
+    let is_new = |s: &Said| unchanged.is_none_or(|t| now.duration_since(s.at) < t);
     let others: Vec<_> = heard
-        .filter(|(_, s)| !known.quarantine.contains(s.digest))
+        .filter(|(_, s)| is_new(s) && !known.quarantine.contains(s.digest))
         .collect();
     let at = rand::random_range(0..others.len().max(1));
     let (vm, said) = others.get(at)?;
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -16,6 +16,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -29,6 +30,8 @@
 /// [`SLOWEST`], so that what a VM has to read stays bounded.
 const FEW: usize = 8;
 const SLOWEST: Duration = Duration::from_millis(240);
+/// The parts of the pace between which the time until a message is drawn.
+const OUT_OF_STEP: Range<f64> = 0.9..1.1;
 /// The slowest pace at which the sums of another zone are passed on inside a zone: they count for half as long again.
 const SLOWEST_SUMS: Duration = Duration::from_millis(1000);
 /// For how long changes of the list are repeated inside the zone; who misses them reads the store.
@@ -49,7 +52,7 @@
 const MAX_RATES: usize = 64;
 
 /// Gives how often a VM with so many neighbours speaks.
-fn pace(neighbours: usize) -> Duration {
+pub(crate) fn pace(neighbours: usize) -> Duration {
     slowed(neighbours).min(SLOWEST)
 }
 
@@ -101,10 +104,11 @@
         }
     }
 
-    /// Gives the time until the next message.
+    /// Gives the time until the next message: a tenth more or less than the pace, so that VMs don't speak in step.
     #[must_use]
-    pub fn pace(&self) -> Duration {
-        pace(self.site.known().peers.neighbours().len())
+    pub fn pause(&self) -> Duration {
+        let pace = pace(self.site.known().peers.neighbours().len());
+        pace.mul_f64(rand::random_range(OUT_OF_STEP))
     }
 
     /// Gives what is to be said now, and to whom.
--- a/crates/limehollow-node/tests/quarantine_spread.rs
+++ b/crates/limehollow-node/tests/quarantine_spread.rs
@@ -14,6 +14,8 @@
 /// What a site allows from the third crash until no VM sends the request on, less half a second for the crash to be noticed and
 /// the request's own way.
 const KNOWN_WITHIN: Duration = Duration::from_millis(2500);
+/// How often a small site plays what depends on chance: few VMs have few ways round a lost message.
+const PLAYS_OF_FEW: usize = 40;
 /// What telling other VMs may cost one of them a second.
 const BYTES_PER_SECOND: usize = 12_000;
 
@@ -61,6 +63,24 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn spread_among_few_vms_with_two_of_three_messages_lost() {
+    let mut took = Vec::new();
+    for _ in 0..PLAYS_OF_FEW {
+        let fleet = Fleet::start(3, 8, 2000, 4).await;
+        fleet.lose_all_but_one_in(3);
+        crash_three(&fleet, request(0));
+        took.push(fleet.refused_by_all(request(0)).await);
+    }
+    took.sort_unstable();
+    let (half, longest) = (took[PLAYS_OF_FEW / 2], took[PLAYS_OF_FEW - 1]);
+    println!("{PLAYS_OF_FEW} plays: half of them {half:?}, at most {longest:?}");
+    assert!(
+        longest <= KNOWN_WITHIN,
+        "two of three messages lost: {took:?}"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn spread_after_a_zone_was_cut_off() {
     for (zones, vms) in SITES {
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -290,6 +290,14 @@
     }
 }
 
+impl Drop for Entry {
+    fn drop(&mut self) {
+        for t in &self.tasks {
+            t.abort();
+        }
+    }
+}
+
 /// Where messages and states go, and which zones are cut off from all others.
 #[derive(Clone, Debug, Default)]
 pub struct Net(Arc<Mutex<Ways>>);
@@ -695,8 +703,8 @@
         vm.tasks.push(tokio::spawn(async move {
             let mut sender = Sender::new(Arc::clone(&site));
             loop {
-                // The time-out is the usual pace.
-                let _timed_out = timeout(sender.pace(), site.urgent.notified()).await;
+                // The time-out is the usual pause.
+                let _timed_out = timeout(sender.pause(), site.urgent.notified()).await;
                 for out in sender.outgoing(Instant::now()) {
                     net.deliver(zone, out);
                 }
--- a/crates/limehollow/src/quarantine.rs
+++ b/crates/limehollow/src/quarantine.rs
@@ -34,8 +34,8 @@
 const MAX_CRASHES: usize = 8;
 /// Records that are kept at most: all that ran on 64 full endpoints; 0.7 MB in memory, 0.13 MB to tell another VM.
 pub const MAX_RECORDS: usize = 4096;
-/// How many messages to the VMs of the zone carry a record after an early crash, since some datagrams in a row may be lost. Records
-/// of late ones, which are most, and those for other zones go once: who misses them sees it by the digest.
+/// How many messages carry a record after an early crash, since some datagrams in a row may be lost. Records of late ones, which
+/// are most, go once: who misses them sees it by the digest.
 const TOLD_TIMES: u32 = 3;
 /// Digests that are remembered as part of what is known: those of some seconds in a burst of crashes.
 const MAX_CONTAINED: usize = 256;
@@ -141,8 +141,8 @@
     request: Fingerprint,
     /// How many more messages carry it.
     times: u32,
-    /// Whether none has yet.
-    is_new: bool,
+    /// Whether this VM noted it, and so tells the other zones as well.
+    is_own: bool,
 }
 
 /// The records that go into the next messages.
@@ -419,7 +419,7 @@
         self.untold.push_back(Untold {
             request,
             times,
-            is_new: true,
+            is_own: true,
         });
     }
 
@@ -432,7 +432,7 @@
             self.untold.push_back(Untold {
                 request,
                 times: 1,
-                is_new: false,
+                is_own: false,
             });
         }
     }
@@ -446,14 +446,13 @@
             let Some(record) = self.record(now, u.request) else {
                 continue;
             };
-            if u.is_new {
+            if u.is_own {
                 told.abroad.push(record.clone());
             }
             told.here.push(record);
             if u.times > 1 {
                 self.untold.push_back(Untold {
                     times: u.times - 1,
-                    is_new: false,
                     ..u
                 });
             }
--- a/crates/limehollow/tests/quarantine.rs
+++ b/crates/limehollow/tests/quarantine.rs
@@ -189,7 +189,7 @@
 }
 
 #[test]
-fn take_told_says_early_crashes_three_times_and_abroad_once() {
+fn take_told_says_early_crashes_three_times_and_late_ones_once() {
     let (mut q, now) = (Quarantine::default(), Instant::now());
     for n in 0..20 {
         crash(&mut q, now, request(1, n), n);
@@ -202,7 +202,7 @@
         here += told.here.len();
         abroad += told.abroad.len();
     }
-    assert_eq!((here, abroad), (80, 40));
+    assert_eq!((here, abroad), (80, 80));
 }
 
 #[test]
