One way to take an answer of the store that others have overtaken

The follower of the list noted how fresh its copy is, and passed an answer on, before it looked whether the answer was from before the store came back from a copy; the followers that wait dropped any answer that others had overtaken, also one of the same history, which does say how fresh the copy is.

Now Follower::take_answer decides for both: an answer from before a return counts for nothing and gets a line; one that is overtaken counts for freshness and is not applied; any other is. What is from before a return isn't passed on.

--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
-use crate::follower::{Follower, Learnt, PeerState, position};
+use crate::follower::{Follower, PeerState, position};
 use crate::list;
 use crate::site::Site;
 use crate::start::{self, jittered};
@@ -260,19 +260,12 @@
     /// Takes in what a call gave, and rests for as long as its end asks for.
     async fn take(&mut self, Answer { began, whole, read }: Answer) {
         match read {
-            // Others may have told more than an answer that was long on its way.
-            Ok(changes) if self.f.is_overtaken(changes.next) => {
-                self.failures = 0;
-                self.next = Some(position(self.f.site.positions(), self.f.feed));
-                self.is_behind = true;
-                sleep(PAUSE).await;
-            }
             Ok(changes) => {
-                self.f.regained(began);
                 self.failures = 0;
-                self.next = Some(changes.next);
-                self.f.note_position(changes.next);
-                self.f.apply(Learnt::Store, changes.changes, whole);
+                let answered = changes.next;
+                let next = self.f.take_answer(began, changes, whole);
+                self.is_behind = next > answered;
+                self.next = Some(next);
                 sleep(PAUSE).await;
             }
             Err(StoreError::Forgotten { .. }) => {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -1,6 +1,6 @@
 //! What all followers of the store share: taking changes in, and getting them from another VM.
 
-use crate::edge::{Change, Feed, Protocol, States, StoreError};
+use crate::edge::{Change, Changes, Feed, Protocol, States, StoreError};
 use crate::logbook::may_log;
 use crate::site::Site;
 use crate::start::jittered;
@@ -148,9 +148,32 @@
         }
     }
 
-    /// Tells whether more has been read than an answer gives.
-    pub(crate) fn is_overtaken(&self, next: LogPosition) -> bool {
-        next < position(self.site.positions(), self.feed)
+    /// Tells whether an answer that ends here was given before the store came back from a copy: it says nothing of the store as it is.
+    pub(crate) fn is_from_before_return(&self, next: LogPosition) -> bool {
+        next.era() < position(self.site.positions(), self.feed).era()
+    }
+
+    /// Takes in what the store answered to a read that began at this moment. Gives where to read on.
+    ///
+    /// Others may have told more than an answer that was long on its way. Applied on top, it would bring back for good what is gone.
+    pub(crate) fn take_answer(
+        &mut self,
+        began: Instant,
+        answer: Changes,
+        whole: bool,
+    ) -> LogPosition {
+        let here = position(self.site.positions(), self.feed);
+        if self.is_from_before_return(answer.next) {
+            tracing::info!(feed = ?self.feed, position = %answer.next, "an answer from before the store's return");
+            return here;
+        }
+        self.regained(began);
+        if answer.next < here {
+            return here;
+        }
+        self.note_position(answer.next);
+        self.apply(Learnt::Store, answer.changes, whole);
+        answer.next
     }
 
     /// Asks the VM that has read furthest for what it has read, if it is further than this one.
@@ -219,7 +242,7 @@
     }
 
     /// Notes that a read that began at this moment was answered.
-    pub(crate) fn regained(&mut self, began: Instant) {
+    fn regained(&mut self, began: Instant) {
         if self.feed == Feed::Configuration {
             self.site.known().confirmation.confirm(began);
         }
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -265,17 +265,8 @@
     fn succeed(&mut self, began: Instant, from: Option<LogPosition>, read: Changes) {
         self.failures = 0;
         self.retry_at = began;
-        self.f.regained(began);
         self.pass_on(from, &read);
-        // Others may have told more than an answer that was long on its way: applied on top, it would bring back for good
-        // what is gone.
-        if self.f.is_overtaken(read.next) {
-            self.next = Some(self.f.site.positions().endpoints);
-        } else {
-            self.next = Some(read.next);
-            self.f.note_position(read.next);
-            self.f.apply(Learnt::Store, read.changes, from.is_none());
-        }
+        self.next = Some(self.f.take_answer(began, read, from.is_none()));
         let reads_for_others = self.f.site.known().peers.is_zone_reader(self.f.site.now());
         if !reads_for_others {
             // The zone's reader was late: the others needn't read as well.
@@ -308,7 +299,7 @@
 
     /// Puts changes of the list that were read into the messages for the VMs of the zone.
     fn pass_on(&self, from: Option<LogPosition>, read: &Changes) {
-        let Some(from) = from else {
+        let Some(from) = from.filter(|_| !self.f.is_from_before_return(read.next)) else {
             return;
         };
         let parts = parts(from, read);
