What callers wait for is kept once, not copied into the rebalancer

Rebalancer::waited_for was a copy of Known::wanted with a life of its own: written again for each service at each planning, swept apart, cleared with the lease. plan_adapters is given what is waited for instead, and leaves out what was heard more than a second ago, as before; note_waiting goes. Rebalancer::missing_since had one caller left and is part of weight.

Behaviour is meant to stay. Shown: rare_adapters prints the same shares, loads and names on all ten plays before and after.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -225,10 +225,8 @@
             let at_work = &self.at_work;
             let resting = |k: EndpointKey| !at_work.contains(&k);
             let known = self.site.known();
-            for (m, heard) in &known.wanted {
-                r.note_waiting(*heard, m);
-            }
-            let moves = r.plan_adapters(now, &known.roster, service, engine, resting);
+            let wanted = &known.wanted;
+            let moves = r.plan_adapters(now, &known.roster, service, engine, wanted, resting);
             drop(known);
             for (key, m) in moves {
                 let book = self.books.get(&key).cloned();
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -169,8 +169,6 @@
     /// What each adapter was last told to be asked for, and when that last rose: a request for it came then.
     told: BTreeMap<ModelRef, f64>,
     asked: BTreeMap<ModelRef, Instant>,
-    /// What callers wait for, and when that was last heard.
-    waited_for: BTreeMap<ModelRef, Instant>,
     /// Since when adapters have been asked for that are nowhere.
     missing: BTreeMap<ModelRef, Instant>,
     /// Adapters that were loaded lately, and when that began.
@@ -266,12 +264,6 @@
         self.fast = models;
     }
 
-    /// Takes in that a caller waits for something that isn't loaded, as was heard at a moment.
-    pub fn note_waiting(&mut self, heard: Instant, wanted: &ModelRef) {
-        let last = self.waited_for.entry(wanted.clone()).or_insert(heard);
-        *last = heard.max(*last);
-    }
-
     /// Takes in which endpoints are listed but out of reach: what they hold has to be elsewhere, and they take no
     /// orders. The list drops an endpoint that crashed three to five seconds later.
     pub fn observe_lost(&mut self, lost: BTreeSet<EndpointKey>) {
--- a/crates/limehollow/src/rebalance/adapters.rs
+++ b/crates/limehollow/src/rebalance/adapters.rs
@@ -60,13 +60,15 @@
     /// Chooses where adapters are loaded that are asked for and not there, or not often enough, and
     /// counts them as on their way.
     ///
-    /// `resting` tells whether an endpoint can take an order on an adapter now.
+    /// `waited_for` says what callers wait for and when that was last heard, `resting` whether an endpoint can take an order on
+    /// an adapter now.
     pub fn plan_adapters<F>(
         &mut self,
         now: Instant,
         roster: &Roster,
         service: &ServiceName,
         spec: &EngineSpec,
+        waited_for: &BTreeMap<ModelRef, Instant>,
         resting: F,
     ) -> Vec<(EndpointKey, AdapterMove)>
     where
@@ -77,16 +79,21 @@
             .retain(|_, t| now.duration_since(*t) < ADAPTER_STAY);
         self.adapter_failed
             .retain(|_, t| now.duration_since(*t) < ADAPTER_FAILED_REST);
-        self.waited_for
-            .retain(|_, t| now.duration_since(*t) < CALLER_THERE_FOR);
+        let is_there = |t: &Instant| now.duration_since(*t) < CALLER_THERE_FOR;
+        let waited_for: BTreeMap<&ModelRef, Instant> = waited_for
+            .iter()
+            .filter(|(_, t)| is_there(t))
+            .map(|(m, t)| (m, *t))
+            .collect();
         self.note_missing(now, &replicas);
-        let wanted = self.wanted_adapters(now, &replicas);
+        let wanted = self.wanted_adapters(now, &replicas, &waited_for);
         let weighing = AdapterWeighing {
             rebalancer: self,
             roster,
             service,
             spec,
             replicas: &replicas,
+            waited_for: &waited_for,
         };
         let failed = &self.adapter_failed;
         let resting = |k: EndpointKey| resting(k) && !failed.contains_key(&k);
@@ -118,23 +125,24 @@
     }
 
     /// Gives the adapters that are to be loaded, the most urgent first.
-    fn wanted_adapters(
-        &self,
+    fn wanted_adapters<'r>(
+        &'r self,
         now: Instant,
         replicas: &BTreeMap<ModelRef, usize>,
-    ) -> Vec<(&ModelRef, Urgency)> {
-        let waited_for = self.waited_for.iter().filter(|(m, _)| {
-            let is_coming = self.coming.values().any(|c| c == *m);
-            m.adapter.is_some() && !is_coming && !replicas.contains_key(m)
+        waited_for: &BTreeMap<&'r ModelRef, Instant>,
+    ) -> Vec<(&'r ModelRef, Urgency)> {
+        let nowhere = waited_for.iter().filter(|(m, _)| {
+            let is_coming = self.coming.values().any(|c| c == **m);
+            m.adapter.is_some() && !is_coming && !replicas.contains_key(**m)
         });
-        let mut out: Vec<(&ModelRef, Urgency)> = waited_for
-            .map(|(m, t)| (m, Urgency::CallerWaits(*t)))
+        let mut out: Vec<(&ModelRef, Urgency)> = nowhere
+            .map(|(m, t)| (*m, Urgency::CallerWaits(*t)))
             .collect();
         for (m, demand) in self.slow.iter().filter(|(m, _)| m.adapter.is_some()) {
             let coming = self.coming.values().filter(|c| *c == m).count();
             #[expect(clippy::cast_precision_loss, reason = "a service has few endpoints")]
             let n = (replicas.get(m).copied().unwrap_or(0) + coming) as f64;
-            if n < 1.0 && self.waited_for.contains_key(m) {
+            if n < 1.0 && waited_for.contains_key(m) {
                 continue;
             }
             if n < 1.0 || demand / n > ADAPTER_HIGH {
@@ -150,13 +158,8 @@
     /// Gives how much an adapter is wanted that is nowhere, by how much and how long it has been asked for.
     fn weight(&self, now: Instant, m: &ModelRef) -> f64 {
         let demand = self.slow.get(m).copied().unwrap_or(0.0);
-        let since = now.duration_since(self.missing_since(now, m));
-        demand * (1.0 + since.as_secs_f64() / PATIENCE_S)
-    }
-
-    /// Gives since when an adapter has been asked for and nowhere.
-    fn missing_since(&self, now: Instant, m: &ModelRef) -> Instant {
-        self.missing.get(m).copied().unwrap_or(now)
+        let since = self.missing.get(m).map(|t| now.duration_since(*t));
+        demand * (1.0 + since.unwrap_or_default().as_secs_f64() / PATIENCE_S)
     }
 
     fn note_missing(&mut self, now: Instant, replicas: &BTreeMap<ModelRef, usize>) {
@@ -218,6 +221,8 @@
     service: &'a ServiceName,
     spec: &'a EngineSpec,
     replicas: &'a BTreeMap<ModelRef, usize>,
+    /// What callers wait for, and when that was last heard.
+    waited_for: &'a BTreeMap<&'a ModelRef, Instant>,
 }
 
 impl AdapterWeighing<'_> {
@@ -268,9 +273,9 @@
 
     /// Tells whether an adapter may make way at an endpoint: it has been there for a while, and no caller waits for it.
     fn may_go(&self, at: EndpointKey, m: &ModelRef) -> bool {
-        let r = self.rebalancer;
+        let is_fresh = self.rebalancer.fresh.contains_key(&(at, m.clone()));
         let is_spare = self.replicas.get(m).is_some_and(|n| *n > 1);
-        !r.fresh.contains_key(&(at, m.clone())) && (is_spare || !r.waited_for.contains_key(m))
+        !is_fresh && (is_spare || !self.waited_for.contains_key(m))
     }
 
     /// Fills free places with adapters that are nowhere, before they are asked for: they load in some ms,
--- a/crates/limehollow/tests/rare_adapters.rs
+++ b/crates/limehollow/tests/rare_adapters.rs
@@ -78,6 +78,8 @@
     endpoints: Vec<Endpoint>,
     roster: Roster,
     rebalancer: Rebalancer,
+    /// What callers waited for, and when last.
+    waited_for: BTreeMap<ModelRef, Instant>,
     began: Instant,
     told: BTreeMap<ModelRef, f64>,
     waiting: Vec<Request>,
@@ -105,6 +107,7 @@
             endpoints: endpoints.collect(),
             roster: Roster::default(),
             rebalancer: Rebalancer::default(),
+            waited_for: BTreeMap::new(),
             began: Instant::now(),
             told: BTreeMap::new(),
             waiting: Vec::new(),
@@ -229,16 +232,17 @@
         self.rebalancer.observe(now, &demand);
         for r in &self.waiting {
             let m = adapter(BASE, &r.adapter);
-            self.rebalancer.note_waiting(now, &m);
+            self.waited_for.insert(m, now);
         }
         let taken: Vec<EndpointKey> = self.moves.iter().map(|(_, k, _)| *k).collect();
         let loading = (0..self.endpoints.len()).filter(|i| self.loads_model(*i));
         let loading = loading.filter_map(|i| self.roster.key(&self.endpoints[i].instance.id));
         let loading: Vec<EndpointKey> = loading.collect();
         let is_free = |k: EndpointKey| !taken.contains(&k) && !loading.contains(&k);
-        let begun = self
-            .rebalancer
-            .plan_adapters(now, &self.roster, &llm(), &self.spec, is_free);
+        let (spec, waited_for) = (&self.spec, &self.waited_for);
+        let begun =
+            self.rebalancer
+                .plan_adapters(now, &self.roster, &llm(), spec, waited_for, is_free);
         for (key, m) in begun {
             let i = self.index(key);
             let mut begins = now;
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -16,7 +16,10 @@
 }
 
 fn adapters(r: &mut Rebalancer, roster: &Roster) -> Vec<(EndpointKey, AdapterMove)> {
-    r.plan_adapters(Instant::now(), roster, &llm(), &engine(2), |_| true)
+    let nobody = BTreeMap::new();
+    r.plan_adapters(Instant::now(), roster, &llm(), &engine(2), &nobody, |_| {
+        true
+    })
 }
 
 fn loads(moves: &[(EndpointKey, ModelMove)]) -> Vec<&str> {
