A whole reading of the VMs notes each of them once

Each VM of a whole reading was noted as listed, copied, and noted again when the reading was complete. note_all_listed now does it once, by note_listed; single changes go to note_listed as before. What is lost, and whether this VM is shown, come out the same: the set before is compared with the set after.

store_return and cold_start hold it.

--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -299,8 +299,11 @@
                 Change::Vm(vm) => {
                     let mut known = self.site.known();
                     known.learn(&vm);
-                    known.note_listed(vm.clone());
-                    vms.push(vm);
+                    if whole {
+                        vms.push(vm);
+                    } else {
+                        known.note_listed(vm);
+                    }
                 }
                 Change::Evacuation { zone, begins } => {
                     if begins {
--- a/crates/limehollow-node/src/known.rs
+++ b/crates/limehollow-node/src/known.rs
@@ -247,13 +247,15 @@
 
     /// Takes in all VMs that the store shows. Gives whether it has lost some that it showed before: they are to be written again.
     pub(crate) fn note_all_listed(&mut self, vms: Vec<Vm>) -> bool {
-        let shown = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
-        let before = std::mem::replace(&mut self.listed, shown);
+        let before = std::mem::take(&mut self.listed);
+        self.is_listed = false;
+        for vm in vms {
+            self.note_listed(vm);
+        }
         let lost = before
             .into_iter()
             .filter(|(name, _)| !self.listed.contains_key(name));
         let lost: Vec<_> = lost.collect();
-        self.is_listed = self.listed.get(&self.me.name) == Some(&self.me);
         let has_lost = !lost.is_empty();
         self.unlisted.extend(lost);
         has_lost
