--- a/crates/limehollow-node/src/follow.rs
+++ b/crates/limehollow-node/src/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::edge::{Changes, Feed, Protocol, States, Store, StoreError};
 pub use crate::follower::SETTLE;
-use crate::follower::{Follower, PeerState, position};
+use crate::follower::{Follower, PeerState, read_to};
 use crate::list;
 use crate::site::Site;
 use crate::start::{self, jittered};
@@ -78,7 +78,7 @@
 {
     match feed {
         Feed::Configuration | Feed::Endpoints => {
-            let next = Some(position(site.positions(), feed)).filter(|at| !at.is_start());
+            let next = read_to(site, feed);
             (next, next.is_some())
         }
         // Where the VMs are read on isn't handed over.
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -447,6 +447,14 @@
     }
 }
 
+/// Gives how far this VM has read a feed; none where it has read nothing.
+pub(crate) fn read_to<P>(site: &Site<P>, feed: Feed) -> Option<LogPosition>
+where
+    P: Protocol,
+{
+    Some(position(site.positions(), feed)).filter(|at| !at.is_start())
+}
+
 pub(crate) fn ages(r: Reading, feed: Feed) -> Option<Ages> {
     match feed {
         Feed::Configuration => r.configuration,
--- a/crates/limehollow-node/src/list.rs
+++ b/crates/limehollow-node/src/list.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Clock;
 use crate::edge::{Change, Changes, Feed, NoAnswerSnafu, Protocol, States, Store, StoreError};
-use crate::follower::{Follower, Learnt};
+use crate::follower::{Follower, Learnt, read_to};
 use crate::site::Site;
 use crate::start;
 use limehollow::freshness::ReadPace;
@@ -86,7 +86,7 @@
     };
     let now = site.now();
     // Another VM may have handed the list over at the start.
-    let next = Some(site.positions().endpoints).filter(|at| !at.is_start());
+    let next = read_to(&site, Feed::Endpoints);
     let mut l = ListFollower {
         f: Follower::new(site, states, Feed::Endpoints),
         store,
