What VMs say to each other has a budget, and a want goes to the controller alone

Cause: each request for a model or adapter that is nowhere woke the sender, which then sent the VM's whole message to all VMs of its zone, dark ones too, up to each 15 ms. The worse it stood, the more requests found nothing, the more was sent.

Change: - `limehollow::send_budget`: bytes a second that all datagrams share, an eighth of the link (new setting `link_mbps`), the most urgent first: questions and answers, changes, what is said regularly, what is passed on. What finds nothing left isn't queued. Counted: `datagrams_held_back`. - A want goes to the controller alone, in a message that says nothing else. - What has changed goes as a change (`Scope::Change`), without what requests take and what callers ask for. The whole message goes at its times only. - VMs silent for three seconds are told in turn, two a message; one that comes back says so itself. - Sender::next is what the process and the tests' fleet both run.

Looked for elsewhere: all nine places that wake the sender; wants were the only one that callers' requests wake. Start-up's and states' transfers go by TCP and aren't in the budget.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -180,8 +180,7 @@
                 _ => (reason, after),
             };
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
-                self.site.known().want(now, m);
-                self.site.urgent.notify_one();
+                self.site.want(m);
             }
             let may_come_in_time = match reason {
                 Reason::Busy | Reason::NoAdapter => now < until,
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -15,17 +15,18 @@
 use crate::site::Site;
 use crate::traffic::{self, Way};
 use limehollow::balance::MESSAGE_LIFE;
+use limehollow::send_budget::{SendBudget, Urgency};
 use limehollow_wire::gossip::{Datagram, Message, decode, encode};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::time::{Instant, interval, sleep};
 
-/// How often at most a VM sends between its times, when a request waits for something.
-const URGENT_EVERY: Duration = Duration::from_millis(15);
+/// The pause after a datagram could not be read.
+const READ_AGAIN_AFTER: Duration = Duration::from_millis(15);
 /// The largest datagram that is read.
 const MAX_MESSAGE: usize = 60 << 10;
 /// After how long what a VM's callers asked for, or waited for, counts no more.
@@ -34,24 +35,90 @@
 /// How often what is kept at rest is swept.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
+/// The way of this VM's datagrams, which share one budget.
+#[derive(Debug)]
+pub struct Outlet<P> {
+    site: Arc<Site<P>>,
+    socket: UdpSocket,
+    budget: Mutex<SendBudget>,
+}
+
+impl<P> Outlet<P>
+where
+    P: Protocol,
+{
+    /// Makes the way through a socket.
+    #[must_use]
+    pub fn new(site: Arc<Site<P>>, socket: UdpSocket) -> Self {
+        let rate = site.settings.load().messages_bytes_per_s();
+        Self {
+            budget: Mutex::new(SendBudget::new(site.now(), rate)),
+            site,
+            socket,
+        }
+    }
+
+    async fn send_message(&self, message: Message, to: &[SocketAddr]) {
+        self.send(&Datagram::Message(Box::new(message)), to).await;
+    }
+
+    /// Sends a datagram to those for whom the budget lasts.
+    async fn send(&self, datagram: &Datagram, to: &[SocketAddr]) {
+        let metrics = &self.site.metrics;
+        let bytes = match encode(datagram) {
+            Ok(b) => b,
+            Err(e) => {
+                tracing::error!(error = %e, "a message can't be written");
+                return;
+            }
+        };
+        if bytes.len() > MAX_MESSAGE {
+            metrics.datagrams_too_large.inc();
+            tracing::error!(
+                bytes = bytes.len(),
+                kind = traffic::kind(datagram),
+                "a message doesn't fit in a datagram"
+            );
+            return;
+        }
+        // Not always the same ones go without.
+        let first = rand::random_range(0..to.len().max(1));
+        let (late, early) = to.split_at(first.min(to.len()));
+        let mut sent = 0;
+        for a in early.iter().chain(late) {
+            if !self.may_send(bytes.len(), traffic::urgency(datagram)) {
+                break;
+            }
+            sent += 1;
+            // A VM that is gone refuses or is silent; its silence shows elsewhere.
+            if let Err(e) = self.socket.send_to(&bytes, *a).await {
+                tracing::debug!(to = %a, error = %e, "a message was not sent");
+            }
+        }
+        traffic::count(metrics, Way::Sent, datagram, bytes.len(), sent);
+        traffic::count_held_back(metrics, datagram, to.len() - sent);
+    }
+
+    fn may_send(&self, bytes: usize, urgency: Urgency) -> bool {
+        let rate = self.site.settings.load().messages_bytes_per_s();
+        let now = self.site.now();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.set_rate(now, rate);
+        budget.take(now, bytes, urgency)
+    }
+}
+
 /// Sends this VM's messages for as long as the process lives.
-pub async fn send<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
+pub async fn send<P>(site: Arc<Site<P>>, outlet: Arc<Outlet<P>>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
     let mut s = Sender::new(Arc::clone(&site));
-    let mut last = site.now();
     loop {
-        let urgent = timeout(s.pause(), site.urgent.notified()).await.is_ok();
-        if urgent {
-            // The controller may be on this VM.
-            wanted.notify_one();
-            sleep((last + URGENT_EVERY).saturating_duration_since(site.now())).await;
-        }
-        last = site.now();
+        let outgoing = s.next(&wanted).await;
         note_lost_time(&site);
-        for (message, to) in s.outgoing(last) {
-            send_all(&site.metrics, &socket, message, &to).await;
+        for (message, to) in outgoing {
+            outlet.send_message(message, &to).await;
         }
     }
 }
@@ -69,49 +136,14 @@
     }
 }
 
-async fn send_all(metrics: &Metrics, socket: &UdpSocket, message: Message, to: &[SocketAddr]) {
-    send_datagram(metrics, socket, &Datagram::Message(Box::new(message)), to).await;
-}
-
-async fn send_datagram(
-    metrics: &Metrics,
-    socket: &UdpSocket,
-    datagram: &Datagram,
-    to: &[SocketAddr],
-) {
-    let bytes = match encode(datagram) {
-        Ok(b) => b,
-        Err(e) => {
-            tracing::error!(error = %e, "a message can't be written");
-            return;
-        }
-    };
-    if bytes.len() > MAX_MESSAGE {
-        metrics.datagrams_too_large.inc();
-        tracing::error!(
-            bytes = bytes.len(),
-            kind = traffic::kind(datagram),
-            "a message doesn't fit in a datagram"
-        );
-        return;
-    }
-    traffic::count(metrics, Way::Sent, datagram, bytes.len(), to.len());
-    for a in to {
-        // A VM that is gone refuses or is silent; its silence shows elsewhere.
-        if let Err(e) = socket.send_to(&bytes, *a).await {
-            tracing::debug!(to = %a, error = %e, "a message was not sent");
-        }
-    }
-}
-
 /// Takes in other VMs' messages for as long as the process lives.
-pub async fn receive<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>, wanted: Arc<Notify>)
+pub async fn receive<P>(site: Arc<Site<P>>, outlet: Arc<Outlet<P>>, wanted: Arc<Notify>)
 where
     P: Protocol,
 {
     let mut buf = vec![0; MAX_MESSAGE];
     loop {
-        let (n, from) = match socket.recv_from(&mut buf).await {
+        let (n, from) = match outlet.socket.recv_from(&mut buf).await {
             Ok(came) => came,
             Err(e) => {
                 pause_after(&e).await;
@@ -130,7 +162,7 @@
             Datagram::Message(w) => *w,
             Datagram::Question(q) => {
                 let answer = Datagram::Answer(question::answer(&site, q));
-                send_datagram(&site.metrics, &socket, &answer, &[from]).await;
+                outlet.send(&answer, &[from]).await;
                 continue;
             }
             Datagram::Answer(a) => {
@@ -142,13 +174,13 @@
             wanted.notify_one();
         }
         if let Some((message, to)) = hear(&site, w) {
-            send_all(&site.metrics, &socket, message, &to).await;
+            outlet.send_message(message, &to).await;
         }
     }
 }
 
 /// Sends this VM's questions to other VMs for as long as the process lives.
-pub async fn send_questions<P>(site: Arc<Site<P>>, socket: Arc<UdpSocket>)
+pub async fn send_questions<P>(site: Arc<Site<P>>, outlet: Arc<Outlet<P>>)
 where
     P: Protocol,
 {
@@ -156,13 +188,13 @@
         return;
     };
     while let Some((to, q)) = rx.recv().await {
-        send_datagram(&site.metrics, &socket, &Datagram::Question(q), &[to]).await;
+        outlet.send(&Datagram::Question(q), &[to]).await;
     }
 }
 
 async fn pause_after(e: &io::Error) {
     tracing::debug!(error = %e, "no message could be read");
-    sleep(URGENT_EVERY).await;
+    sleep(READ_AGAIN_AFTER).await;
 }
 
 /// Notes how old the copies of the feeds are that have a bound.
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -69,6 +69,8 @@
     pub datagram_bytes: Family<ByKind, Counter>,
     /// Datagrams that were not sent because they are larger than another VM reads.
     pub datagrams_too_large: Counter,
+    /// Datagrams that were not sent, since this VM had said as much as it may, by kind.
+    pub datagrams_held_back: Family<ByKind, Counter>,
     /// Whether this process holds the lease.
     pub holds_lease: Gauge,
     /// Endpoints on the list.
@@ -117,6 +119,7 @@
             datagrams: Family::default(),
             datagram_bytes: Family::default(),
             datagrams_too_large: Counter::default(),
+            datagrams_held_back: Family::default(),
             holds_lease: Gauge::default(),
             endpoints: Gauge::default(),
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
@@ -173,6 +176,11 @@
             "Datagrams larger than another VM reads, which were not sent",
             self.datagrams_too_large.clone(),
         );
+        r.register(
+            "datagrams_held_back",
+            "Datagrams that were not sent, since this VM had said as much as it may",
+            self.datagrams_held_back.clone(),
+        );
     }
 
     /// Registers what endpoints, and operators for them, want to be sent.
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -22,7 +22,7 @@
     take_in_crashes(site, &mut w);
     let says_nothing = w.scope == Scope::News && w.reports.is_empty() && w.crashes.is_empty();
     let passes_on = is_forwarded && !says_nothing && is_due(site, &w);
-    let on = passes_on.then(|| (w.clone(), site.known().peers.neighbours()));
+    let on = passes_on.then(|| (w.clone(), site.known().peers.listeners(site.now())));
     take_in(site, w);
     on
 }
@@ -109,12 +109,14 @@
             }
         }
         match w.scope {
-            Scope::Vm => {
+            Scope::Vm | Scope::Change => {
                 let is_new = known.peers.receive(now, &w.from, w.start, w.number);
                 if is_new && zone == site.zone {
                     known.peers.note_store(&w.from, w.reaches_store);
                     known.peers.note_list(&w.from, w.reads_list);
                     known.note_ahead_here(&w.from, w.positions.endpoints);
+                }
+                if is_new && zone == site.zone && w.scope == Scope::Vm {
                     let from = VmName::from(w.from.as_str());
                     known.balance.receive(now, from.clone(), taken);
                     for key in w.unreached.iter().filter_map(|i| known.roster.find(i)) {
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -19,6 +19,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,6 +31,8 @@
 /// [`SLOWEST`], so that what a VM has to read stays bounded.
 const FEW: usize = 8;
 const SLOWEST: Duration = Duration::from_millis(240);
+/// How often at most it speaks between its times, when something has changed or a request waits.
+const URGENT_EVERY: Duration = Duration::from_millis(15);
 /// The parts of the pace between which the time until a message is drawn.
 const OUT_OF_STEP: Range<f64> = 0.9..1.1;
 /// The slowest pace at which the sums of another zone are passed on inside a zone: they count for half as long again.
@@ -68,6 +71,14 @@
     EVERY.mul_f64(slower.max(1.0))
 }
 
+/// What makes a VM speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Occasion {
+    Due,
+    Changed,
+    Wanted,
+}
+
 /// A message and where it goes.
 pub type Outgoing = (Message, Vec<SocketAddr>);
 
@@ -81,6 +92,10 @@
     seeds: Vec<SocketAddr>,
     /// When the zone's sums were said last.
     summed: Instant,
+    /// When the next whole message is due.
+    due: Instant,
+    /// When this VM spoke last.
+    spoke: Instant,
     /// When all limits of endpoints were said last, and how often.
     limits_said: Instant,
     turn: usize,
@@ -98,46 +113,56 @@
             number: 0,
             seeds: start::named(&site.settings.load()),
             summed: site.now(),
+            due: site.now(),
+            spoke: site.now(),
             limits_said: site.now(),
             turn: 0,
             site,
         }
     }
 
-    /// Gives the time until the next message: a tenth more or less than the pace, so that VMs don't speak in step.
-    #[must_use]
-    pub fn pause(&self) -> Duration {
-        let pace = pace(self.site.known().peers.neighbours().len());
-        pace.mul_f64(rand::random_range(OUT_OF_STEP))
+    /// Waits until there is something to say, and gives it. Tells the controller, if it is on this VM, of what is wanted.
+    pub async fn next(&mut self, wanted: &Notify) -> Vec<Outgoing> {
+        let site = Arc::clone(&self.site);
+        let occasion = tokio::select! {
+            biased;
+            () = site.clock.sleep_until(self.due) => Occasion::Due,
+            () = site.urgent.notified() => Occasion::Changed,
+            () = site.wanting.notified() => Occasion::Wanted,
+        };
+        if occasion != Occasion::Due {
+            wanted.notify_one();
+            site.clock.sleep_until(self.spoke + URGENT_EVERY).await;
+        }
+        let now = site.now();
+        self.spoke = now;
+        match occasion {
+            Occasion::Due => self.outgoing(now),
+            Occasion::Changed => self.changes(now),
+            Occasion::Wanted => self.wants(now).into_iter().collect(),
+        }
     }
 
-    /// Gives what is to be said now, and to whom.
+    /// Gives all that this VM says from time to time, and to whom.
     pub fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
-        self.number += 1;
         let site = Arc::clone(&self.site);
         let mut known = site.known();
         let known = &mut *known;
+        let pace = pace(known.peers.neighbours().len());
+        self.due = now + pace.mul_f64(rand::random_range(OUT_OF_STEP));
         let told = known.quarantine.take_told(now);
         let mut own = self.own(now, known, told.here);
         own.rates = self.rates(now, known);
-        let mut to = known.peers.neighbours();
+        own.wants = std::mem::take(&mut known.wants).into_iter().collect();
+        let mut to = known.peers.told_here(now);
         if !own.wants.is_empty() {
-            // The controller hears it at once, wherever it is.
-            let controller = known.candidacy.holder(now);
-            let controller = controller.and_then(|g| known.peers.address(g));
-            to.extend(controller.filter(|a| !to.contains(a)));
+            to.extend(controller(now, known).filter(|a| !to.contains(a)));
         }
         if known.peers.known() == 1 {
             to.clone_from(&self.seeds);
         }
-        let mut outgoing = Vec::new();
-        if !own.reports.is_empty() {
-            outgoing.push((news(&own), known.peers.zone_targets(now)));
-        }
-        if !told.abroad.is_empty() {
-            outgoing.push((crashes(&own, told.abroad), known.peers.zone_turns()));
-        }
-        let is_due = now.duration_since(self.summed) >= pace(known.peers.neighbours().len());
+        let mut outgoing = abroad(&own, now, known, told.abroad);
+        let is_due = now.duration_since(self.summed) >= pace;
         if is_due && known.peers.is_zone_leader(now) {
             self.summed = now;
             let targets = known.peers.zone_targets(now);
@@ -145,14 +170,55 @@
                 outgoing.push((part, targets.clone()));
             }
         }
-        for list in list_parts(known) {
-            let part = list_part(&own, list);
-            outgoing.push((part, known.peers.neighbours()));
-        }
+        outgoing.extend(list_news(&own, known, &to));
         outgoing.push((own, to));
         outgoing
     }
 
+    /// Gives what has changed and can't wait for the next whole message, and to whom. What its requests take at the endpoints and
+    /// what its callers ask for, which is most of a message, isn't said again.
+    fn changes(&mut self, now: Instant) -> Vec<Outgoing> {
+        let site = Arc::clone(&self.site);
+        let mut known = site.known();
+        let known = &mut *known;
+        let told = known.quarantine.take_told(now);
+        let mut own = self.own(now, known, told.here);
+        own.rates = self.rates(now, known);
+        let to = known.peers.told_here(now);
+        let mut outgoing = abroad(&own, now, known, told.abroad);
+        outgoing.extend(list_news(&own, known, &to));
+        let change = Message {
+            scope: Scope::Change,
+            taken: Vec::new(),
+            unreached: Vec::new(),
+            demand: Vec::new(),
+            ..own
+        };
+        outgoing.push((change, to));
+        outgoing
+    }
+
+    /// Gives what requests wait for that isn't loaded, for the controller. While none is known the next whole message says it.
+    fn wants(&mut self, now: Instant) -> Option<Outgoing> {
+        let site = Arc::clone(&self.site);
+        let mut known = site.known();
+        let known = &mut *known;
+        let to = controller(now, known)?;
+        if known.wants.is_empty() {
+            return None;
+        }
+        let wants = std::mem::take(&mut known.wants).into_iter().collect();
+        let own = self.own(now, known, Vec::new());
+        let message = Message {
+            forward: false,
+            wants,
+            reports: Vec::new(),
+            lease: None,
+            ..news(&own)
+        };
+        Some((message, vec![to]))
+    }
+
     /// Gives what is said of the limits that endpoints name: those that are news, and from time to time all.
     fn rates(&mut self, now: Instant, known: &Known) -> Vec<RateSaid> {
         let wishes = &known.balance.backpressure;
@@ -183,7 +249,8 @@
         words
     }
 
-    fn own(&self, now: Instant, known: &mut Known, crashes: Vec<CrashRecord>) -> Message {
+    fn own(&mut self, now: Instant, known: &mut Known, crashes: Vec<CrashRecord>) -> Message {
+        self.number += 1;
         let fresh = |at: &Instant, life: Duration| now.duration_since(*at) < life;
         known
             .list_news
@@ -208,7 +275,7 @@
             gone: fresh_starts(now, &known.gone),
             leaving: fresh_starts(now, &known.leaving),
             demand: rates(known.arrivals.rates(now)),
-            wants: std::mem::take(&mut known.wants).into_iter().collect(),
+            wants: Vec::new(),
             reports: known.reports.take(),
             list: Vec::new(),
             lease: own_notice(now, known),
@@ -227,6 +294,35 @@
     }
 }
 
+/// Gives where the VM that gives orders listens, if another one is heard to.
+fn controller(now: Instant, known: &Known) -> Option<SocketAddr> {
+    let holder = known.candidacy.holder(now)?;
+    known.peers.address(holder)
+}
+
+/// Gives what other zones are told of as soon as it is known.
+fn abroad(
+    own: &Message,
+    now: Instant,
+    known: &mut Known,
+    crashed: Vec<CrashRecord>,
+) -> Vec<Outgoing> {
+    let mut outgoing = Vec::new();
+    if !own.reports.is_empty() {
+        outgoing.push((news(own), known.peers.zone_targets(now)));
+    }
+    if !crashed.is_empty() {
+        outgoing.push((crashes(own, crashed), known.peers.zone_turns()));
+    }
+    outgoing
+}
+
+/// Gives what the zone is told of changes of the list.
+fn list_news(own: &Message, known: &Known, to: &[SocketAddr]) -> Vec<Outgoing> {
+    let parts = list_parts(known).into_iter();
+    parts.map(|l| (list_part(own, l), to.to_vec())).collect()
+}
+
 /// Gives the starts of endpoints that were found lately to be gone, or to leave. In a message for other zones they are those of
 /// all VMs of this one, since what one VM finds the others take in as found.
 fn fresh_starts(now: Instant, found: &BTreeMap<Instance, Instant>) -> Vec<Instance> {
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -16,6 +16,10 @@
 /// The span over which requests to a cold endpoint are summed.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+const BYTES_PER_MBIT: f64 = 125_000.0;
+/// The part of its link that a VM's messages to others may take.
+const MESSAGES_SHARE: f64 = 0.125;
+
 /// How the process decides, where there is more than one way.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -58,6 +62,9 @@
     /// The part of a processor core that this VM has.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// What this VM's link carries each way, in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// The platform's store, as `IP:PORT`.
     pub store_address: String,
     /// How long the process has to end after it was told to, in ms.
@@ -118,6 +125,11 @@
     0.25
 }
 
+/// What an entry VM of today's small sites has.
+fn default_link_mbps() -> f64 {
+    1000.0
+}
+
 /// The bound of today's small sites, the tightest of all.
 fn default_in_force_ms() -> u64 {
     2_000
@@ -161,6 +173,12 @@
         millicores
     }
 
+    /// Gives how many bytes a second this VM may say to others, so that callers have the rest of its link.
+    #[must_use]
+    pub fn messages_bytes_per_s(&self) -> f64 {
+        self.link_mbps * BYTES_PER_MBIT * MESSAGES_SHARE
+    }
+
     /// Gives when a feed is read, for those that have a bound on their age.
     #[must_use]
     pub fn pace(&self, feed: Feed) -> Option<ReadPace> {
@@ -267,6 +285,10 @@
         check_range("quota_window_ms", self.quota_window_ms, 1_000..=600_000)?;
         check_range("repeat_window_ms", self.repeat_window_ms, 100..=600_000)?;
         check_range("load_window_ms", self.load_window_ms, 100..=600_000)?;
+        if !(self.link_mbps.is_finite() && self.link_mbps > 0.0) {
+            let why = format!("must be above zero, not {}", self.link_mbps);
+            return Err(Invalid::new("link_mbps", why));
+        }
         let ratios = [
             ("cores", self.cores),
             ("repeat_ratio", self.repeat_ratio),
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -20,7 +20,7 @@
 use limehollow::log_position::LogPosition;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::{Quotas, Subject};
-use limehollow::roster::{HoldingsReport, Update};
+use limehollow::roster::{HoldingsReport, ModelRef, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,8 +66,10 @@
     pub quarantine_differs: Notify,
     /// Told when a request was quarantined, or cleared.
     pub quarantine_unsaved: Notify,
-    /// Told when a request waits for something that isn't loaded.
+    /// Told when something has changed that the VMs of the zone should know at once.
     pub urgent: Notify,
+    /// Told when a request waits for something that isn't loaded, which the controller should know at once.
+    pub wanting: Notify,
     /// Told when there is a VM that the store doesn't show.
     pub vm_unlisted: Notify,
     /// Questions to other VMs.
@@ -108,6 +110,7 @@
             metrics: Metrics::default(),
             changed: Notify::new(),
             urgent: Notify::new(),
+            wanting: Notify::new(),
             crash_known: Notify::new(),
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
@@ -361,6 +364,12 @@
         })
     }
 
+    /// Takes in that a request waits here for something that isn't loaded, and tells the controller.
+    pub fn want(&self, m: &ModelRef) {
+        self.known().want(self.now(), m);
+        self.wanting.notify_one();
+    }
+
     /// Takes in what the controller knows of an endpoint.
     pub fn report(&self, now: Instant, r: &HoldingsReport) {
         let update = self.known().report(now, r);
--- a/crates/limehollow-node/src/traffic.rs
+++ b/crates/limehollow-node/src/traffic.rs
@@ -4,12 +4,14 @@
 use crate::edge::Protocol;
 use crate::metrics::{ByKind, Metrics};
 use crate::site::Site;
+use limehollow::send_budget::Urgency;
 use limehollow_wire::gossip::{About, Datagram, Message, Scope};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 const OWN: &str = "a VM's own";
+const CHANGES: &str = "changes of a VM's own";
 const SUMS: &str = "sums of a zone";
 const SUMS_ON: &str = "sums of a zone, passed on";
 const NEWS: &str = "news";
@@ -22,8 +24,9 @@
 const ANSWER: &str = "answer";
 
 /// All kinds of datagrams.
-const KINDS: [&str; 11] = [
+const KINDS: [&str; 12] = [
     OWN,
+    CHANGES,
     SUMS,
     SUMS_ON,
     NEWS,
@@ -64,10 +67,36 @@
         .inc_by(bytes * copies);
 }
 
+/// Counts copies of a datagram that were not sent.
+pub(crate) fn count_held_back(metrics: &Metrics, d: &Datagram, copies: usize) {
+    if copies > 0 {
+        let by = ByKind {
+            kind: kind(d),
+            way: "sent",
+        };
+        metrics
+            .datagrams_held_back
+            .get_or_create(&by)
+            .inc_by(whole(copies));
+    }
+}
+
 fn whole(n: usize) -> u64 {
     u64::try_from(n).unwrap_or(u64::MAX)
 }
 
+/// Tells how much a datagram matters.
+pub(crate) fn urgency(d: &Datagram) -> Urgency {
+    match d {
+        Datagram::Question(_) | Datagram::Answer(_) => Urgency::Answer,
+        Datagram::Message(m) => match (m.scope, m.forward) {
+            (Scope::Change | Scope::News, _) => Urgency::News,
+            (Scope::Vm, _) | (Scope::Zone, true) => Urgency::Regular,
+            (Scope::Zone, false) => Urgency::PassedOn,
+        },
+    }
+}
+
 /// Names what a datagram is.
 pub(crate) fn kind(d: &Datagram) -> &'static str {
     match d {
@@ -86,6 +115,7 @@
 fn message_kind(m: &Message) -> &'static str {
     match (m.scope, m.forward) {
         (Scope::Vm, _) => OWN,
+        (Scope::Change, _) => CHANGES,
         (Scope::Zone, true) => SUMS,
         (Scope::Zone, false) => SUMS_ON,
         (Scope::News, true) => NEWS,
--- /dev/null
+++ b/crates/limehollow-node/tests/left_alone.rs
@@ -0,0 +1,63 @@
+//! What a VM says when it is left alone and gets all callers of its zone.
+
+mod rig;
+
+use limehollow::roster::ModelRef;
+use limehollow_node::gossip::{Outgoing, Sender};
+use limehollow_node::site::Site;
+use limehollow_wire::gossip::{Datagram, encode};
+use rig::{Plain, parse_settings};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, advance, sleep, timeout_at};
+
+/// The bytes a second that all VMs' messages may cost each, by the sizing target.
+const MOST_BYTES_PER_S: usize = 12_000;
+const NEIGHBOURS: u8 = 23;
+
+/// A VM with neighbours that were never heard, some time after its start.
+async fn alone() -> Arc<Site<Plain>> {
+    let own = "name = \"vm-0\"\navailability_zone = \"a\"\nip = \"127.0.0.1\"\npeer_port = 7000\n";
+    let site = Site::new(parse_settings(own), Plain);
+    for i in 1..=NEIGHBOURS {
+        let (name, address) = (format!("vm-{i}"), ([127, 0, 0, i], 7000).into());
+        let zone = site.zone.clone();
+        site.known().peers.learn(name.into(), zone, address, 250);
+    }
+    advance(Duration::from_secs(5)).await;
+    site
+}
+
+fn bytes(outgoing: Vec<Outgoing>) -> usize {
+    let sizes = outgoing.into_iter().map(|(message, to)| {
+        let datagram = Datagram::Message(Box::new(message));
+        encode(&datagram).expect("it can be written").len() * to.len()
+    });
+    sizes.sum()
+}
+
+/// Guards against a VM that fills its own link: each request for a model that is nowhere made it send all it knew to VMs that
+/// were dark.
+#[tokio::test(start_paused = true)]
+async fn bytes_with_hundreds_of_requests_for_what_is_nowhere() {
+    let site = alone().await;
+    let waiting = Arc::clone(&site);
+    tokio::spawn(async move {
+        for i in 0.. {
+            let m = ModelRef {
+                model: format!("model-{}", i % 50).into(),
+                adapter: None,
+            };
+            waiting.want(&m);
+            sleep(Duration::from_millis(2)).await;
+        }
+    });
+    let mut sender = Sender::new(site);
+    let (wanted, end) = (Notify::new(), Instant::now() + Duration::from_secs(10));
+    let mut sum = 0;
+    while let Ok(outgoing) = timeout_at(end, sender.next(&wanted)).await {
+        sum += bytes(outgoing);
+    }
+    assert!(sum <= 10 * MOST_BYTES_PER_S, "{sum} bytes in 10 s");
+}
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -703,12 +704,9 @@
         vm.tasks.push(tokio::spawn(async move {
             let mut sender = Sender::new(Arc::clone(&site));
             loop {
-                // The time-out is the usual pause.
-                let _timed_out = timeout(sender.pause(), site.urgent.notified()).await;
-                for out in sender.outgoing(Instant::now()) {
+                for out in sender.next(&Notify::new()).await {
                     net.deliver(zone, out);
                 }
-                sleep(Duration::from_millis(15)).await;
             }
         }));
     }
--- a/crates/limehollow-node/tests/suspension.rs
+++ b/crates/limehollow-node/tests/suspension.rs
@@ -68,9 +68,10 @@
     let socket = UdpSocket::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
-    let (socket, wanted) = (Arc::new(socket), Arc::new(Notify::new()));
+    let wanted = Arc::new(Notify::new());
     // It is the task that says how much time was lost.
-    tokio::spawn(gossip::send(Arc::clone(&site), socket, wanted));
+    let outlet = Arc::new(gossip::Outlet::new(Arc::clone(&site), socket));
+    tokio::spawn(gossip::send(Arc::clone(&site), outlet, wanted));
     Gateway::with(site).await
 }
 
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -31,6 +31,8 @@
     /// The VM itself; it goes to the VMs of its zone.
     #[default]
     Vm,
+    /// What has just changed of the VM itself; it goes to the VMs of its zone, and leaves what they know of the rest.
+    Change,
     /// All VMs of its zone; it goes to other zones.
     Zone,
     /// Nothing but what the controller did.
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -18,6 +18,7 @@
 //!   (`docs/design/workspaces.md`).
 //! * [`backpressure`] is what endpoints say of what they want to be sent (`docs/design/backpressure.md`).
 //! * [`start_tree`] says from whom a VM that starts gets what the others know (`docs/design/fleet.md`).
+//! * [`send_budget`] bounds what VMs say to each other (`docs/design/overload.md`).
 //! * [`log_position`] says how far somebody has read what the platform's store keeps, which may come back from a copy
 //!   (`docs/design/store-eras.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
@@ -81,6 +82,7 @@
 pub mod retry_window;
 pub mod roster;
 pub mod routing;
+pub mod send_budget;
 pub mod start_tree;
 pub mod verdict;
 pub mod workspace;
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -40,6 +40,12 @@
 /// a large zone sends.
 const KEEPER_SILENT_AFTER: Duration = Duration::from_millis(800);
 
+/// After how long without a message a VM is told things only in turn with the others that are as silent: longer than a VM stands
+/// still that is merely slow.
+const GIVEN_UP_AFTER: Duration = Duration::from_millis(3000);
+/// How many of those are told each time. Whoever comes back says so itself; this is for one that hears and isn't heard.
+const SILENT_TOLD: usize = 2;
+
 /// Orders zones for a name, each name in another way.
 fn weight(zone: &ZoneName, name: &str) -> u64 {
     let mut h = Xxh3::new();
@@ -85,6 +91,8 @@
     rows: BTreeMap<SmolStr, Peer>,
     zones: BTreeMap<ZoneName, OtherZone>,
     turn: usize,
+    /// Which of the silent VMs of the zone was told something last.
+    silent_turn: usize,
 }
 
 /// Queries.
@@ -99,6 +107,7 @@
             rows: BTreeMap::new(),
             zones: BTreeMap::new(),
             turn: 0,
+            silent_turn: 0,
         }
     }
 
@@ -241,6 +250,22 @@
         here.map(|p| p.address).collect()
     }
 
+    /// Gives the addresses of the own zone's other VMs that were heard lately, or may just be starting.
+    #[must_use]
+    pub fn listeners(&self, now: Instant) -> Vec<SocketAddr> {
+        let (listening, _) = self.by_listening(now);
+        listening
+    }
+
+    /// Gives the VMs of the own zone, those first that listen as far as is known.
+    fn by_listening(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let here = self.rows.values().filter(|p| p.zone == self.zone);
+        let listens = |p: &&Peer| now.duration_since(p.heard.unwrap_or(p.learnt)) < GIVEN_UP_AFTER;
+        let (listening, silent): (Vec<&Peer>, Vec<&Peer>) = here.partition(listens);
+        let addresses = |vms: Vec<&Peer>| vms.into_iter().map(|p| p.address).collect();
+        (addresses(listening), addresses(silent))
+    }
+
     /// Gives the addresses of all other VMs, the silent ones too.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
@@ -390,6 +415,16 @@
         self.zones.insert(zone, row);
     }
 
+    /// Gives to whom of the own zone a message goes: to all that listen, and to some of the silent ones in turn.
+    pub fn told_here(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let (mut to, silent) = self.by_listening(now);
+        let some = silent.len().min(SILENT_TOLD);
+        let first = self.silent_turn.checked_rem(silent.len()).unwrap_or(0);
+        self.silent_turn = first + some;
+        to.extend(silent.iter().cycle().skip(first).take(some));
+        to
+    }
+
     /// Gives one VM of each other zone, in turn.
     pub fn zone_turns(&mut self) -> Vec<SocketAddr> {
         self.turn += 1;
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -189,6 +189,31 @@
     assert_eq!(p.neighbours(), [address(1), address(3)]);
 }
 
+/// Guards against a VM that is left alone and fills its link with messages for those that are dark.
+#[tokio::test(start_paused = true)]
+async fn told_here_silent_vms_in_turn() {
+    let mut p = Peers::new("vm-0".into(), "a".into(), 250);
+    for i in 1..=20 {
+        p.learn(format!("vm-{i}").into(), "a".into(), address(i), 250);
+    }
+    // Those that may just be starting are told all.
+    assert_eq!(p.told_here(Instant::now()).len(), 20);
+    advance(Duration::from_secs(5)).await;
+    let mut reached = BTreeSet::new();
+    for _ in 0..10 {
+        let to = p.told_here(Instant::now());
+        assert_eq!(to.len(), 2, "{to:?}");
+        reached.extend(to);
+    }
+    assert_eq!(reached.len(), 20);
+    assert_eq!(p.listeners(Instant::now()), []);
+    // One that comes back is told at once, each time.
+    p.receive(Instant::now(), "vm-7", 1, 1);
+    for _ in 0..3 {
+        assert!(p.told_here(Instant::now()).contains(&address(7)));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn candidate_rank_firsts_of_all_zones_before_seconds() {
     let zone = |me: &str, zone: &str| {
