The whole message goes early again where few listen

Cause: since changes and wants go by themselves, VMs of small zones hear each other's requests at endpoints each 80 ms only, where before every want took the whole message along, up to each 15 ms.

Change: when there is something to say anyway, the whole message goes with it, at most each 8 ms times the VMs that listen: the same number of datagrams a second whatever the zone's size, none to silent VMs, and within the budget.

The test of the VM that is left alone holds as it was (12 kB a second).

--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -33,6 +33,8 @@
 const SLOWEST: Duration = Duration::from_millis(240);
 /// How often at most it speaks between its times, when something has changed or a request waits.
 const URGENT_EVERY: Duration = Duration::from_millis(15);
+/// The pause for each VM that listens, after which the whole message may go before its time.
+const EARLY_EACH: Duration = Duration::from_millis(8);
 /// The parts of the pace between which the time until a message is drawn.
 const OUT_OF_STEP: Range<f64> = 0.9..1.1;
 /// The slowest pace at which the sums of another zone are passed on inside a zone: they count for half as long again.
@@ -94,8 +96,9 @@
     summed: Instant,
     /// When the next whole message is due.
     due: Instant,
-    /// When this VM spoke last.
+    /// When this VM spoke last, and when it said all.
     spoke: Instant,
+    said_all: Instant,
     /// When all limits of endpoints were said last, and how often.
     limits_said: Instant,
     turn: usize,
@@ -115,6 +118,7 @@
             summed: site.now(),
             due: site.now(),
             spoke: site.now(),
+            said_all: site.now(),
             limits_said: site.now(),
             turn: 0,
             site,
@@ -138,13 +142,23 @@
         self.spoke = now;
         match occasion {
             Occasion::Due => self.outgoing(now),
+            _ if self.may_say_all(now) => self.outgoing(now),
             Occasion::Changed => self.changes(now),
             Occasion::Wanted => self.wants(now).into_iter().collect(),
         }
     }
 
+    /// Tells whether the whole message may go before its time, when there is something to say anyway: to so many that listen it
+    /// goes the more seldom, so that it costs as much in each zone.
+    fn may_say_all(&self, now: Instant) -> bool {
+        let listeners = self.site.known().peers.listeners(now).len();
+        let pause = EARLY_EACH * u32::try_from(listeners).unwrap_or(u32::MAX);
+        listeners > 0 && now.saturating_duration_since(self.said_all) >= pause
+    }
+
     /// Gives all that this VM says from time to time, and to whom.
     pub fn outgoing(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.said_all = now;
         let site = Arc::clone(&self.site);
         let mut known = site.known();
         let known = &mut *known;
