--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -26,8 +26,6 @@
     AtLimit,
     TurnedAway,
     Unreached,
-    /// This VM has too much to do.
-    Overloaded,
     /// Whether its key counts can't be told now.
     KeyUnconfirmed,
     /// Its workspace has used what it may.
@@ -49,7 +47,6 @@
             Self::AtLimit => "the endpoints take no more requests now",
             Self::TurnedAway => "the endpoint refused it",
             Self::Unreached => "no endpoint could be reached",
-            Self::Overloaded => "this VM has too much to do",
             Self::KeyUnconfirmed => "the key can't be confirmed now",
             Self::OverLimit => "the workspace is over its limit",
             Self::LimitUnknown => "the workspace's limit can't be looked up now",
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -509,7 +509,7 @@
 
 /// Gives when one of many refused callers should come back: all of them at the moment at which there is room would be refused
 /// again but for the first.
-pub(crate) fn spread(wait: Duration) -> Duration {
+fn spread(wait: Duration) -> Duration {
     wait.max(SOON)
         .mul_f64(1.0 + rand::random_range(0.0..SPREAD))
 }
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -45,7 +45,6 @@
 pub mod operator;
 mod order_task;
 pub mod outbox;
-pub mod own_load;
 pub mod passage;
 pub mod peer_state;
 mod place;
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -1,7 +1,7 @@
 //! The life of one request: from its head to its final answer.
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
-use crate::dispatch::{Dispatch, LATER, spread};
+use crate::dispatch::{Dispatch, LATER};
 use crate::edge::{Ask, Passage, Protocol};
 use crate::keys::{self, Denied};
 use crate::limits::{self, Wish};
@@ -16,6 +16,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use limehollow::catalog::Rule;
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::id::ServiceName;
 use limehollow::job::Job;
@@ -101,11 +102,6 @@
         Ok(b) => b,
         Err(res) => return res,
     };
-    // A workspace's rank goes before the rule's.
-    let rank = pass.as_ref().and_then(|p| p.rank).unwrap_or(rule.rank);
-    if let Err(after) = site.own_load.admit(site.now(), rank) {
-        return refuse(&site, &ask.id, Reason::Overloaded, spread(after));
-    }
     let workspace = pass
         .as_ref()
         .and_then(|p| catalog.workspaces.get(&p.workspace));
@@ -129,7 +125,8 @@
         }
     });
     let d = Dispatch {
-        job: job(service, rank, &ask).at_home(site.settings.load().zones_at_home(&homes)),
+        job: job(service, rule, pass.as_ref().and_then(|p| p.rank), &ask)
+            .at_home(site.settings.load().zones_at_home(&homes)),
         pass: pass.as_ref(),
         taken,
         site: &site,
@@ -229,7 +226,9 @@
     })
 }
 
-fn job(service: &ServiceName, rank: u8, ask: &Ask) -> Job {
+/// Makes the job of a request. A workspace's rank goes before the rule's.
+fn job(service: &ServiceName, rule: &Rule, rank: Option<u8>, ask: &Ask) -> Job {
+    let rank = rank.unwrap_or(rule.rank);
     match &ask.model {
         Some(m) => {
             let tokens = (ask.prompt_tokens, ask.max_output);
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -6,8 +6,8 @@
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{
-    caller, controller, follow, gossip, keys, limits, operator, own_load, peer_state,
-    quarantine_sync, start, traffic,
+    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync, start,
+    traffic,
 };
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
@@ -77,7 +77,6 @@
         Arc::clone(&wanted),
     ));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
-    tokio::spawn(own_load::measure(Arc::clone(&site)));
     tokio::spawn(traffic::say(Arc::clone(&site)));
     tokio::spawn(controller::run(
         Arc::clone(&site),
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -7,7 +7,6 @@
 use crate::follower::{ages, position};
 use crate::known::{Known, StoreReturn};
 use crate::metrics::Metrics;
-use crate::own_load::OwnLoad;
 use crate::pool::Pool;
 use crate::question::Questions;
 use crate::settings::NodeSettings;
@@ -73,8 +72,6 @@
     pub wanting: Notify,
     /// Told when there is a VM that the store doesn't show.
     pub vm_unlisted: Notify,
-    /// What this VM measures of its own load.
-    pub own_load: OwnLoad,
     /// Questions to other VMs.
     pub questions: Questions,
     /// Told when the holder of the lease has resigned.
@@ -100,7 +97,6 @@
     pub fn with_clock(settings: NodeSettings, protocol: P, clock: Arc<Clock>) -> Arc<Self> {
         let zone = ZoneName::from(settings.availability_zone.as_str());
         let known = Known::new(&settings, clock.now());
-        let own_load = OwnLoad::new(clock.now());
         let (list_tx, list_rx) = mpsc::unbounded_channel();
         Arc::new(Self {
             me: VmName::from(settings.name.as_str()),
@@ -119,7 +115,6 @@
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
             vm_unlisted: Notify::new(),
-            own_load,
             questions: Questions::default(),
             lease_free: Notify::new(),
             eased: Notify::new(),
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -67,7 +67,6 @@
 pub mod membership;
 pub mod order;
 pub mod order_book;
-pub mod overload;
 mod pace;
 pub mod peers;
 pub mod placement;
