A holder whose lease lapsed while the store was away for all takes it up again

What callers saw: after an outage of the store models and adapters that are nowhere stay so for seconds more.

Cause: when the holder's lease lapses in the outage, it says nothing more. The others take the holder for silent and all join, one after the other; each changes the group (fence 3 to 9), so that the lease moves at the store's return, and who gets it knows nothing of the holder before and waits 3.1 s.

Change: where the holder's calls fail and all VMs of its zone that it hears say that they can't read the store either, it goes on joining and goes on being taken for the holder. If the first answer names the term in which it held the lease, nobody else can have been dealt it (each change of the group raises the generation), and it goes on without a wait; in any other term it begins anew as before. A VM that was frozen, or that alone is cut off, gives up as before.

Tests: fence_of_a_lease_that_lapsed_in_an_outage and two for what must still wait; there was no call to test before.

--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -1,6 +1,6 @@
 //! The lease of the controller, as the tasks of this process share it.
 
-use crate::edge::{Protocol, Store};
+use crate::edge::{Feed, Protocol, Store};
 use crate::site::Site;
 use limehollow::candidacy::Notice;
 use limehollow::group_lease::{Dealt, GroupLease, JOIN_EVERY, LeaseChange, TTL};
@@ -48,6 +48,8 @@
     let member = format!("{}@{}", site.me, site.settings.load().ip);
     let mut failing = false;
     let mut joined = false;
+    // Whether this VM's lease lapsed in an outage of the store that has not ended yet.
+    let mut waits = false;
     loop {
         let stopping = *stop.borrow();
         let sent = site.now();
@@ -57,9 +59,14 @@
             site.known().lease_failing = true;
         }
         if with_lease(&lease, |l| l.has_lapsed(sent)) {
+            waits = failing && is_store_away(&site, sent);
+            lapse(&site, &lease, sent, waits);
             // One that came back and joined at once would take the lease from who holds it by now.
-            lapse(&site, &lease, sent);
-            joined = false;
+            joined = waits;
+        }
+        waits = waits && !with_lease(&lease, |l| l.is_held()) && is_store_away(&site, sent);
+        if waits {
+            say_held(&site, &lease, sent);
         }
         let stands = with_lease(&lease, |l| l.is_held()) || stands(&site, sent, joined);
         if joined && (stopping || !stands) {
@@ -129,6 +136,7 @@
                 l.follows(before);
                 tracing::info!(fence, ?before, "lease taken");
             }
+            Some(LeaseChange::Resumed(fence)) => tracing::info!(fence, "lease resumed"),
             Some(LeaseChange::Lost) => {
                 known.lease_notice = None;
                 tracing::info!(term = ?dealt.term, "lease lost");
@@ -144,17 +152,47 @@
     });
 }
 
-/// Gives the lease up because it may have passed on, and listens for who holds it.
-fn lapse<P>(site: &Site<P>, lease: &SharedLease, now: Instant)
+/// Tells whether the store answers nobody, as far as the VMs of this zone say. It can deal the lease to no other VM then.
+fn is_store_away<P>(site: &Site<P>, now: Instant) -> bool
 where
     P: Protocol,
 {
-    with_lease(lease, GroupLease::drop_it);
+    let known = site.known();
+    let others = known.peers.alive_here(now) - 1;
+    let none_reads = others > 0 && known.peers.failing_here(now) == others;
+    none_reads && known.readings.is_failing(Feed::Endpoints)
+}
+
+/// Has the other VMs take this one for the holder as long as the store is away, so that they don't join: each that does changes
+/// the group, and the lease moves when the store comes back.
+fn say_held<P>(site: &Site<P>, lease: &SharedLease, now: Instant)
+where
+    P: Protocol,
+{
+    let notice = with_lease(lease, |l| notice(site, l, true));
+    let mut known = site.known();
+    known.candidacy.hear(now, notice.clone());
+    known.lease_notice = Some((notice, now + TTL));
+}
+
+/// Gives the lease up because it may have passed on, and listens for who holds it. Where the store is away for all, it may
+/// still be this VM's when the store comes back.
+fn lapse<P>(site: &Site<P>, lease: &SharedLease, now: Instant, is_store_away: bool)
+where
+    P: Protocol,
+{
+    with_lease(lease, |l| {
+        if is_store_away {
+            l.suspend();
+        } else {
+            l.drop_it();
+        }
+    });
     let mut known = site.known();
     known.candidacy.listen(now);
     known.lease_notice = None;
     site.metrics.holds_lease.set(0);
-    tracing::info!("lease lapsed");
+    tracing::info!(is_store_away, "lease lapsed");
 }
 
 /// Gives the lease up, if this VM holds it, and says so.
--- a/crates/limehollow/src/group_lease.rs
+++ b/crates/limehollow/src/group_lease.rs
@@ -54,6 +54,8 @@
 pub enum LeaseChange {
     /// The lease came to this process, with this fencing number.
     Taken(u64),
+    /// It is this process's again, with this fencing number, and nobody else had it in between.
+    Resumed(u64),
     /// It went to another one.
     Lost,
 }
@@ -70,6 +72,13 @@
     Ordered(Instant),
 }
 
+/// A lease that lapsed and may still be this process's.
+#[derive(Clone, Copy, Debug)]
+struct Suspended {
+    term: Term,
+    held_since: Instant,
+}
+
 /// What one process knows of the lease.
 #[derive(Debug)]
 pub struct GroupLease {
@@ -78,6 +87,7 @@
     /// Since when the lease has been held without a break, as far as this process knows.
     held_since: Option<Instant>,
     renewed: Option<Instant>,
+    suspended: Option<Suspended>,
     predecessor: Predecessor,
     last_order: Option<Instant>,
 }
@@ -92,6 +102,7 @@
             term: Term::default(),
             held_since: None,
             renewed: None,
+            suspended: None,
             predecessor: Predecessor::Unknown,
             last_order: None,
         }
@@ -169,6 +180,16 @@
         self.renewed = None;
     }
 
+    /// Gives no orders any more, because the lease has lapsed while the platform answered nobody; it is taken up again if the
+    /// platform's first answer names the same term.
+    pub fn suspend(&mut self) {
+        self.suspended = self.held_since.map(|held_since| Suspended {
+            term: self.term,
+            held_since,
+        });
+        self.drop_it();
+    }
+
     /// Takes in the answer to a join that was sent at `sent`.
     pub fn dealt(&mut self, sent: Instant, now: Instant, dealt: Dealt) -> Option<LeaseChange> {
         if dealt.term.era < self.term.era {
@@ -177,6 +198,13 @@
         }
         let lapsed = self.has_lapsed(now);
         self.term = self.term.max(dealt.term);
+        // Each change of the group raises the term: in this one nobody else can have been dealt the lease.
+        let suspended = self.suspended.take();
+        if let Some(s) = suspended.filter(|s| dealt.mine && s.term == dealt.term) {
+            self.renewed = Some(sent);
+            self.held_since = Some(s.held_since);
+            return Some(LeaseChange::Resumed(self.term.fence()));
+        }
         if !dealt.mine {
             self.renewed = None;
             return self.held_since.take().map(|_| LeaseChange::Lost);
--- a/crates/limehollow/tests/group_lease.rs
+++ b/crates/limehollow/tests/group_lease.rs
@@ -178,3 +178,46 @@
     assert_eq!(join(&mut l, dealt_in(0, 9, true)), None);
     assert!(!l.is_held());
 }
+
+/// Guards against 13 seconds without orders after an outage of the store of six: nobody else can have held the lease in a term
+/// that goes on.
+#[tokio::test(start_paused = true)]
+async fn fence_of_a_lease_that_lapsed_in_an_outage() {
+    let mut l = held().await;
+    let ordered = Instant::now();
+    l.note_order(ordered);
+    advance(Duration::from_secs(6)).await;
+    l.suspend();
+    assert_eq!(l.fence(Instant::now()), None);
+    assert_eq!(join(&mut l, dealt(4, true)), Some(LeaseChange::Resumed(4)));
+    assert_eq!(l.fence(Instant::now()), Some(4));
+    assert_eq!(l.last_order(), Some(ordered));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_of_a_lease_that_lapsed_before_its_first_order() {
+    // It still waits for the holder before it.
+    let mut l = GroupLease::new(BETWEEN);
+    join(&mut l, dealt(4, true));
+    advance(Duration::from_secs(2)).await;
+    l.suspend();
+    assert_eq!(join(&mut l, dealt(4, true)), Some(LeaseChange::Resumed(4)));
+    assert_eq!(l.fence(Instant::now()), None);
+    advance(Duration::from_millis(1200)).await;
+    join(&mut l, dealt(4, true));
+    assert_eq!(l.fence(Instant::now()), Some(4));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fence_of_a_lease_that_lapsed_and_whose_term_ended() {
+    for other in [dealt(5, true), dealt(5, false), dealt_in(1, 4, true)] {
+        let mut l = held().await;
+        advance(Duration::from_secs(6)).await;
+        l.suspend();
+        join(&mut l, other);
+        assert_eq!(l.fence(Instant::now()), None, "{other:?}");
+        // Nor does a later answer bring the former term back.
+        join(&mut l, dealt(4, true));
+        assert_eq!(l.fence(Instant::now()), None, "{other:?}");
+    }
+}
