--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -35,6 +35,8 @@
 const READ_WITHIN: Duration = Duration::from_millis(1200);
 const APPEND: Duration = Duration::from_millis(4);
 const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+/// How long its client waits for the answer to a join.
+const JOIN_WITHIN: Duration = Duration::from_millis(1000);
 /// How long a VM waits for the state of another one that stands still.
 const FETCH_WITHIN: Duration = Duration::from_secs(2);
 /// The bytes a second of a VM's link: that of the weakest on the users' sites.
@@ -249,8 +251,10 @@
         self.call(self.store.announce(vms)).await
     }
 
-    async fn join(&self, _: &str, _: u64) -> Result<Dealt, StoreError> {
-        pending().await
+    async fn join(&self, member: &str, generation: u64) -> Result<Dealt, StoreError> {
+        let call = self.call(self.store.join(member, generation));
+        let given_up = timeout(JOIN_WITHIN, call).await;
+        given_up.unwrap_or_else(|_| Err(late("join")))
     }
 
     async fn leave(&self, _: &str) -> Result<(), StoreError> {
