A want takes no report along that it doesn't say

Cause, found by reading: the message for a want was made from the VM's own, which takes the reports that are due and counts them as said, and then left them out. A VM that has just lost the lease would have said its last reports less often than it should.

Change: who says reports takes them. Names in Outlet::send.

--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -83,9 +83,9 @@
         }
         // Not always the same ones go without.
         let first = rand::random_range(0..to.len().max(1));
-        let (late, early) = to.split_at(first.min(to.len()));
+        let (before, from) = to.split_at(first);
         let mut sent = 0;
-        for a in early.iter().chain(late) {
+        for a in from.iter().chain(before) {
             if !self.may_send(bytes.len(), traffic::urgency(datagram)) {
                 break;
             }
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -167,6 +167,7 @@
         let told = known.quarantine.take_told(now);
         let mut own = self.own(now, known, told.here);
         own.rates = self.rates(now, known);
+        own.reports = known.reports.take();
         own.wants = std::mem::take(&mut known.wants).into_iter().collect();
         let mut to = known.peers.told_here(now);
         if !own.wants.is_empty() {
@@ -199,6 +200,7 @@
         let told = known.quarantine.take_told(now);
         let mut own = self.own(now, known, told.here);
         own.rates = self.rates(now, known);
+        own.reports = known.reports.take();
         let to = known.peers.told_here(now);
         let mut outgoing = abroad(&own, now, known, told.abroad);
         outgoing.extend(list_news(&own, known, &to));
@@ -227,7 +229,6 @@
         let message = Message {
             forward: false,
             wants,
-            reports: Vec::new(),
             lease: None,
             ..news(&own)
         };
@@ -291,7 +292,7 @@
             leaving: fresh_starts(now, &known.leaving),
             demand: rates(known.arrivals.rates(now)),
             wants: Vec::new(),
-            reports: known.reports.take(),
+            reports: Vec::new(),
             list: Vec::new(),
             lease: own_notice(now, known),
             positions: known.positions,
