--- /dev/null
+++ b/crates/limehollow-node/tests/rig/fleet_store.rs
@@ -0,0 +1,243 @@
+//! The platform's store as the VMs of a fleet reach it: it treats each as a test says, and does one thing at a time for all.
+
+use super::Memory;
+use limehollow::crash_record::CrashRecord;
+use limehollow::fingerprint::Fingerprint;
+use limehollow::group_lease::Dealt;
+use limehollow::log_position::LogPosition;
+use limehollow_node::edge::{Changes, Feed, Store, StoreError, Vm};
+use std::future::pending;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// What the store reads out in one answer, how long its client waits for one, how long an append takes and how many wait.
+const PAGE: usize = 500;
+const READ_WITHIN: Duration = Duration::from_millis(1200);
+const APPEND: Duration = Duration::from_millis(4);
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+/// How long its client waits for the answer to a join.
+const JOIN_WITHIN: Duration = Duration::from_millis(1000);
+
+/// How the store treats one VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Treats {
+    /// As it should.
+    #[default]
+    Well,
+    /// A call that waits is never woken, only ended by its own time.
+    Deaf,
+    /// No call is answered, nor is one that was under way, not even later.
+    Silent,
+    /// All calls are refused.
+    Away,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Treatment {
+    now: Treats,
+    /// Counts the silences: a call that began before one is never answered.
+    silences: u64,
+}
+
+/// What the store does for all VMs together: one append at a time, and so many bytes a second.
+#[derive(Clone, Debug)]
+pub struct Turns(Arc<Mutex<Busy>>);
+
+#[derive(Debug)]
+struct Busy {
+    /// Entries that it reads out in a second; endless where a test doesn't care.
+    entries_per_s: f64,
+    reads_until: Instant,
+    appends_until: Instant,
+    /// What it was asked for: entries, and appends.
+    entries: usize,
+    appends: usize,
+}
+
+impl Default for Turns {
+    fn default() -> Self {
+        Self::new(f64::INFINITY)
+    }
+}
+
+impl Turns {
+    pub(super) fn new(entries_per_s: f64) -> Self {
+        let now = Instant::now();
+        Self(Arc::new(Mutex::new(Busy {
+            entries_per_s,
+            reads_until: now,
+            appends_until: now,
+            entries: 0,
+            appends: 0,
+        })))
+    }
+
+    /// Gives the entries that were asked for so far, and the appends.
+    pub fn asked(&self) -> (usize, usize) {
+        let busy = self.0.lock().expect("sound");
+        (busy.entries, busy.appends)
+    }
+
+    /// Waits for the turn of some entries, page by page. A page that doesn't come in time is given up; the store reads it out all the same.
+    async fn read(&self, entries: usize) -> Result<(), StoreError> {
+        let mut left = entries;
+        while left > 0 {
+            let page = left.min(PAGE);
+            left -= page;
+            let wait = {
+                let mut busy = self.0.lock().expect("sound");
+                busy.entries += page;
+                let took = at_rate(page, busy.entries_per_s);
+                busy.reads_until = busy.reads_until.max(Instant::now()) + took;
+                busy.reads_until - Instant::now()
+            };
+            if timeout(READ_WITHIN, sleep(wait)).await.is_err() {
+                return Err(late("newest"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for the turn of an append, which is turned away where too many wait.
+    async fn append(&self) -> Result<(), StoreError> {
+        let wait = {
+            let mut busy = self.0.lock().expect("sound");
+            busy.appends += 1;
+            let wait = busy.appends_until.saturating_duration_since(Instant::now());
+            if wait > LONGEST_QUEUE {
+                return Err(StoreError::TurnedAway {
+                    call: "announce",
+                    status: 503,
+                });
+            }
+            busy.appends_until = Instant::now() + wait + APPEND;
+            wait + APPEND
+        };
+        sleep(wait).await;
+        Ok(())
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "tests count little")]
+pub(super) fn at_rate(n: usize, per_s: f64) -> Duration {
+    Duration::from_secs_f64(n as f64 / per_s)
+}
+
+fn late(call: &'static str) -> StoreError {
+    StoreError::NoAnswer {
+        call,
+        why: "timed out".to_owned(),
+    }
+}
+
+/// The store as one VM reaches it.
+#[derive(Clone, Debug)]
+pub struct Link {
+    pub(super) store: Memory,
+    pub(super) turns: Turns,
+    pub(super) treatment: Arc<Mutex<Treatment>>,
+}
+
+impl Link {
+    fn treats(&self) -> (Treats, u64) {
+        let t = self.treatment.lock().expect("sound");
+        (t.now, t.silences)
+    }
+
+    pub(super) fn set(&self, treats: Treats) {
+        let mut t = self.treatment.lock().expect("sound");
+        t.now = treats;
+        if treats == Treats::Silent {
+            t.silences += 1;
+        }
+    }
+
+    /// Tells how the store treats this VM now.
+    pub fn now(&self) -> Treats {
+        self.treats().0
+    }
+
+    /// Carries a call out, as the store treats this VM.
+    async fn call<T, F>(&self, call: F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let (treats, silences) = self.treats();
+        let res = match treats {
+            Treats::Silent => pending().await,
+            Treats::Away => Err(StoreError::TurnedAway {
+                call: "changes",
+                status: 503,
+            }),
+            Treats::Well | Treats::Deaf => call.await,
+        };
+        if self.treats().1 != silences {
+            pending::<()>().await;
+        }
+        res
+    }
+}
+
+impl Store for Link {
+    async fn newest(&self, feed: Feed) -> Result<Changes, StoreError> {
+        let whole = self.call(self.store.newest(feed)).await?;
+        self.turns.read(whole.changes.len()).await?;
+        Ok(whole)
+    }
+
+    async fn changes(
+        &self,
+        feed: Feed,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let is_deaf = self.treats().0 == Treats::Deaf;
+        let call = self.call(async {
+            if is_deaf {
+                let began = self.store.changes(feed, from, Duration::ZERO).await?;
+                if began.changes.is_empty() {
+                    sleep(wait).await;
+                }
+                return Ok(began);
+            }
+            self.store.changes(feed, from, wait).await
+        });
+        // The store's client gives a call up this long after its wait.
+        let given_up = timeout(wait + Duration::from_millis(1500), call).await;
+        given_up.unwrap_or_else(|_| {
+            Err(StoreError::NoAnswer {
+                call: "changes",
+                why: "timed out".to_owned(),
+            })
+        })
+    }
+
+    async fn announce(&self, vms: &[Vm]) -> Result<(), StoreError> {
+        self.turns.append().await?;
+        self.call(self.store.announce(vms)).await
+    }
+
+    async fn join(&self, member: &str, generation: u64) -> Result<Dealt, StoreError> {
+        let call = self.call(self.store.join(member, generation));
+        let given_up = timeout(JOIN_WITHIN, call).await;
+        given_up.unwrap_or_else(|_| Err(late("join")))
+    }
+
+    async fn leave(&self, _: &str) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn crash_records(&self) -> Result<Vec<CrashRecord>, StoreError> {
+        self.call(self.store.crash_records()).await
+    }
+
+    async fn keep_crash_record(
+        &self,
+        request: Fingerprint,
+        record: Option<&CrashRecord>,
+    ) -> Result<(), StoreError> {
+        self.call(self.store.keep_crash_record(request, record))
+            .await
+    }
+}
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod crashing;
 pub mod fleet;
+mod fleet_net;
+mod fleet_store;
 
 use bytes::Bytes;
 use http::request::Parts;
