--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -5,13 +5,16 @@
 use crate::site::Site;
 use crate::small_server::{self, ACCEPT_PAUSE};
 use bytes::Bytes;
+use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -41,6 +44,7 @@
     let turn_away = turn_away(grace);
     let (closing_tx, closing) = watch::channel(false);
     let mut connections = JoinSet::new();
+    let crowd = Arc::new(Crowd::default());
     let stopped = async move {
         // The sender lives as long as the process.
         drop(stop.wait_for(|s| *s).await);
@@ -48,12 +52,14 @@
     };
     tokio::pin!(stopped);
     loop {
+        let most = site.settings.load().most_callers();
+        crowd.note(connections.len(), most);
         tokio::select! {
             () = &mut stopped => break,
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if connections.len() < most => match accepted {
                 Ok((stream, from)) => {
-                    let served = connection(Arc::clone(&site), stream, from.ip(), closing.clone());
-                    connections.spawn(served);
+                    let (site, crowd) = (Arc::clone(&site), Arc::clone(&crowd));
+                    connections.spawn(connection(site, crowd, stream, from.ip(), closing.clone()));
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a connection could not be accepted");
@@ -70,6 +76,30 @@
     tracing::info!(left = connections.len(), "callers served");
 }
 
+/// Whether so many callers have connections open that those at rest are better closed.
+#[derive(Debug, Default)]
+struct Crowd {
+    is_large: AtomicBool,
+}
+
+impl Crowd {
+    fn note(&self, open: usize, most: usize) {
+        let is_large = open >= most / 2;
+        let was_large = self.is_large.swap(is_large, Ordering::Relaxed);
+        if is_large && !was_large {
+            tracing::warn!(
+                open,
+                most,
+                "many callers: each connection is closed with its answer"
+            );
+        }
+    }
+
+    fn is_large(&self) -> bool {
+        self.is_large.load(Ordering::Relaxed)
+    }
+}
+
 /// Gives how long a process with this grace goes on taking connections after it was told to end.
 #[must_use]
 pub fn turn_away(grace: Duration) -> Duration {
@@ -78,6 +108,7 @@
 
 async fn connection<P>(
     site: Arc<Site<P>>,
+    crowd: Arc<Crowd>,
     stream: TcpStream,
     from: IpAddr,
     mut closing: watch::Receiver<bool>,
@@ -90,7 +121,17 @@
     let limits = site.catalog.load().as_ref().map(|c| c.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout);
     let head = limits.map_or(DEFAULT_HEAD, |l| l.head_bytes).max(MIN_HEAD);
-    let service = service_fn(move |req| request::handle(Arc::clone(&site), from, req));
+    let service = service_fn(move |req| {
+        let (site, crowd) = (Arc::clone(&site), Arc::clone(&crowd));
+        async move {
+            let mut res = request::handle(site, from, req).await?;
+            if crowd.is_large() {
+                let close = HeaderValue::from_static("close");
+                res.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(res)
+        }
+    });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -20,6 +20,9 @@
 /// The part of its link that a VM's messages to others may take.
 const MESSAGES_SHARE: f64 = 0.125;
 
+/// The part of its descriptors that connections of callers may take; endpoints, the store and files need some too.
+const CALLERS_SHARE: f64 = 0.6;
+
 /// How the process decides, where there is more than one way.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -65,6 +68,9 @@
     /// What this VM's link carries each way, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// How many descriptors the process may have open.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: u32,
     /// The platform's store, as `IP:PORT`.
     pub store_address: String,
     /// How long the process has to end after it was told to, in ms.
@@ -130,6 +136,11 @@
     1000.0
 }
 
+/// What an entry VM of today's small sites has.
+fn default_descriptors() -> u32 {
+    4_100
+}
+
 /// The bound of today's small sites, the tightest of all.
 fn default_in_force_ms() -> u64 {
     2_000
@@ -179,6 +190,18 @@
         self.link_mbps * BYTES_PER_MBIT * MESSAGES_SHARE
     }
 
+    /// Gives how many connections of callers may be open at once.
+    #[must_use]
+    pub fn most_callers(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it is less than the descriptors"
+        )]
+        let most = (f64::from(self.descriptors) * CALLERS_SHARE) as usize;
+        most
+    }
+
     /// Gives when a feed is read, for those that have a bound on their age.
     #[must_use]
     pub fn pace(&self, feed: Feed) -> Option<ReadPace> {
@@ -272,6 +295,7 @@
         for s in &self.seeds {
             check_address("seeds", s)?;
         }
+        check_range("descriptors", u64::from(self.descriptors), 64..=1_000_000)?;
         check_range("grace_ms", self.grace_ms, 1_000..=600_000)?;
         check_range("lease_ms", self.lease_ms, 0..=600_000)?;
         check_range("leaving_ms", self.leaving_ms, 500..=600_000)?;
