The mark of many callers ends well below where it begins

Found on reading the change: with one bound for both the mark changed, and a line was written, with each connection that came or went around it.

connections_at_rest_leave_descriptors_for_the_rest passes as it is.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers' connections, the answer to the balancer's question, and how the process ends.
 
 use crate::edge::Protocol;
+use crate::logbook::may_log;
 use crate::request;
 use crate::site::Site;
 use crate::small_server::{self, ACCEPT_PAUSE};
@@ -84,9 +85,11 @@
 
 impl Crowd {
     fn note(&self, open: usize, most: usize) {
-        let is_large = open >= most / 2;
-        let was_large = self.is_large.swap(is_large, Ordering::Relaxed);
-        if is_large && !was_large {
+        let was_large = self.is_large();
+        // It ends well below where it begins, or it would change with each connection.
+        let is_large = open >= if was_large { most / 4 } else { most / 2 };
+        self.is_large.store(is_large, Ordering::Relaxed);
+        if is_large && !was_large && may_log() {
             tracing::warn!(
                 open,
                 most,
