What a VM answers of crashing requests counts, not what it had said before it started again

What callers would see: a VM that starts at the same time as another one may never learn that a request crashes endpoints, and sends it on for as long as it is quarantined elsewhere.

Traced with what each VM knows after a failure: one VM has no record and digest 0, hears all others, and takes their digest for contained.

Cause: it heard the last message of the other VM's former process, with the digest of all records, asked that address, and was answered by the new process, which knows nothing. It noted the digest that was said as contained in the answer, and all others say the same one.

Change: contained is the digest of the records that came.

--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -10,6 +10,7 @@
 use limehollow::balance::MESSAGE_LIFE;
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
+use limehollow::quarantine::Quarantine;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,7 +78,9 @@
     match states.fetch_crashes(said.address).await {
         Ok(records) => {
             take_in(site, vm, &records);
-            site.known().quarantine.note_contained(said.digest);
+            // Not what it said before: it may have started again since, and know nothing.
+            let answered = digest(site.now(), &records);
+            site.known().quarantine.note_contained(answered);
             u32::try_from(records.len()).unwrap_or(u32::MAX)
         }
         Err(why) => {
@@ -87,6 +90,15 @@
     }
 }
 
+/// Gives the digest of all that a VM knows whose records these are.
+fn digest(now: Instant, records: &[CrashRecord]) -> u64 {
+    let mut theirs = Quarantine::default();
+    for r in records {
+        theirs.merge(now, r);
+    }
+    theirs.digest()
+}
+
 /// Tells whether this VM knows nothing yet: it may just have started.
 fn has_nothing<P>(site: &Site<P>) -> bool
 where
