A VM that restarted since it reported its position no longer stands in for those that read as far now

What callers would see: on a VM that can't read the store, a configuration or a list of endpoints that stays old although another VM hands out a newer one.

Cause: of each feed a VM keeps the one VM that reported the furthest position. After that VM's restart its answer is older than that, and nothing was done with the answer: it was queried again and again, and a third VM's report counts only if it is at least as far as what the restarted one had reported. Only a fetch that failed, or the configuration's own path, forgot it.

Ruled out: that the restarted VM's first messages correct it; a report below the best one changes nothing.

Change: an answer that is no further than this VM makes the furthest VM unknown, as a failed fetch does; the next report counts. A log line says why.

Between real VMs the restarted one soon fetches the state itself, so the wait ended with its start; how long that was isn't measured.

--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -183,6 +183,9 @@
     }
 
     /// Fetches the state of the VM that has read furthest, if it has read further than this VM.
+    ///
+    /// That VM may have restarted since it reported its position, and have read less now. It is then no longer known
+    /// as the furthest, so that another VM's report counts.
     pub(crate) async fn fetch_furthest(&self) -> Option<PeerState> {
         let (vm, address) = {
             let view = self.site.view();
@@ -196,14 +199,19 @@
             Feed::Configuration => self.states.fetch_configuration(address).await,
             Feed::Endpoints | Feed::Vms => self.states.fetch(address).await,
         };
-        match fetched {
-            Ok(state) => Some(PeerState { vm, state }),
-            Err(why) => {
-                tracing::info!(%vm, why, "no state from another VM");
-                self.forget_furthest();
-                None
-            }
-        }
+        let why = match fetched {
+            Ok(state) if self.is_ahead(&state) => return Some(PeerState { vm, state }),
+            Ok(_) => "it has read no further than this VM".to_owned(),
+            Err(why) => why,
+        };
+        tracing::info!(feed = ?self.feed, %vm, why, "no state from another VM");
+        self.forget_furthest();
+        None
+    }
+
+    /// Returns `true` if another VM's state is from further in the feed than this VM has read.
+    fn is_ahead(&self, state: &State) -> bool {
+        position(state.positions, self.feed) > position(self.site.positions(), self.feed)
     }
 
     /// Forgets which VM has read furthest, as it has nothing newer to hand over. A VM that is further
@@ -217,10 +225,10 @@
         &mut self,
         PeerState { vm, state }: PeerState,
     ) -> Option<LogPosition> {
-        let at = position(state.positions, self.feed);
-        if at <= position(self.site.positions(), self.feed) {
+        if !self.is_ahead(&state) {
             return None;
         }
+        let at = position(state.positions, self.feed);
         tracing::info!(feed = ?self.feed, %vm, position = %at, "read from another VM");
         self.set_position(at);
         let now = self.site.now();
