Log and count how each answer was framed and where in its stream it ended

Broken answers that looked complete (docs/incidents/answers-without-a-length.md): `try ended` said `whole`, and nothing told an end of the connection from a last chunk, nor an end inside an event from one between two. Now `framing` and `progress` stand in that line and `limehollow_answer_ends` counts the orderly ends by both.

`answer_end` of the core follows the position within an event, whatever the division into pieces and whichever line ends are used, and states in one table what each end proves. Nothing decides by it yet: no behaviour changes.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -2,6 +2,7 @@
 //! does.
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
+use crate::answer_body::AnswerBody;
 use crate::assignment;
 use crate::attempt::{self, AttemptFailure, EndpointEvidence, LimitGrant, Target};
 use crate::crash_probe;
@@ -327,6 +328,7 @@
         let answer = sent.inspect_err(|f| self.record_failure(&mut running, &c.to, f))?;
         let (head, body) = answer.response.into_parts();
         let streamed = self.rule.stream && head.status.is_success();
+        running.begin_body(AnswerBody::new(&self.head.method, &head, streamed));
         if streamed {
             let relay = Relay::new(body, answer.connection, running, self.expiry);
             return Ok(self.forward(head, Either::Right(relay)));
@@ -346,6 +348,7 @@
             self.record_failure(&mut running, &c.to, &f);
             f
         })?;
+        running.record_end();
         self.site.pool.put_in_background(answer.connection, None);
         if head.status.is_server_error() {
             running.record_ran_to_end();
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -15,6 +15,7 @@
 //!   to other VMs.
 //! * [`endpoint_signals`] applies what endpoints signal about the load that they accept, and
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
+//! * `answer_body` follows the body of an answer to its end.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
 //!   requests that crash endpoints to all VMs.
 //! * [`start`] fetches the site's state when a VM starts.
@@ -29,6 +30,7 @@
 //! The design and the alternatives are described in `docs/design/system.md`.
 
 pub mod answer;
+mod answer_body;
 mod assignment;
 pub mod attempt;
 pub mod caller;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -14,6 +14,15 @@
     pub what: &'static str,
 }
 
+/// The labels of the end of an endpoint's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerEndLabels {
+    /// How the answer was framed.
+    pub framing: &'static str,
+    /// How far its body had come.
+    pub progress: &'static str,
+}
+
 /// The labels of a call to the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabels {
@@ -50,6 +59,8 @@
 pub struct Metrics {
     /// Requests by outcome.
     pub requests: Family<EventLabels, Counter>,
+    /// Orderly ends of endpoints' answers, by framing and by the position in the stream.
+    pub answer_ends: Family<AnswerEndLabels, Counter>,
     /// Refusals by reason.
     pub refusals: Family<EventLabels, Counter>,
     /// Requests refused because their workspace was over its limit.
@@ -110,6 +121,7 @@
     fn default() -> Self {
         Self {
             requests: Family::default(),
+            answer_ends: Family::default(),
             refusals: Family::default(),
             over_limit: Family::default(),
             repeats: Counter::default(),
@@ -218,6 +230,11 @@
     pub fn registry(&self) -> Registry {
         let mut r = Registry::with_prefix("limehollow");
         r.register("requests", "Requests by outcome", self.requests.clone());
+        r.register(
+            "answer_ends",
+            "Orderly ends of endpoints' answers by framing and position",
+            self.answer_ends.clone(),
+        );
         r.register("refusals", "Refusals by reason", self.refusals.clone());
         r.register(
             "over_limit",
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -1,9 +1,10 @@
 //! Relays a streamed answer to the caller and records the progress of one attempt.
 
+use crate::answer_body::AnswerBody;
 use crate::crash_probe;
 use crate::edge::Protocol;
 use crate::logging::may_log;
-use crate::metrics::Metrics;
+use crate::metrics::{AnswerEndLabels, Metrics};
 use crate::pool::Connection;
 use crate::site::Site;
 use bytes::Bytes;
@@ -54,6 +55,8 @@
     instance: Instance,
     began: Instant,
     arrived: Instant,
+    /// The answer's body, from the answer's head on.
+    body: Option<AnswerBody>,
     /// When the last part of a streamed answer arrived.
     last_part: Option<Instant>,
     /// The longest pause between two parts of a streamed answer.
@@ -82,6 +85,7 @@
             origin,
             instance,
             arrived,
+            body: None,
             last_part: None,
             longest_pause: Duration::ZERO,
         }
@@ -91,8 +95,16 @@
         self.site.now().saturating_duration_since(self.began)
     }
 
+    /// Records that the head of the answer arrived.
+    pub(crate) fn begin_body(&mut self, body: AnswerBody) {
+        self.body = Some(body);
+    }
+
     /// Records that a part of a streamed answer arrived.
-    pub fn record_part(&mut self) {
+    fn record_part(&mut self, part: &Frame<Bytes>) {
+        if let Some(b) = &mut self.body {
+            b.push(part);
+        }
         self.record_first_result();
         let now = self.site.now();
         if let Some(last) = self.last_part.replace(now) {
@@ -130,6 +142,17 @@
         self.site.record_completed(self.request);
     }
 
+    /// Records that the answer's body ended in order.
+    pub(crate) fn record_end(&self) {
+        let Some(b) = &self.body else { return };
+        let labels = AnswerEndLabels {
+            framing: b.framing().as_str(),
+            progress: b.progress().as_str(),
+        };
+        let ends = &self.site.metrics.answer_ends;
+        ends.get_or_create(&labels).inc();
+    }
+
     /// Ends the attempt with a complete answer.
     pub fn complete(&mut self) {
         self.record_ran_to_end();
@@ -151,6 +174,8 @@
                 id = %self.id,
                 endpoint = %self.instance,
                 outcome = what,
+                framing = self.body.as_ref().map(|b| b.framing().as_str()),
+                progress = self.body.as_ref().map(|b| b.progress().as_str()),
                 first_ms,
                 longest_pause_ms = self.last_part.map(|_| millis(self.longest_pause)),
                 ms = millis(self.elapsed()),
@@ -255,7 +280,7 @@
         match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
             Some(Ok(frame)) => {
                 if frame.is_data() {
-                    self.running.record_part();
+                    self.running.record_part(&frame);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -265,6 +290,7 @@
                 Poll::Ready(Some(Err(RelayError::Endpoint { source })))
             }
             None => {
+                self.running.record_end();
                 self.finish();
                 Poll::Ready(None)
             }
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
 //! * [`lease`], [`membership`] and [`order`] make the decisions of a controller.
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] make the decisions of a gateway.
+//! * [`answer_end`] decides whether an endpoint's answer is complete (`docs/design/streams.md`).
 //! * [`fingerprint`], [`crash_watch`], [`crash_record`] and [`quarantine`] detect requests that crash the
 //!   endpoints that run them (`docs/design/crashing-requests.md`).
 //! * [`workspace`], [`confirmation`] and [`quota`] identify callers, bound how long a key stays valid without
@@ -37,6 +38,7 @@
 //! ```
 
 pub mod admission;
+pub mod answer_end;
 pub mod arrivals;
 mod assignments;
 pub mod backpressure;
