An answer whose connection ends inside an event is broken off, and a crash at an unframed answer's end is noticed

Cause: an answer may come with neither a length nor chunks, and the HTTP library reports the end of its connection like a last chunk. `Relay` and `dispatch` took every such end for a proof: the caller got its last chunk, the request of a crashing endpoint was cleared, the attempt fed the endpoint's health as a success. Class: the absence of an error taken for a proof.

Change: one table says what an end proves by framing and position in the stream. Inside an event, or without any event, the answer is broken off. An unframed answer that ends elsewhere is taken for complete only after a connect to the endpoint, which the next request needs anyway: if nobody listens the endpoint crashed at that moment. Without an answer to the connect the request isn't cleared.

--- a/crates/limehollow-node/src/answer_body.rs
+++ b/crates/limehollow-node/src/answer_body.rs
@@ -4,7 +4,7 @@
 use http::response::Parts;
 use http::{HeaderMap, Method, StatusCode, header};
 use hyper::body::Frame;
-use limehollow::answer_end::{EventScanner, Framing, Progress};
+use limehollow::answer_end::{Completeness, EventScanner, Framing, Progress, completeness};
 
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -46,6 +46,12 @@
         let scanner = self.scanner.as_ref();
         scanner.map_or(Progress::NotEvents, EventScanner::progress)
     }
+
+    /// Returns what the orderly end of the body shows.
+    #[must_use]
+    pub fn completeness(&self) -> Completeness {
+        completeness(self.framing, self.progress())
+    }
 }
 
 /// Returns the framing of an answer's body ([RFC 9112, section 6.3](https://www.rfc-editor.org/rfc/rfc9112#section-6.3)).
--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// Creates the failure of an attempt whose endpoint crashed when the connection ended, which would have been the end
+    /// of the answer.
+    #[must_use]
+    pub fn crashed_at_the_end() -> Self {
+        Self {
+            evidence: EndpointEvidence::ConnectionEnded,
+            ..Self::broken(SmolStr::new_static(
+                "the endpoint crashed at the end of an answer without a length",
+            ))
+        }
+    }
+
     fn not_run(why: SmolStr, evidence: EndpointEvidence) -> Self {
         Self {
             failure: Failure::Refused,
--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -2,18 +2,23 @@
 
 use crate::edge::Protocol;
 use crate::logging::may_log;
+use crate::relay::RelayError;
 use crate::request;
 use crate::site::Site;
 use crate::small_server::{self, ACCEPT_PAUSE};
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
-use http::{Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::IpAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -128,8 +133,11 @@
     let head = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
-    let service = service_fn(move |req| {
+    let is_unframed = Arc::new(AtomicBool::new(false));
+    let unframed = Arc::clone(&is_unframed);
+    let service = service_fn(move |req: Request<Incoming>| {
         let (site, pressure) = (Arc::clone(&site), Arc::clone(&pressure));
+        unframed.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
         async move {
             let mut res = request::handle(site, from, req).await?;
             if pressure.is_high() {
@@ -139,25 +147,38 @@
             Ok::<_, Infallible>(res)
         }
     });
-    let served = http1::Builder::new()
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
     // The guard that `wait_for` returns is dropped at once: it must not be held across the shutdown.
     let shutdown = async { drop(closing.wait_for(|c| *c).await) };
     let ended = tokio::select! {
         ended = &mut served => ended,
         () = shutdown => {
-            served.as_mut().graceful_shutdown();
-            served.await
+            Pin::new(&mut served).graceful_shutdown();
+            (&mut served).await
         }
     };
     // A caller that disconnects isn't worth more than a debug line; a streamed answer that breaks off is logged
     // already.
-    if let Err(e) = ended {
-        tracing::debug!(error = %e, "a caller's connection ended");
+    let Err(e) = ended else { return };
+    tracing::debug!(error = %e, "a caller's connection ended");
+    if is_unframed.load(Ordering::Relaxed) && is_broken_answer(&e) {
+        reset(served.into_parts().io.inner());
+    }
+}
+
+/// Returns `true` if a caller's connection ended because the answer on it was broken off.
+fn is_broken_answer(e: &hyper::Error) -> bool {
+    e.source().is_some_and(<dyn Error>::is::<RelayError>)
+}
+
+/// Resets a caller's connection: an answer that ends with its connection would look complete after a close.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(error = %e, "a broken answer may look complete: its connection can't be reset");
     }
 }
 
--- a/crates/limehollow-node/src/crash_probe.rs
+++ b/crates/limehollow-node/src/crash_probe.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{LimitGrant, Target};
 use crate::edge::Protocol;
+use crate::pool::ConnectError;
 use crate::site::Site;
 use crate::site_view::SiteView;
 use limehollow::crash_watch::{CutOff, Suspicion};
@@ -62,7 +63,8 @@
 }
 
 /// The result of one attempt to connect.
-enum Finding {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
     /// A process listens: the endpoint is alive, or a proxy in front of it is.
     Listens,
     /// No process listens at the endpoint's address.
@@ -101,6 +103,41 @@
     }
 }
 
+/// Finds out whether an endpoint has crashed whose answer ended with its connection.
+///
+/// The new connection is kept for the next request, which would have to open it anyway.
+pub(crate) async fn after_unframed_answer<P>(site: Arc<Site<P>>, key: EndpointKey) -> Finding
+where
+    P: Protocol,
+{
+    let address = {
+        let view = site.view();
+        let Some(e) = view.roster.get(key) else {
+            return Finding::Unclear;
+        };
+        if view.gone.contains_key(&e.instance) {
+            return Finding::HasCrashed;
+        }
+        if e.leaving {
+            return Finding::Unclear;
+        }
+        e.address
+    };
+    sleep(FIRST_PROBE_DELAY).await;
+    let opened = timeout(MAX_WAIT, site.pool.open(key, address)).await;
+    site.metrics.connections_opened.inc();
+    match opened {
+        Ok(Ok(c)) => {
+            site.pool.put_in_background(c, None);
+            Finding::Listens
+        }
+        Ok(Err(ConnectError::Io { source })) if source.kind() == ErrorKind::ConnectionRefused => {
+            Finding::HasCrashed
+        }
+        Ok(Err(_)) | Err(_) => Finding::Unclear,
+    }
+}
+
 /// Waits until it is known whether an instance of an endpoint has crashed, at most for [`MAX_WAIT`].
 pub(crate) async fn wait_for_result<P>(site: &Site<P>, instance: &Instance)
 where
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::limit_grant::{self, EndpointsAtLimit};
 use crate::logging::may_log;
 use crate::metrics::Metrics;
-use crate::relay::{Relay, RunningAttempt, millis};
+use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
 use crate::site::Site;
 use bytes::Bytes;
 use http::request::Parts;
@@ -348,10 +348,17 @@
             self.record_failure(&mut running, &c.to, &f);
             f
         })?;
-        running.record_end();
+        let verdict = running.verify_end().verdict().await;
+        if verdict == EndVerdict::BrokenOff {
+            let f = AttemptFailure::crashed_at_the_end();
+            self.record_failure(&mut running, &c.to, &f);
+            return Err(f);
+        }
         self.site.pool.put_in_background(answer.connection, None);
         if head.status.is_server_error() {
-            running.record_ran_to_end();
+            if verdict == EndVerdict::Complete {
+                running.record_ran_to_end();
+            }
             running.end(
                 AttemptOutcome::Failed(Failure::ServerError),
                 "the endpoint failed",
@@ -366,7 +373,7 @@
                 return Err(f);
             }
         } else {
-            running.complete();
+            running.complete(verdict);
         }
         Metrics::count(&self.site.metrics.requests, "answered");
         Ok(self.forward(head, Either::Left(Full::new(body.to_bytes()))))
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a streamed answer to the caller and records the progress of one attempt.
 
 use crate::answer_body::AnswerBody;
-use crate::crash_probe;
+use crate::crash_probe::{self, Finding};
 use crate::edge::Protocol;
 use crate::logging::may_log;
 use crate::metrics::{AnswerEndLabels, Metrics};
@@ -9,6 +9,7 @@
 use crate::site::Site;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use limehollow::answer_end::{Completeness, Progress};
 use limehollow::balance::Sent;
 use limehollow::crash_record::Timing;
 use limehollow::crash_watch::CutOff;
@@ -34,6 +35,12 @@
         /// The connection's error.
         source: hyper::Error,
     },
+    /// The connection to the endpoint ended in order, but the answer is incomplete.
+    #[snafu(display("the endpoint broke off: the connection ended {progress}"))]
+    Incomplete {
+        /// How far the answer had come.
+        progress: &'static str,
+    },
     /// The request's deadline has passed.
     #[snafu(display("the request's time has passed"))]
     Expired,
@@ -142,20 +149,39 @@
         self.site.record_completed(self.request);
     }
 
-    /// Records that the answer's body ended in order.
-    pub(crate) fn record_end(&self) {
-        let Some(b) = &self.body else { return };
+    fn progress(&self) -> Progress {
+        self.body
+            .as_ref()
+            .map_or(Progress::NotEvents, AnswerBody::progress)
+    }
+
+    /// Records that the answer's body ended in order, and decides whether the answer is complete.
+    pub(crate) fn verify_end(&self) -> EndCheck {
+        let (Some(b), Some(sent)) = (&self.body, &self.sent) else {
+            return EndCheck::Known(EndVerdict::BrokenOff);
+        };
         let labels = AnswerEndLabels {
             framing: b.framing().as_str(),
             progress: b.progress().as_str(),
         };
         let ends = &self.site.metrics.answer_ends;
         ends.get_or_create(&labels).inc();
+        match b.completeness() {
+            Completeness::Proven => EndCheck::Known(EndVerdict::Complete),
+            Completeness::BrokenOff => EndCheck::Known(EndVerdict::BrokenOff),
+            Completeness::Assumed => {
+                let site = Arc::clone(&self.site);
+                let probe = crash_probe::after_unframed_answer(site, sent.endpoint());
+                EndCheck::Probing(Box::pin(async { EndVerdict::from(probe.await) }))
+            }
+        }
     }
 
     /// Ends the attempt with a complete answer.
-    pub fn complete(&mut self) {
-        self.record_ran_to_end();
+    pub(crate) fn complete(&mut self, verdict: EndVerdict) {
+        if verdict == EndVerdict::Complete {
+            self.record_ran_to_end();
+        }
         let first = self.sent.as_ref().and_then(Sent::first);
         let first = first.unwrap_or_else(|| self.elapsed());
         self.end(AttemptOutcome::Completed { first }, "whole");
@@ -203,6 +229,44 @@
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Whether an answer whose body ended in order is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndVerdict {
+    /// It is, and the endpoint survived the request.
+    Complete,
+    /// It is as far as can be known; whether the endpoint survived isn't known.
+    Unconfirmed,
+    /// The endpoint broke it off.
+    BrokenOff,
+}
+
+impl From<Finding> for EndVerdict {
+    fn from(f: Finding) -> Self {
+        match f {
+            Finding::Listens => Self::Complete,
+            Finding::Unclear => Self::Unconfirmed,
+            Finding::HasCrashed => Self::BrokenOff,
+        }
+    }
+}
+
+type VerdictFuture = Pin<Box<dyn Future<Output = EndVerdict> + Send>>;
+
+/// The decision whether an answer is complete, which may need a probe of the endpoint.
+pub(crate) enum EndCheck {
+    Known(EndVerdict),
+    Probing(VerdictFuture),
+}
+
+impl EndCheck {
+    pub(crate) async fn verdict(self) -> EndVerdict {
+        match self {
+            Self::Known(v) => v,
+            Self::Probing(probe) => probe.await,
+        }
+    }
+}
+
 /// The body of a streamed answer.
 pub struct Relay<P>
 where
@@ -212,6 +276,8 @@
     connection: Option<Connection>,
     running: RunningAttempt<P>,
     expiry: Pin<Box<dyn Future<Output = ()> + Send>>,
+    /// The probe of the endpoint after the body has ended, if it is needed.
+    end_probe: Option<VerdictFuture>,
 }
 
 impl<P> Relay<P>
@@ -232,11 +298,28 @@
             connection: Some(connection),
             running,
             expiry: Box::pin(async move { clock.sleep_until(expiry).await }),
+            end_probe: None,
         }
     }
 
-    fn finish(&mut self) {
-        self.running.complete();
+    /// Ends the answer as this verdict says.
+    fn end(&mut self, verdict: EndVerdict) -> Option<Result<Frame<Bytes>, RelayError>> {
+        match verdict {
+            EndVerdict::Complete | EndVerdict::Unconfirmed => {
+                self.finish(verdict);
+                None
+            }
+            EndVerdict::BrokenOff => {
+                self.running.record_cut_off();
+                self.break_off(Failure::Broken, "broken off");
+                let progress = self.running.progress().as_str();
+                Some(IncompleteSnafu { progress }.fail())
+            }
+        }
+    }
+
+    fn finish(&mut self, verdict: EndVerdict) {
+        self.running.complete(verdict);
         if let Some(c) = self.connection.take() {
             Metrics::count(&self.running.site.metrics.requests, "answered");
             self.running.site.pool.put_in_background(c, None);
@@ -273,6 +356,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if let Some(probe) = &mut self.end_probe {
+            let verdict = ready!(probe.as_mut().poll(cx));
+            return Poll::Ready(self.end(verdict));
+        }
         if self.expiry.as_mut().poll(cx).is_ready() {
             self.break_off(Failure::Deadline, "expired");
             return Poll::Ready(Some(ExpiredSnafu.fail()));
@@ -289,11 +376,13 @@
                 self.break_off(Failure::Broken, "broken off");
                 Poll::Ready(Some(Err(RelayError::Endpoint { source })))
             }
-            None => {
-                self.running.record_end();
-                self.finish();
-                Poll::Ready(None)
-            }
+            None => match self.running.verify_end() {
+                EndCheck::Known(verdict) => Poll::Ready(self.end(verdict)),
+                EndCheck::Probing(probe) => {
+                    self.end_probe = Some(probe);
+                    self.poll_frame(cx)
+                }
+            },
         }
     }
 
