--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -18,7 +18,6 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -157,7 +156,7 @@
     let ended = tokio::select! {
         ended = &mut served => ended,
         () = shutdown => {
-            Pin::new(&mut served).graceful_shutdown();
+            std::pin::Pin::new(&mut served).graceful_shutdown();
             (&mut served).await
         }
     };
