--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 mod fleet_net;
 mod fleet_store;
+pub mod reach;
 
 use bytes::Bytes;
 use http::request::Parts;
--- /dev/null
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -0,0 +1,209 @@
+//! Test support: VMs that talk to each other over sockets, some of which reach no endpoint.
+
+use super::{Does, Gateway, Plain, Server, answer, catalog, parse_settings, request};
+use limehollow::catalog::Rule;
+use limehollow::id::{ServiceName, ZoneName};
+use limehollow::roster::Endpoint;
+use limehollow_node::site::Site;
+use limehollow_node::{gossip, peer_state};
+use smol_str::format_smolstr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+/// What happens to the connections that a VM opens to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// They are established.
+    Open,
+    /// They get no answer.
+    Hangs,
+    /// They are refused.
+    Refuses,
+}
+
+/// VMs of several zones, with one endpoint in each zone for each of them.
+#[derive(Debug)]
+pub struct Site3 {
+    pub vms: Vec<Gateway>,
+    pub endpoints: Vec<Server>,
+    zones: usize,
+    silent: SilentAddress,
+    refusing: SocketAddr,
+}
+
+impl Site3 {
+    /// Starts VMs with addresses in 127.`net` and endpoints with these answers, in turn over the zones.
+    pub async fn start(net: u8, rule: Rule, zones: usize, vms: usize, does: &[Does]) -> Self {
+        let mut site = Self {
+            vms: Vec::new(),
+            endpoints: Vec::new(),
+            zones,
+            silent: SilentAddress::new().await,
+            refusing: refusing_address().await,
+        };
+        for _ in 0..zones * 2 {
+            site.endpoints.push(Server::start(does.to_vec()).await);
+        }
+        for i in 0..vms {
+            site.vms
+                .push(start_vm(net, i, i % zones, rule.clone()).await);
+        }
+        for vm in &site.vms {
+            for other in &site.vms {
+                let s = other.site.settings.load();
+                let zone = other.site.zone.clone();
+                let mut view = vm.site.view();
+                let name = s.name.as_str().into();
+                view.peers
+                    .upsert(name, zone, s.peer_address(), s.millicores());
+            }
+        }
+        for vm in 0..vms {
+            site.set_way(vm, Way::Open);
+        }
+        // Every VM has heard every other one, or its zone's leader.
+        sleep(Duration::from_millis(500)).await;
+        site
+    }
+
+    /// Sets what happens to the connections that a VM opens to endpoints from now on.
+    pub fn set_way(&self, vm: usize, way: Way) {
+        for (i, e) in self.endpoints.iter().enumerate() {
+            let address = match way {
+                Way::Open => e.address,
+                Way::Hangs => self.silent.address,
+                Way::Refuses => self.refusing,
+            };
+            let zone = ZoneName::from(format!("z{}", i % self.zones));
+            let entry = listed(i, zone, address);
+            self.vms[vm].site.view().list(Instant::now(), entry);
+        }
+    }
+
+    /// Sends a request to a VM. Returns the answer, and how long it took.
+    pub async fn ask(&self, vm: usize, id: &str) -> (String, Duration) {
+        let began = Instant::now();
+        let answer = ask(self.vms[vm].address, id, "").await;
+        (answer, began.elapsed())
+    }
+
+    /// Sends requests to a VM one after the other, and returns their answers.
+    pub async fn ask_times(
+        &self,
+        vm: usize,
+        times: usize,
+        pause: Duration,
+    ) -> Vec<(String, Duration)> {
+        let mut got = Vec::new();
+        for n in 0..times {
+            got.push(self.ask(vm, &format!("r-{vm}-{n}")).await);
+            sleep(pause).await;
+        }
+        got
+    }
+
+    /// Returns the number of requests that reached endpoints.
+    pub fn arrivals(&self) -> usize {
+        self.endpoints.iter().map(Server::requests).sum()
+    }
+}
+
+/// Sends a request and returns what the caller gets within five seconds.
+pub async fn ask(to: SocketAddr, id: &str, more: &str) -> String {
+    let mut s = TcpStream::connect(to).await.expect("it accepts");
+    let more = format!("connection: close\r\n{more}");
+    let head = request("/a/x", id, &more, "a body");
+    s.write_all(head.as_bytes()).await.expect("it is written");
+    let mut out = Vec::new();
+    // A reset of the connection ends the answer too.
+    let _ended = timeout(Duration::from_secs(5), s.read_to_end(&mut out)).await;
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// Returns an action of an endpoint that answers each request whole.
+pub fn whole(body: &str) -> Does {
+    Does::Writes(
+        String::from_utf8(answer(200, "ID", "x-mark: m\r\n", body))
+            .expect("text")
+            .replace("x-id: ID\r\n", "")
+            .into_bytes(),
+    )
+}
+
+fn listed(i: usize, zone: ZoneName, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        instance: format_smolstr!("i-{i}").into(),
+        service: ServiceName::from("portal"),
+        address,
+        zone,
+        slots: 64,
+        leaving: false,
+        cold_ms: 0,
+        holdings: BTreeMap::new(),
+        copies: BTreeSet::new(),
+    }
+}
+
+async fn start_vm(net: u8, i: usize, zone: usize, rule: Rule) -> Gateway {
+    let ip = Ipv4Addr::new(127, net, 0, u8::try_from(i + 1).expect("there are few"));
+    let socket = UdpSocket::bind((ip, 0)).await.expect("a port is free");
+    let port = socket.local_addr().expect("it is bound").port();
+    let own = format!(
+        "name = \"vm-{i}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = {port}\n"
+    );
+    let site = Site::new(parse_settings(&own), Plain);
+    site.set_catalog(catalog(1, vec![rule]));
+    let socket = Arc::new(gossip::GossipSocket::new(Arc::clone(&site), socket));
+    let wake = Arc::new(Notify::new());
+    tokio::spawn(gossip::send(
+        Arc::clone(&site),
+        Arc::clone(&socket),
+        Arc::clone(&wake),
+    ));
+    tokio::spawn(gossip::receive(Arc::clone(&site), socket, wake));
+    let peers = TcpListener::bind((ip, port)).await.expect("it is free too");
+    tokio::spawn(peer_state::serve(Arc::clone(&site), peers));
+    Gateway::with(site).await
+}
+
+/// An address at which connections get no answer: nobody accepts, and the queue of new connections is full.
+#[derive(Debug)]
+struct SilentAddress {
+    address: SocketAddr,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl SilentAddress {
+    async fn new() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket is free");
+        socket
+            .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+            .expect("a port is free");
+        let listener = socket.listen(1).expect("it listens");
+        let address = listener.local_addr().expect("it is bound");
+        let mut queued = Vec::new();
+        let wait = Duration::from_millis(100);
+        while let Ok(s) = timeout(wait, TcpStream::connect(address)).await {
+            queued.push(s.expect("it is queued"));
+        }
+        Self {
+            address,
+            _listener: listener,
+            _queued: queued,
+        }
+    }
+}
+
+async fn refusing_address() -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    l.local_addr().expect("it is bound")
+}
