A VM knows when it reaches no endpoint itself, says so, and blames no endpoint and no request for it

Cause: no state said "this VM reaches no endpoint". Each failed connect was put down to the endpoint: it was ejected, reported to the VMs of the zone as unreachable, and a refused connect after a connection that ended counted as the endpoint's crash, so three endpoints that a cut-off VM lost put the request that they ran into quarantine on all VMs. Class: what one observer can't see taken for a property of the observed.

Change: `own_reach` of the core (failures in every zone without a success, of three endpoints or more); `reach` of the node opens all connections for requests, probes three other endpoints at the second failure, and while cut off some every 250 ms, jittered. The state is logged, is the gauge `limehollow_reaches_endpoints`, and goes to the VMs of the zone at once and to other zones with the summaries (schema 11). While it doubts its own way a VM reports no endpoint as unreachable; once cut off it forgets what it held against endpoints and zones. A refusal shows a crash only if another endpoint can be reached.

The rig's ways from VMs to endpoints are proxies now, as a changed address counts as a restart.

--- a/crates/limehollow-node/src/attempt.rs
+++ b/crates/limehollow-node/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::endpoint_signals;
 use crate::keys::{self, Authorization};
 use crate::pool::{ConnectError, Connection, Pool};
+use crate::reach;
 use crate::site::Site;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
@@ -16,6 +17,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -188,7 +190,7 @@
 ///
 /// Returns an [`AttemptFailure`], which says whether the request may have run.
 pub async fn send<P>(
-    site: &Site<P>,
+    site: &Arc<Site<P>>,
     pool: &Pool,
     to: &Target,
     mut req: Request<Full<Bytes>>,
@@ -211,8 +213,7 @@
         }
     }
     may_send(site, to, authorization)?;
-    let opened = pool.open(to.key, to.address).await;
-    site.metrics.connections_opened.inc();
+    let opened = reach::open(site, pool, to.key, to.address).await;
     let mut c = opened.map_err(|e| AttemptFailure::unconnected(&e))?;
     may_send(site, to, authorization)?;
     let asked = site.now();
@@ -290,6 +291,7 @@
 {
     let (status, headers) = (response.status(), response.headers());
     connection.set_keep_alive(keep_alive_timeout(headers));
+    site.view().own_reach.record_heard(site.now());
     let class = site
         .protocol
         .classify_answer(status, headers, id, &to.instance.id);
--- a/crates/limehollow-node/src/crash_probe.rs
+++ b/crates/limehollow-node/src/crash_probe.rs
@@ -1,8 +1,11 @@
 //! Probes whether an endpoint has crashed, after a connection to it ended while a request was running.
+//!
+//! A refused connection shows a crash only if this VM reaches another endpoint.
 
 use crate::attempt::{LimitGrant, Target};
 use crate::edge::Protocol;
 use crate::pool::ConnectError;
+use crate::reach;
 use crate::site::Site;
 use crate::site_view::SiteView;
 use limehollow::crash_watch::{CutOff, Suspicion};
@@ -62,6 +65,24 @@
     }
 }
 
+/// Records that an endpoint refused a connection: if requests were interrupted there, it has crashed, unless it is this VM
+/// that reaches no endpoint.
+pub(crate) fn on_refused<P>(site: &Arc<Site<P>>, to: &Target)
+where
+    P: Protocol,
+{
+    if !site.view().crash_watch.is_watched(&to.instance) {
+        return;
+    }
+    let (site, to) = (Arc::clone(site), to.clone());
+    tokio::spawn(async move {
+        if reach::is_sound(&site, to.key).await {
+            site.record_crash(&to.instance);
+            site.crash_known.notify_waiters();
+        }
+    });
+}
+
 /// The result of one attempt to connect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Finding {
@@ -85,7 +106,9 @@
         match probe_once(to.address).await {
             Finding::Listens => break,
             Finding::HasCrashed => {
-                site.record_crash(&to.instance);
+                if reach::is_sound(&site, to.key).await {
+                    site.record_crash(&to.instance);
+                }
                 break;
             }
             Finding::Unclear => {}
@@ -124,14 +147,15 @@
         e.address
     };
     sleep(FIRST_PROBE_DELAY).await;
-    let opened = timeout(MAX_WAIT, site.pool.open(key, address)).await;
-    site.metrics.connections_opened.inc();
-    match opened {
+    match timeout(MAX_WAIT, reach::open(&site, &site.pool, key, address)).await {
         Ok(Ok(c)) => {
             site.pool.put_in_background(c, None);
             Finding::Listens
         }
-        Ok(Err(ConnectError::Io { source })) if source.kind() == ErrorKind::ConnectionRefused => {
+        Ok(Err(ConnectError::Io { source }))
+            if source.kind() == ErrorKind::ConnectionRefused
+                && reach::is_sound(&site, key).await =>
+        {
             Finding::HasCrashed
         }
         Ok(Err(_)) | Err(_) => Finding::Unclear,
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -416,7 +416,7 @@
             (EndpointEvidence::NotHeld, Some(m)) => {
                 self.site.view().roster.remove_holding(to.key, m);
             }
-            (EndpointEvidence::NotListening, _) => self.site.record_crash(&to.instance),
+            (EndpointEvidence::NotListening, _) => crash_probe::on_refused(self.site, to),
             (
                 EndpointEvidence::NotHeld
                 | EndpointEvidence::ConnectionEnded
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -85,6 +85,8 @@
     pub datagrams_held_back: Family<DatagramLabels, Counter>,
     /// Whether this process holds the lease.
     pub holds_lease: Gauge,
+    /// Whether this VM reaches endpoints: 0 while it can open no connection to any.
+    pub reaches_endpoints: Gauge,
     /// Endpoints on the list.
     pub endpoints: Gauge,
     /// The age of the copies of the list and of the configuration, in seconds, sampled once a second.
@@ -117,6 +119,13 @@
     pub lines_left_out: Counter,
 }
 
+/// Returns a gauge that starts at one.
+fn one() -> Gauge {
+    let gauge = Gauge::default();
+    gauge.set(1);
+    gauge
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self {
@@ -134,6 +143,7 @@
             datagrams_too_large: Counter::default(),
             datagrams_held_back: Family::default(),
             holds_lease: Gauge::default(),
+            reaches_endpoints: one(),
             endpoints: Gauge::default(),
             copy_age: Family::new_with_constructor(|| Histogram::new(BOUNDS)),
             unreadable_records: Counter::default(),
@@ -257,6 +267,11 @@
             self.first_byte.clone(),
         );
         r.register("orders", "Orders by outcome", self.orders.clone());
+        r.register(
+            "reaches_endpoints",
+            "Whether this VM reaches endpoints",
+            self.reaches_endpoints.clone(),
+        );
         r.register(
             "holds_lease",
             "Whether this process holds the lease",
--- /dev/null
+++ b/crates/limehollow-node/src/reach.rs
@@ -0,0 +1,155 @@
+//! Keeps track of whether this VM reaches endpoints at all, and probes them while it doubts it.
+
+use crate::edge::Protocol;
+use crate::pool::{ConnectError, Connection, Pool};
+use crate::site::Site;
+use limehollow::id::{EndpointKey, ZoneName};
+use limehollow::own_reach::Reach;
+use rand::seq::SliceRandom;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// The pause between two rounds of probes while no endpoint is reached; it is jittered by half, so that VMs that were cut
+/// off together don't probe together.
+const PROBE_EVERY: Duration = Duration::from_millis(250);
+/// The number of endpoints that are probed at once, each in another zone as far as possible.
+const PROBES: usize = 3;
+
+/// An endpoint to probe.
+type Probed = (EndpointKey, SocketAddr);
+
+/// Opens a connection to an endpoint, and records whether this VM reaches endpoints.
+///
+/// # Errors
+///
+/// Returns a [`ConnectError`] if the connection can't be opened.
+pub(crate) async fn open<P>(
+    site: &Arc<Site<P>>,
+    pool: &Pool,
+    key: EndpointKey,
+    address: SocketAddr,
+) -> Result<Connection, ConnectError>
+where
+    P: Protocol,
+{
+    let opened = pool.open(key, address).await;
+    site.metrics.connections_opened.inc();
+    match &opened {
+        Ok(_) => record_success(site),
+        Err(e) => record_failure(site, key, e),
+    }
+    opened
+}
+
+fn record_success<P>(site: &Site<P>)
+where
+    P: Protocol,
+{
+    if site.view().own_reach.record_success() {
+        site.metrics.reaches_endpoints.set(1);
+        tracing::info!("endpoints are in reach again");
+        site.urgent_update.notify_one();
+    }
+}
+
+fn record_failure<P>(site: &Arc<Site<P>>, key: EndpointKey, e: &ConnectError)
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let mut view = site.view();
+    let Some(zone) = view.roster.get(key).map(|e| e.zone.clone()) else {
+        return;
+    };
+    let before = view.own_reach.state(now);
+    let zones = zones(&view.roster).len();
+    let is_cut = view.own_reach.record_failure(now, key, &zone, zones);
+    let state = view.own_reach.state(now);
+    if is_cut {
+        view.balance.forget_unreached();
+    }
+    drop(view);
+    if is_cut {
+        site.metrics.reaches_endpoints.set(0);
+        tracing::warn!(last = %e, "no endpoint is in reach of this VM");
+        site.urgent_update.notify_one();
+    }
+    match (before, state) {
+        (Reach::Sound, Reach::Doubtful) => drop(tokio::spawn(probe_once(Arc::clone(site)))),
+        (_, Reach::None) if is_cut => drop(tokio::spawn(probe_until_reached(Arc::clone(site)))),
+        _ => {}
+    }
+}
+
+/// Returns the zones that have endpoints that accept work.
+fn zones(roster: &limehollow::roster::Roster) -> BTreeSet<&ZoneName> {
+    let open = roster.iter().filter(|(k, _)| roster.takes_work(*k));
+    open.map(|(_, e)| &e.zone).collect()
+}
+
+async fn probe_until_reached<P>(site: Arc<Site<P>>)
+where
+    P: Protocol,
+{
+    while site.view().own_reach.is_cut() {
+        sleep(PROBE_EVERY.mul_f64(rand::random_range(0.5..1.5))).await;
+        probe_once(Arc::clone(&site)).await;
+    }
+}
+
+/// Opens connections to some endpoints, and keeps those that are established for requests.
+async fn probe_once<P>(site: Arc<Site<P>>)
+where
+    P: Protocol,
+{
+    let mut probes = JoinSet::new();
+    for (key, address) in endpoints_to_probe(&site, None) {
+        let site = Arc::clone(&site);
+        probes.spawn(async move {
+            if let Ok(c) = open(&site, &site.pool, key, address).await {
+                site.pool.put_in_background(c, None);
+            }
+        });
+    }
+    while probes.join_next().await.is_some() {}
+}
+
+/// Returns `true` if another endpoint than this one can be reached, so that what this one does is its own doing. Returns
+/// `true` as well if there is no other.
+pub(crate) async fn is_sound<P>(site: &Arc<Site<P>>, except: EndpointKey) -> bool
+where
+    P: Protocol,
+{
+    let others = endpoints_to_probe(site, Some(except));
+    for (key, address) in &others {
+        if let Ok(c) = open(site, &site.pool, *key, *address).await {
+            site.pool.put_in_background(c, None);
+            return true;
+        }
+    }
+    others.is_empty()
+}
+
+/// Returns some endpoints to probe, drawn at random: each in another zone as far as possible, and preferably some that
+/// haven't failed.
+fn endpoints_to_probe<P>(site: &Site<P>, except: Option<EndpointKey>) -> Vec<Probed>
+where
+    P: Protocol,
+{
+    let view = site.view();
+    let open = view
+        .roster
+        .iter()
+        .filter(|(k, _)| view.roster.takes_work(*k));
+    let mut all: Vec<_> = open.filter(|(k, _)| Some(*k) != except).collect();
+    all.shuffle(&mut rand::rng());
+    all.sort_by_key(|(k, _)| view.own_reach.has_failed(*k));
+    let mut zones = BTreeSet::new();
+    let (first, more): (Vec<_>, Vec<_>) = all.into_iter().partition(|(_, e)| zones.insert(&e.zone));
+    let chosen = first.into_iter().chain(more).take(PROBES);
+    chosen.map(|(k, e)| (k, e.address)).collect()
+}
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -121,6 +121,8 @@
                 if is_new && zone == site.zone {
                     view.peers.set_reaches_store(&w.from, w.reaches_store);
                     view.peers.set_reads_list(&w.from, w.reads_list);
+                    view.peers
+                        .set_reaches_endpoints(&w.from, !w.cut_off.contains(&w.from));
                     view.record_furthest_in_zone(&w.from, w.positions.endpoints);
                 }
                 if is_new && zone == site.zone && w.scope == Scope::Vm {
@@ -134,6 +136,7 @@
                 }
             }
             Scope::Zone if zone != site.zone => {
+                view.peers.set_cut_off_in_zone(&zone, &w.cut_off);
                 view.peers
                     .receive_zone(now, zone, w.from.clone(), usize::from(w.vms));
                 let before = view.zone_parts.insert(w.zone.clone(), w.parts);
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -114,6 +114,7 @@
         }
         self.record_first_result();
         let now = self.site.now();
+        self.site.view().own_reach.record_heard(now);
         if let Some(last) = self.last_part.replace(now) {
             self.longest_pause = self.longest_pause.max(now.duration_since(last));
         }
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -11,6 +11,7 @@
 use limehollow::crash_record::CrashRecord;
 use limehollow::id::{EndpointKey, VmName};
 use limehollow::instance::Instance;
+use limehollow::own_reach::Reach;
 use limehollow::roster::ModelRef;
 use limehollow_wire::gossip::{LastReader, LeaseNotice, ListChanges, Message, RateReport, Scope};
 use smol_str::{SmolStr, format_smolstr};
@@ -57,6 +58,9 @@
 const LIMITS_SENT_EVERY: Duration = Duration::from_millis(1000);
 /// About how many endpoints one part of a zone summary names.
 const MAX_TAKEN: usize = 128;
+/// The largest number of VMs without an endpoint in reach that a summary names; a request that is passed on to another one
+/// comes back at once.
+const MAX_CUT_OFF: usize = 64;
 /// The largest number of limits in one message.
 const MAX_RATES: usize = 64;
 
@@ -298,6 +302,7 @@
             number: self.number,
             taken: view.balance.own().filter_map(named).collect(),
             unreached: unreached(now, view),
+            cut_off: cut_off(&own_vm, view),
             gone: recent_instances(now, &view.gone),
             leaving: recent_instances(now, &view.leaving),
             demand: rates(view.arrivals.rates(now)),
@@ -368,7 +373,24 @@
     Some(LastReader::at(now, vm.clone(), at))
 }
 
+/// Returns this VM if it reaches no endpoint.
+fn cut_off(own_vm: &SmolStr, view: &SiteView) -> Vec<SmolStr> {
+    let is_cut = view.own_reach.is_cut();
+    is_cut.then(|| own_vm.clone()).into_iter().collect()
+}
+
+/// Returns the VMs of this zone that reach no endpoint.
+fn cut_off_in_zone(own: &Message, now: Instant, view: &SiteView) -> Vec<SmolStr> {
+    let others = view.peers.cut_off_in_zone(now).cloned();
+    let all = own.cut_off.iter().cloned().chain(others);
+    all.take(MAX_CUT_OFF).collect()
+}
+
+/// Returns the endpoints that this VM couldn't reach recently. While it may itself be cut off, that is nothing to tell.
 fn unreached(now: Instant, view: &SiteView) -> Vec<Instance> {
+    if view.own_reach.state(now) != Reach::Sound {
+        return Vec::new();
+    }
     let keys = view.balance.unreached(now);
     keys.filter_map(|k| Some(view.roster.get(k)?.instance.clone()))
         .collect()
@@ -434,6 +456,7 @@
         list: Vec::new(),
         crashes: Vec::new(),
         rates: Vec::new(),
+        cut_off: Vec::new(),
         ..own.clone()
     }
 }
@@ -466,6 +489,7 @@
         gone: own.gone.clone(),
         leaving: own.leaving.clone(),
         rates: own.rates.clone(),
+        cut_off: cut_off_in_zone(own, now, view),
         reports: Vec::new(),
         lease: zone_notice(now, view),
         ..controller_news(own)
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -20,6 +20,7 @@
 use limehollow::id::{EndpointKey, ServiceName, VmName, ZoneName};
 use limehollow::instance::Instance;
 use limehollow::log_position::LogPosition;
+use limehollow::own_reach::OwnReach;
 use limehollow::peers::Peers;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::Quotas;
@@ -113,6 +114,8 @@
     pub lease_failing: bool,
     /// The other VMs.
     pub peers: Peers,
+    /// Whether this VM reaches endpoints at all.
+    pub own_reach: OwnReach,
     /// The requests that crash the endpoints that run them.
     pub quarantine: Quarantine,
     /// Endpoints that may have crashed, with the requests that they ran.
@@ -185,6 +188,7 @@
                 zone.clone(),
                 settings.millicores(),
             ),
+            own_reach: OwnReach::default(),
             quarantine: Quarantine::default(),
             crash_watch: CrashWatch::default(),
             confirmation: Confirmation::default(),
--- a/crates/limehollow-node/tests/answer_ends.rs
+++ b/crates/limehollow-node/tests/answer_ends.rs
@@ -5,11 +5,12 @@
 use limehollow::catalog::Rule;
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::retry::Repeat;
-use rig::{Does, Gateway, Server, request, rule, status};
+use rig::{Does, Gateway, Server, endpoint, request, rule, status};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 
 /// The head of a stream that names neither a length nor chunks.
 const UNFRAMED_HEAD: &str =
@@ -44,23 +45,38 @@
         .expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     tokio::spawn(async move {
-        let (mut c, _) = listener.accept().await.expect("it accepts");
-        let mut buf = [0; 4096];
-        let n = c.read(&mut buf).await.expect("a request comes");
-        assert!(n > 0);
-        c.write_all(answer.as_bytes()).await.expect("it is written");
-        if resets {
-            // Until the caller has read what was written.
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            let linger = socket2::SockRef::from(&c).set_linger(Some(Duration::ZERO));
-            linger.expect("it can be set");
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (c, _) = accepted.expect("it accepts");
+                    connections.spawn(answer_once(c, answer.clone(), resets));
+                }
+                Some(asked) = connections.join_next() => if asked.expect("it doesn't panic") {
+                    return;
+                },
+            }
         }
-        drop(listener);
-        drop(c);
     });
     address
 }
 
+/// Answers a request and returns `true`, unless the connection ends without one.
+async fn answer_once(mut c: TcpStream, answer: String, resets: bool) -> bool {
+    let mut buf = [0; 4096];
+    if !matches!(c.read(&mut buf).await, Ok(n) if n > 0) {
+        return false;
+    }
+    c.write_all(answer.as_bytes()).await.expect("it is written");
+    if resets {
+        // Until the caller has read what was written.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let linger = socket2::SockRef::from(&c).set_linger(Some(Duration::ZERO));
+        linger.expect("it can be set");
+    }
+    true
+}
+
 #[tokio::test]
 async fn unframed_stream_that_ends_inside_an_event_does_not_look_complete() {
     for cut in ["id: 2\nda", "id: 2\ndata: b\n", "i"] {
@@ -147,6 +163,11 @@
         crashing_endpoint(stream, false).await,
     ];
     let g = Gateway::start(stream_rule(), &crashing).await;
+    // By this endpoint of another service the VM sees that it reaches endpoints.
+    let live = Server::start(vec![Does::Closes]).await;
+    let mut other = endpoint(crashing.len(), live.address);
+    other.service = "other".into();
+    g.site.view().list(g.site.now(), other);
     for _ in 0..crashing.len() {
         g.ask("/s/", "a body").await;
         // The probe of the endpoint ends after the answer.
--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -13,9 +13,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+/// The length of the queue of new connections of a way.
+const QUEUE: u32 = 1;
+/// The time after which a way is as it was set.
+const WAY_CHANGES_WITHIN: Duration = Duration::from_millis(100);
+
 /// What happens to the connections that a VM opens to endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -27,14 +32,13 @@
     Refuses,
 }
 
-/// VMs of several zones, with one endpoint in each zone for each of them.
+/// VMs of several zones, with two endpoints in each zone.
 #[derive(Debug)]
 pub struct Site3 {
     pub vms: Vec<Gateway>,
     pub endpoints: Vec<Server>,
-    zones: usize,
-    silent: SilentAddress,
-    refusing: SocketAddr,
+    /// The ways from each VM to each endpoint.
+    ways: Vec<Vec<Path>>,
 }
 
 impl Site3 {
@@ -43,16 +47,24 @@
         let mut site = Self {
             vms: Vec::new(),
             endpoints: Vec::new(),
-            zones,
-            silent: SilentAddress::new().await,
-            refusing: refusing_address().await,
+            ways: Vec::new(),
         };
         for _ in 0..zones * 2 {
             site.endpoints.push(Server::start(does.to_vec()).await);
         }
         for i in 0..vms {
-            site.vms
-                .push(start_vm(net, i, i % zones, rule.clone()).await);
+            let vm = start_vm(net, i, i % zones, rule.clone()).await;
+            let mut ways = Vec::new();
+            for (n, e) in site.endpoints.iter().enumerate() {
+                let path = Path::start(e.address);
+                let zone = ZoneName::from(format!("z{}", n % zones));
+                vm.site
+                    .view()
+                    .list(Instant::now(), listed(n, zone, path.address));
+                ways.push(path);
+            }
+            site.ways.push(ways);
+            site.vms.push(vm);
         }
         for vm in &site.vms {
             for other in &site.vms {
@@ -64,26 +76,17 @@
                     .upsert(name, zone, s.peer_address(), s.millicores());
             }
         }
-        for vm in 0..vms {
-            site.set_way(vm, Way::Open);
-        }
         // Every VM has heard every other one, or its zone's leader.
         sleep(Duration::from_millis(500)).await;
         site
     }
 
     /// Sets what happens to the connections that a VM opens to endpoints from now on.
-    pub fn set_way(&self, vm: usize, way: Way) {
-        for (i, e) in self.endpoints.iter().enumerate() {
-            let address = match way {
-                Way::Open => e.address,
-                Way::Hangs => self.silent.address,
-                Way::Refuses => self.refusing,
-            };
-            let zone = ZoneName::from(format!("z{}", i % self.zones));
-            let entry = listed(i, zone, address);
-            self.vms[vm].site.view().list(Instant::now(), entry);
+    pub async fn set_way(&self, vm: usize, way: Way) {
+        for path in &self.ways[vm] {
+            path.way.send_replace(way);
         }
+        sleep(WAY_CHANGES_WITHIN).await;
     }
 
     /// Sends a request to a VM. Returns the answer, and how long it took.
@@ -172,38 +175,80 @@
     Gateway::with(site).await
 }
 
-/// An address at which connections get no answer: nobody accepts, and the queue of new connections is full.
+/// A way from one VM to one endpoint.
 #[derive(Debug)]
-struct SilentAddress {
+struct Path {
     address: SocketAddr,
-    _listener: TcpListener,
-    _queued: Vec<TcpStream>,
+    way: watch::Sender<Way>,
 }
 
-impl SilentAddress {
-    async fn new() -> Self {
-        let socket = TcpSocket::new_v4().expect("a socket is free");
-        socket
-            .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
-            .expect("a port is free");
-        let listener = socket.listen(1).expect("it listens");
+impl Path {
+    fn start(target: SocketAddr) -> Self {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
         let address = listener.local_addr().expect("it is bound");
-        let mut queued = Vec::new();
-        let wait = Duration::from_millis(100);
-        while let Ok(s) = timeout(wait, TcpStream::connect(address)).await {
-            queued.push(s.expect("it is queued"));
-        }
-        Self {
-            address,
-            _listener: listener,
-            _queued: queued,
+        let (tx, way) = watch::channel(Way::Open);
+        tokio::spawn(run_path(listener, target, way));
+        Self { address, way: tx }
+    }
+}
+
+/// Listens with a queue of new connections that is full after a few.
+fn listen(address: SocketAddr) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket is free");
+    socket.set_reuseaddr(true).expect("it can be set");
+    socket.bind(address).expect("the port is free");
+    socket.listen(QUEUE).expect("it listens")
+}
+
+async fn run_path(mut listener: TcpListener, target: SocketAddr, mut way: watch::Receiver<Way>) {
+    let address = listener.local_addr().expect("it is bound");
+    loop {
+        let now = *way.borrow_and_update();
+        match now {
+            Way::Open => tokio::select! {
+                accepted = listener.accept() => {
+                    let (from, _) = accepted.expect("it accepts");
+                    tokio::spawn(forward(from, target, way.clone()));
+                }
+                ended = way.changed() => if ended.is_err() { return },
+            },
+            Way::Hangs => {
+                let _queued = fill(address).await;
+                if way.changed().await.is_err() {
+                    return;
+                }
+            }
+            Way::Refuses => {
+                drop(listener);
+                if way.changed().await.is_err() {
+                    return;
+                }
+                listener = listen(address);
+            }
         }
     }
 }
 
-async fn refusing_address() -> SocketAddr {
-    let l = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port is free");
-    l.local_addr().expect("it is bound")
+/// Opens connections until there is no answer to one more.
+async fn fill(address: SocketAddr) -> Vec<TcpStream> {
+    let mut queued = Vec::new();
+    let wait = WAY_CHANGES_WITHIN / 2;
+    while let Ok(s) = timeout(wait, TcpStream::connect(address)).await {
+        queued.push(s.expect("it is queued"));
+    }
+    queued
+}
+
+/// Forwards a connection's bytes, but for the times in which the way hangs.
+async fn forward(mut from: TcpStream, target: SocketAddr, mut way: watch::Receiver<Way>) {
+    let mut to = TcpStream::connect(target).await.expect("it accepts");
+    let copied = tokio::io::copy_bidirectional(&mut from, &mut to);
+    tokio::pin!(copied);
+    loop {
+        let hangs = *way.borrow_and_update() == Way::Hangs;
+        tokio::select! {
+            _ended = &mut copied, if !hangs => return,
+            changed = way.changed() => if changed.is_err() { return },
+        }
+    }
 }
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -24,7 +24,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 10;
+pub const SCHEMA: u8 = 11;
 
 /// The maximum decompressed size of a state, in bytes: many times the size of the largest deployment's state.
 const MAX_STATE: usize = 64 << 20;
@@ -202,6 +202,8 @@
     pub reads_list: bool,
     /// The rate limits that endpoints stated, and those that ended recently.
     pub rates: Vec<RateReport>,
+    /// The VMs among those that the message covers that reach no endpoint.
+    pub cut_off: Vec<SmolStr>,
 }
 
 /// A rate limit that an endpoint stated. Its times are ages, since the clocks of VMs differ.
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -675,6 +675,14 @@
         }
     }
 
+    /// Forgets which endpoints and zones couldn't be reached: it was this VM that reached none.
+    pub fn forget_unreached(&mut self) {
+        self.reachability = ZoneReachability::default();
+        for row in self.rows.values_mut() {
+            row.health.forget_unreached();
+        }
+    }
+
     /// Drops an endpoint that is gone.
     pub fn forget(&mut self, key: EndpointKey) {
         self.rows.remove(key);
--- a/crates/limehollow/src/crash_watch.rs
+++ b/crates/limehollow/src/crash_watch.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Returns `true` if requests were interrupted at a start of which it isn't known whether it crashed.
+    #[must_use]
+    pub fn is_watched(&self, start: &Instance) -> bool {
+        self.rows.get(start).is_some_and(|r| !r.has_crashed)
+    }
+
     /// Returns `true` if a start's address is being probed.
     #[must_use]
     pub fn is_probing(&self, start: &Instance) -> bool {
--- a/crates/limehollow/src/health.rs
+++ b/crates/limehollow/src/health.rs
@@ -108,6 +108,16 @@
         self.fail(now, true);
     }
 
+    /// Forgets that the endpoint couldn't be reached, and the ejection that followed from it.
+    pub(crate) fn forget_unreached(&mut self) {
+        if self.unreached.take().is_some() {
+            *self = Self {
+                answered: self.answered,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Records that the endpoint answered.
     pub(crate) fn answer(&mut self, now: Instant) {
         self.answered = Some(now);
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`workspace`], [`confirmation`] and [`quota`] identify callers, bound how long a key stays valid without
 //!   confirmation, and enforce the quotas of workspaces (`docs/design/workspaces.md`).
 //! * [`backpressure`] tracks the limits and pauses that endpoints ask for (`docs/design/backpressure.md`).
+//! * [`own_reach`] decides whether it is this VM that reaches no endpoint (`docs/design/cut-off-vms.md`).
 //! * [`start_tree`] selects the VM from which a starting VM fetches the shared state (`docs/design/fleet.md`).
 //! * [`send_budget`] limits the messages between VMs (`docs/design/overload.md`).
 //! * [`log_position`] is a reader's position in the platform's store, which may be restored from a copy
@@ -70,6 +71,7 @@
 pub mod membership;
 pub mod order;
 pub mod order_book;
+pub mod own_reach;
 mod pace;
 pub mod peers;
 pub mod placement;
--- /dev/null
+++ b/crates/limehollow/src/own_reach.rs
@@ -0,0 +1,130 @@
+//! Decides whether it is this VM that reaches no endpoint.
+//!
+//! A connection that can't be opened shows nothing about the endpoint if the VM can open none at all: its own way to the
+//! endpoints may be cut off while callers, the platform's store and the other VMs reach it
+//! (`docs/design/cut-off-vms.md`).
+//!
+//! ```
+//! use limehollow::own_reach::{OwnReach, Reach};
+//! use slotmap::SlotMap;
+//! use std::time::Duration;
+//! use tokio::time::Instant;
+//!
+//! let mut keys = SlotMap::<limehollow::id::EndpointKey, ()>::with_key();
+//! let (mut reach, now) = (OwnReach::default(), Instant::now());
+//! let zones = ["a", "b", "a"].map(limehollow::id::ZoneName::from);
+//! for zone in &zones {
+//!     reach.record_failure(now, keys.insert(()), zone, 2);
+//! }
+//! assert_eq!(reach.state(now), Reach::None);
+//! reach.record_success();
+//! assert_eq!(reach.state(now), Reach::Sound);
+//! ```
+
+use crate::id::{EndpointKey, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The number of endpoints that can't be reached, without one that can, from which the VM is cut off. Two may have crashed
+/// at once.
+const MIN_FAILED: usize = 3;
+/// The number of such endpoints from which it is in doubt whether they are at fault.
+const MIN_DOUBTFUL: usize = 2;
+/// How long a failure counts. A VM with little traffic opens a connection every few seconds.
+const FAILURE_LIFE: Duration = Duration::from_secs(2);
+/// How long ago the last bytes of an endpoint may be for open connections to count as live: the longest usual pause of a
+/// stream.
+const HEARD_LIFE: Duration = Duration::from_millis(250);
+
+/// What a VM knows of its own way to the endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It reaches endpoints, as far as it knows.
+    Sound,
+    /// Several endpoints in a row can't be reached.
+    Doubtful,
+    /// It opens no connection to any endpoint.
+    None,
+}
+
+/// The attempts of this VM to open connections to endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct OwnReach {
+    /// The endpoints that couldn't be reached since the last success, with their zone and the time.
+    failed: BTreeMap<EndpointKey, (ZoneName, Instant)>,
+    is_cut: bool,
+    heard: Option<Instant>,
+}
+
+/// Queries.
+impl OwnReach {
+    /// Returns the state of the way to the endpoints.
+    #[must_use]
+    pub fn state(&self, now: Instant) -> Reach {
+        if self.is_cut {
+            Reach::None
+        } else if self.recent(now).count() >= MIN_DOUBTFUL {
+            Reach::Doubtful
+        } else {
+            Reach::Sound
+        }
+    }
+
+    /// Returns `true` if this VM opens no connection to any endpoint.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
+    /// Returns `true` if connections that are already open carry answers.
+    #[must_use]
+    pub fn hears(&self, now: Instant) -> bool {
+        let recent = |t: Instant| now.saturating_duration_since(t) < HEARD_LIFE;
+        self.heard.is_some_and(recent)
+    }
+
+    /// Returns `true` if an endpoint couldn't be reached since the last success.
+    #[must_use]
+    pub fn has_failed(&self, key: EndpointKey) -> bool {
+        self.failed.contains_key(&key)
+    }
+
+    fn recent(&self, now: Instant) -> impl Iterator<Item = &ZoneName> {
+        let recent = move |t: Instant| now.saturating_duration_since(t) < FAILURE_LIFE;
+        let rows = self.failed.values().filter(move |(_, at)| recent(*at));
+        rows.map(|(zone, _)| zone)
+    }
+}
+
+/// Commands.
+impl OwnReach {
+    /// Records that no connection to an endpoint could be opened; `zones` is the number of zones that have endpoints.
+    /// Returns `true` if this newly shows that the VM is cut off.
+    pub fn record_failure(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        zone: &ZoneName,
+        zones: usize,
+    ) -> bool {
+        self.failed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < FAILURE_LIFE);
+        self.failed.insert(key, (zone.clone(), now));
+        let failed: BTreeSet<&ZoneName> = self.recent(now).collect();
+        let was_cut = self.is_cut;
+        self.is_cut |= self.failed.len() >= MIN_FAILED && failed.len() >= zones;
+        self.is_cut && !was_cut
+    }
+
+    /// Records that a connection to an endpoint was opened. Returns `true` if the VM was cut off before.
+    pub fn record_success(&mut self) -> bool {
+        self.failed.clear();
+        std::mem::take(&mut self.is_cut)
+    }
+
+    /// Records that bytes of an endpoint arrived.
+    pub fn record_heard(&mut self, now: Instant) {
+        self.heard = Some(now);
+    }
+}
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -44,6 +44,9 @@
 /// recipient of messages to that zone: three summaries of a large zone.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The number of VMs whose requests one VM takes over within its zone, its own included: it has about this much room on
+/// a calm day.
+const MAX_SHARES: usize = 4;
 /// The time without a message after which a VM receives messages only in rotation with the other silent ones: longer
 /// than a VM that is merely slow stands still.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(3000);
@@ -70,6 +73,8 @@
     reaches_store: bool,
     /// Whether it can read the list of endpoints, by its last report.
     reads_list: bool,
+    /// Whether it reaches endpoints, by the last report of it or of its zone.
+    reaches_endpoints: bool,
     /// When its last message arrived.
     last_seen: Option<Instant>,
     /// When it was added here.
@@ -313,6 +318,37 @@
         all.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns the VMs of the own zone that report that they reach no endpoint.
+    pub fn cut_off_in_zone(&self, now: Instant) -> impl Iterator<Item = &SmolStr> {
+        let cut_off = self
+            .heard_in_zone(now)
+            .filter(|(_, p)| !p.reaches_endpoints);
+        cut_off.map(|(name, _)| name)
+    }
+
+    /// Returns the VMs that may take over requests of this VM because they reach endpoints, as far as is known.
+    ///
+    /// They are those of the own zone, since other zones are further away, unless each of them would get the requests of
+    /// more than [`MAX_SHARES`] VMs; then they are those of all zones.
+    #[must_use]
+    pub fn reaching_endpoints(&self, now: Instant) -> Vec<SocketAddr> {
+        let here = self.heard_in_zone(now).filter(|(_, p)| p.reaches_endpoints);
+        let mut all: Vec<SocketAddr> = here.map(|(_, p)| p.address).collect();
+        if all.len() * MAX_SHARES >= self.alive_in_zone(now) {
+            return all;
+        }
+        let is_live = |zone: &ZoneName| {
+            let row = self.zones.get(zone);
+            row.is_some_and(|z| now.duration_since(z.last_seen) < ZONE_TIMEOUT)
+        };
+        let elsewhere = self
+            .rows
+            .values()
+            .filter(|p| p.zone != self.zone && p.reaches_endpoints && is_live(&p.zone));
+        all.extend(elsewhere.map(|p| p.address));
+        all
+    }
+
     /// Returns the age of each VM's last message, for a dump.
     pub fn message_ages(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, Option<Duration>)> {
         let rows = self.rows.iter();
@@ -373,6 +409,7 @@
             millicores,
             reaches_store: true,
             reads_list: true,
+            reaches_endpoints: true,
             last_seen: None,
             added: Instant::now(),
             starts: VecDeque::new(),
@@ -419,6 +456,20 @@
         }
     }
 
+    /// Records whether a VM reaches endpoints.
+    pub fn set_reaches_endpoints(&mut self, name: &str, reaches_endpoints: bool) {
+        if let Some(p) = self.rows.get_mut(name) {
+            p.reaches_endpoints = reaches_endpoints;
+        }
+    }
+
+    /// Records which VMs of another zone reach no endpoint.
+    pub fn set_cut_off_in_zone(&mut self, zone: &ZoneName, cut_off: &[SmolStr]) {
+        for (name, p) in self.rows.iter_mut().filter(|(_, p)| p.zone == *zone) {
+            p.reaches_endpoints = !cut_off.contains(name);
+        }
+    }
+
     /// Records a summary of another zone that its leader `from` sent.
     pub fn receive_zone(&mut self, now: Instant, zone: ZoneName, from: SmolStr, vms: usize) {
         let row = OtherZone {
