A VM that reaches no endpoint passes its callers' requests on to a VM that does

What callers saw: 503 after 0.8 s, for as long as the cut lasted, each with the advice to come back in 0.1 s.

Ruled out as a mend: to say "not ready". With two of three VMs of a zone cut off the balancer uses them all the same, and open connections stay.

Change: while cut off, a VM passes each request on by TCP to another VM that says it reaches endpoints, drawn at random in its zone, or in all zones where its own has too few; one hop, at most three VMs asked, each only after one that surely did not run the request (or, for what may be repeated, with a repeat of the budget). The other VM treats it as if the caller had sent it there: key, tokens, quarantine, home, retries; its age goes along, so the deadline is the caller's. Tokens taken before are given back. Events pass on as they come; a caller that leaves ends the whole chain. Connections that still carry answers are used. Who takes over is bounded by a tenth of the descriptors. If nobody can, the request is refused at once. Requests keep their headers until they are sent to an endpoint, since the other VM needs the key.

A cut-off VM resigns the lease if another VM reaches endpoints, and isn't a candidate.

Also: cut off only after half of the endpoints failed (three to eight) and 300 ms without a success.

--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -3,6 +3,7 @@
 use crate::edge::Protocol;
 use crate::logging::may_log;
 use crate::metrics::Metrics;
+use crate::pass_on::PassedBody;
 use crate::relay::{Relay, millis};
 use crate::site::Site;
 use bytes::Bytes;
@@ -11,8 +12,8 @@
 use http_body_util::{Either, Full};
 use std::time::Duration;
 
-/// The body of an answer.
-pub type Outgoing<P> = Either<Full<Bytes>, Relay<P>>;
+/// The body of an answer: this VM's own, an endpoint's stream, or another VM's.
+pub type Outgoing<P> = Either<Full<Bytes>, Either<Relay<P>, PassedBody>>;
 
 /// Why a request that did not run is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +27,8 @@
     AtLimit,
     EndpointRefused,
     Unreached,
+    /// This VM reaches no endpoint, and no other VM could take the request over.
+    CutOff,
     /// The validity of the request's key can't be confirmed at present.
     KeyUnconfirmed,
     /// The request's workspace has used up its limit.
@@ -47,6 +50,7 @@
             Self::AtLimit => "the endpoints take no more requests now",
             Self::EndpointRefused => "the endpoint refused it",
             Self::Unreached => "no endpoint could be reached",
+            Self::CutOff => "no endpoint is in reach of this VM",
             Self::KeyUnconfirmed => "the key can't be confirmed now",
             Self::OverLimit => "the workspace is over its limit",
             Self::LimitUnknown => "the workspace's limit can't be looked up now",
@@ -93,6 +97,27 @@
     res
 }
 
+/// Builds the answer to a request that may have run and has no answer.
+pub(crate) fn lost<P>(site: &Site<P>, id: &str, reason: &str) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    tracing::info!(id, reason, "no answer; the request may have run");
+    Metrics::count(&site.metrics.requests, "lost");
+    let text = "the endpoint gave no answer\n";
+    plain(site, StatusCode::BAD_GATEWAY, id, text)
+}
+
+/// Builds the answer to a request whose time has passed while it was sent.
+pub(crate) fn expired<P>(site: &Site<P>, id: &str, waited: Duration) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    tracing::info!(id, ms = millis(waited), "the request's time has passed");
+    Metrics::count(&site.metrics.requests, "expired");
+    plain(site, StatusCode::GATEWAY_TIMEOUT, id, "time has passed\n")
+}
+
 /// Builds a plain-text answer.
 pub(crate) fn plain<P>(
     site: &Site<P>,
--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -186,7 +186,7 @@
 where
     P: Protocol,
 {
-    let answer = move |_path: &str| {
+    let answer = move |_req| {
         let status = if site.is_ready() {
             StatusCode::OK
         } else {
@@ -194,7 +194,7 @@
         };
         let mut res = Response::new(Full::<Bytes>::default());
         *res.status_mut() = status;
-        res
+        std::future::ready(res)
     };
     small_server::serve(listener, "balancer", DEFAULT_IDLE_TIMEOUT, answer).await;
 }
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -1,27 +1,28 @@
 //! Dispatches one request: chooses endpoints, retries within the rule's limits, and answers the caller if no endpoint
 //! does.
 
-use crate::answer::{Outgoing, Reason, plain, refuse};
+use crate::answer::{Outgoing, Reason, expired, lost, refuse};
 use crate::answer_body::AnswerBody;
 use crate::assignment;
 use crate::attempt::{self, AttemptFailure, EndpointEvidence, LimitGrant, Target};
 use crate::crash_probe;
-use crate::edge::{Feed, ForwardMeta, Protocol, RequestMeta};
+use crate::edge::{Feed, ForwardMeta, HeaderPolicy, Protocol, RequestMeta};
 use crate::header_policy;
 use crate::keys::Authorization;
 use crate::limit_grant::{self, EndpointsAtLimit};
 use crate::logging::may_log;
 use crate::metrics::Metrics;
+use crate::pass_on::Passage;
 use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
 use crate::site::Site;
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Either, Full};
 use limehollow::balance::Choice;
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::fingerprint::{Fingerprint, OriginTag};
-use limehollow::id::EndpointKey;
+use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::job::Job;
 use limehollow::load::AttemptOutcome;
 use limehollow::quarantine::Standing;
@@ -85,6 +86,8 @@
     pub(crate) job: Job,
     pub(crate) arrived: Instant,
     pub(crate) expiry: Instant,
+    /// Whether the request may be passed on to another VM.
+    pub(crate) may_pass_on: bool,
     pub(crate) tried: Vec<EndpointKey>,
     pub(crate) reached: u32,
     pub(crate) unreached: u32,
@@ -104,10 +107,16 @@
     pub(crate) async fn run(mut self) -> Response<Outgoing<P>> {
         self.record_arrival();
         loop {
+            if self.may_be_passed_on() && self.site.is_cut_off() {
+                return self.pass_on().await;
+            }
             let chosen = match self.choose().await {
                 Ok(c) => c,
                 Err((reason, after)) => return self.give_up(reason, after),
             };
+            if self.may_be_passed_on() && self.is_out_of_reach(chosen.to.key) {
+                return self.pass_on().await;
+            }
             let failed = match self.attempt(&chosen).await {
                 Ok(res) => return res,
                 Err(f) => f,
@@ -119,6 +128,9 @@
             } else {
                 self.unreached += 1;
             }
+            if self.may_be_passed_on() && self.site.is_cut_off() {
+                continue;
+            }
             if !self.may_retry(&failed) {
                 let reason = match failed.evidence {
                     EndpointEvidence::KeyRevoked => Reason::KeyUnconfirmed,
@@ -133,6 +145,33 @@
         }
     }
 
+    fn may_be_passed_on(&self) -> bool {
+        self.may_pass_on && self.verdict == Verdict::NotRun && self.reached == 0
+    }
+
+    /// Returns `true` if this VM opens no connections and has none to an endpoint that could carry a request.
+    fn is_out_of_reach(&self, key: EndpointKey) -> bool {
+        let is_cut = self.site.view().own_reach.is_cut();
+        is_cut && (self.site.is_cut_off() || !self.site.pool.has(key))
+    }
+
+    /// Passes the request on to another VM, which acquires the tokens that it needs.
+    async fn pass_on(self) -> Response<Outgoing<P>> {
+        self.refund_tokens();
+        let passage = Passage {
+            site: self.site,
+            rule: self.rule,
+            service: &self.job.service,
+            id: &self.meta.id,
+            head: self.head,
+            body: self.body,
+            caller: self.caller,
+            arrived: self.arrived,
+            expiry: self.expiry,
+        };
+        passage.run().await
+    }
+
     fn record_arrival(&self) {
         let now = self.site.now();
         let mut view = self.site.view();
@@ -331,7 +370,7 @@
         running.begin_body(AnswerBody::new(&self.head.method, &head, streamed));
         if streamed {
             let relay = Relay::new(body, answer.connection, running, self.expiry);
-            return Ok(self.forward(head, Either::Right(relay)));
+            return Ok(self.forward(head, Either::Right(Either::Left(relay))));
         }
         running.record_first_result();
         let Ok(collected) = self
@@ -369,7 +408,7 @@
             ));
             let again =
                 self.rule.repeat == Repeat::Allowed && self.reached + 1 < self.rule.max_attempts;
-            if again && self.with_budget(RepeatWindow::has_budget) {
+            if again && with_budget(self.site, &self.job.service, RepeatWindow::has_budget) {
                 return Err(f);
             }
         } else {
@@ -384,6 +423,13 @@
         *req.method_mut() = self.head.method.clone();
         *req.uri_mut() = self.head.uri.clone();
         *req.headers_mut() = self.head.headers.clone();
+        let hides_keys = !self.catalog.workspaces.is_empty();
+        header_policy::clean(req.headers_mut(), |n| {
+            match self.site.protocol.request_header(n) {
+                HeaderPolicy::Credential if hides_keys => HeaderPolicy::Reserved,
+                p => p,
+            }
+        });
         let s = ForwardMeta {
             remaining: self.expiry.duration_since(now),
             instance: &c.to.instance.id,
@@ -442,25 +488,8 @@
         self.reached < self.rule.max_attempts && self.take_repeat()
     }
 
-    /// Takes a repeat from the service's budget. Returns `false` if the budget is used up.
     fn take_repeat(&self) -> bool {
-        let taken = self.with_budget(RepeatWindow::acquire);
-        if taken {
-            self.site.metrics.repeats.inc();
-        }
-        taken
-    }
-
-    /// Calls `f` with the service's budget for repeats and the values that it needs.
-    fn with_budget<F>(&self, f: F) -> bool
-    where
-        F: FnOnce(&mut RepeatWindow, Instant, RepeatAllowance, usize) -> bool,
-    {
-        let rules = self.site.settings.load().repeat_allowance();
-        let mut view = self.site.view();
-        let gateways = view.peers.known_vms();
-        let window = view.repeats.entry(self.job.service.clone()).or_default();
-        f(window, self.site.now(), rules, gateways)
+        take_repeat(self.site, &self.job.service)
     }
 
     fn forward(&self, mut head: http::response::Parts, body: Outgoing<P>) -> Response<Outgoing<P>> {
@@ -478,14 +507,7 @@
     }
 
     fn expired(&self) -> Response<Outgoing<P>> {
-        tracing::info!(id = %self.meta.id, ms = millis(self.waited()), "the request's time has passed");
-        Metrics::count(&self.site.metrics.requests, "expired");
-        plain(
-            self.site,
-            StatusCode::GATEWAY_TIMEOUT,
-            &self.meta.id,
-            "time has passed\n",
-        )
+        expired(self.site, &self.meta.id, self.waited())
     }
 
     /// Returns the final answer to a request that no endpoint has answered.
@@ -506,14 +528,7 @@
             }
             return refuse(self.site, &self.meta.id, reason, after);
         }
-        tracing::info!(id = %self.meta.id, reason = reason.as_str(), "no answer; the request may have run");
-        Metrics::count(&self.site.metrics.requests, "lost");
-        plain(
-            self.site,
-            StatusCode::BAD_GATEWAY,
-            &self.meta.id,
-            "the endpoint gave no answer\n",
-        )
+        lost(self.site, &self.meta.id, reason.as_str())
     }
 
     /// Refunds the tokens that the request acquired of its workspace's limit, if that was recent enough for the bound
@@ -563,9 +578,34 @@
     }
 }
 
+/// Takes a repeat from a service's budget. Returns `false` if the budget is used up.
+pub(crate) fn take_repeat<P>(site: &Site<P>, service: &ServiceName) -> bool
+where
+    P: Protocol,
+{
+    let taken = with_budget(site, service, RepeatWindow::acquire);
+    if taken {
+        site.metrics.repeats.inc();
+    }
+    taken
+}
+
+/// Calls `f` with a service's budget for repeats and the values that it needs.
+fn with_budget<P, F>(site: &Site<P>, service: &ServiceName, f: F) -> bool
+where
+    P: Protocol,
+    F: FnOnce(&mut RepeatWindow, Instant, RepeatAllowance, usize) -> bool,
+{
+    let rules = site.settings.load().repeat_allowance();
+    let mut view = site.view();
+    let gateways = view.peers.known_vms();
+    let window = view.repeats.entry(service.clone()).or_default();
+    f(window, site.now(), rules, gateways)
+}
+
 /// Adds jitter to the retry delay of one of many refused callers: if all came back at the moment at which there is
 /// capacity again, all but the first would be refused again.
-fn with_jitter(wait: Duration) -> Duration {
+pub(crate) fn with_jitter(wait: Duration) -> Duration {
     wait.max(MIN_RETRY_DELAY)
         .mul_f64(1.0 + rand::random_range(0.0..RETRY_JITTER))
 }
--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -58,6 +58,11 @@
             // Another VM of the zone may take this VM's place among the candidates.
             site.view().lease_failing = true;
         }
+        let yields = yields_to_others(&site, sent);
+        if yields && with_lease(&lease, |l| l.is_held()) {
+            tracing::warn!("this VM reaches no endpoint and resigns the lease");
+            resign(&site, &lease, sent);
+        }
         if with_lease(&lease, |l| l.has_lapsed(sent)) {
             holds_over_outage = failing && is_store_away(&site, sent);
             lapse(&site, &lease, sent, holds_over_outage);
@@ -69,7 +74,8 @@
         if holds_over_outage {
             publish_held(&site, &lease, sent);
         }
-        let should_apply = with_lease(&lease, |l| l.is_held()) || should_apply(&site, sent, joined);
+        let should_apply = !yields
+            && (with_lease(&lease, |l| l.is_held()) || should_apply(&site, sent, joined));
         if joined && (stopping || !should_apply) {
             if let Err(e) = store.leave(&member).await {
                 tracing::info!(error = %e, "failed to leave the group for the lease");
@@ -81,7 +87,8 @@
         }
         if !should_apply {
             failing = false;
-            site.view().lease_failing = false;
+            // Other VMs of the zone may take this VM's place among the candidates.
+            site.view().lease_failing = yields;
             pause(&site, sent, &mut stop).await;
             continue;
         }
@@ -104,6 +111,15 @@
     }
 }
 
+/// Returns `true` if this VM's orders would reach no endpoint, and those of another VM would.
+fn yields_to_others<P>(site: &Site<P>, now: Instant) -> bool
+where
+    P: Protocol,
+{
+    let view = site.view();
+    view.own_reach.is_cut() && !view.peers.reaching_endpoints(now).is_empty()
+}
+
 /// Returns `true` if this VM, which doesn't hold the lease, should apply for it. Once it has joined, it
 /// continues until another VM is known to hold the lease, since each change of the group may move the
 /// lease.
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -15,7 +15,7 @@
 //!   to other VMs.
 //! * [`endpoint_signals`] applies what endpoints signal about the load that they accept, and
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
-//! * `reach` tells whether this VM reaches endpoints at all.
+//! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
 //! * `answer_body` follows the body of an answer to its end.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
 //!   requests that crash endpoints to all VMs.
@@ -57,6 +57,7 @@
 pub mod operator;
 mod order_task;
 pub mod outbox;
+pub mod pass_on;
 pub mod peer_state;
 pub mod pool;
 pub mod quarantine_sync;
--- a/crates/limehollow-node/src/peer_state.rs
+++ b/crates/limehollow-node/src/peer_state.rs
@@ -1,15 +1,17 @@
-//! Handing what a VM has read from the platform's store to VMs that can't read the store.
+//! Handing what a VM has read from the platform's store to VMs that can't read the store, and serving other VMs.
 //!
 //! The store may reject some VMs and serve the others. A VM that can't read the store asks a VM that has
 //! read further.
 
 use crate::edge::{PeerStates, Protocol};
+use crate::pass_on::{self, PassedOn};
 use crate::site::Site;
 use crate::small_server;
 use crate::start;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
 use hyper_util::rt::TokioIo;
 use limehollow::crash_record::CrashRecord;
@@ -42,12 +44,20 @@
 /// How long a connection of another VM may be idle.
 const IDLE: Duration = Duration::from_secs(5);
 
-/// Hands this VM's state to others until the process ends.
+/// Hands this VM's state to others, and takes over their requests, until the process ends.
 pub async fn serve<P>(site: Arc<Site<P>>, listener: TcpListener)
 where
-    P: Protocol,
+    P: Protocol + Unpin,
 {
-    let answer = move |path: &str| answer(&site, path);
+    let answer = move |req: Request<Incoming>| {
+        let site = Arc::clone(&site);
+        async move {
+            match PassedOn::of(req.headers()) {
+                Some(p) => pass_on::take_over(site, p, req).await,
+                None => answer(&site, req.uri().path()).map(Either::Left),
+            }
+        }
+    };
     small_server::serve(listener, "another VM", IDLE, answer).await;
 }
 
--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -117,6 +117,19 @@
         None
     }
 
+    /// Returns `true` if there is an idle connection to an endpoint that is still usable.
+    #[must_use]
+    pub fn has(&self, key: EndpointKey) -> bool {
+        let now = self.clock.now();
+        let idle = self.lock();
+        let found = idle.get(&key).into_iter().flatten();
+        let is_usable = |i: &Idle| {
+            let fresh = now.duration_since(i.since) < i.connection.keep_alive;
+            fresh && i.connection.sender.is_ready()
+        };
+        found.into_iter().any(is_usable)
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
@@ -131,8 +144,8 @@
             return SilentSnafu.fail();
         };
         let stream = connected.context(IoSnafu)?;
-        set_options(&stream).context(IoSnafu)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(ResetOnDrop(stream)))
+        let stream = ResetOnDrop::new(stream).context(IoSnafu)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .context(HttpSnafu)?;
         tokio::spawn(async move {
@@ -200,7 +213,19 @@
 
 /// A stream that is reset when it is dropped, instead of being closed in order ([`set_options`] sets the linger time to
 /// zero): after a close the system would still send the bytes that it has buffered.
-struct ResetOnDrop(TcpStream);
+pub(crate) struct ResetOnDrop(TcpStream);
+
+impl ResetOnDrop {
+    /// Wraps a connection and sets its options.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of an option that can't be set.
+    pub(crate) fn new(stream: TcpStream) -> io::Result<Self> {
+        set_options(&stream)?;
+        Ok(Self(stream))
+    }
+}
 
 impl AsyncRead for ResetOnDrop {
     fn poll_read(
--- a/crates/limehollow-node/src/reach.rs
+++ b/crates/limehollow-node/src/reach.rs
@@ -4,7 +4,8 @@
 use crate::pool::{ConnectError, Connection, Pool};
 use crate::site::Site;
 use limehollow::id::{EndpointKey, ZoneName};
-use limehollow::own_reach::Reach;
+use limehollow::own_reach::Listed;
+use limehollow::roster::Roster;
 use rand::seq::SliceRandom;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 /// The pause between two rounds of probes while no endpoint is reached; it is jittered by half, so that VMs that were cut
 /// off together don't probe together.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
-/// The number of endpoints that are probed at once, each in another zone as far as possible.
+/// The number of endpoints that are probed at once while none is reached, each in another zone as far as possible.
 const PROBES: usize = 3;
 
 /// An endpoint to probe.
@@ -49,7 +50,8 @@
 where
     P: Protocol,
 {
-    if site.view().own_reach.record_success() {
+    let now = site.now();
+    if site.view().own_reach.record_success(now) {
         site.metrics.reaches_endpoints.set(1);
         tracing::info!("endpoints are in reach again");
         site.urgent_update.notify_one();
@@ -65,30 +67,28 @@
     let Some(zone) = view.roster.get(key).map(|e| e.zone.clone()) else {
         return;
     };
-    let before = view.own_reach.state(now);
-    let zones = zones(&view.roster).len();
-    let is_cut = view.own_reach.record_failure(now, key, &zone, zones);
-    let state = view.own_reach.state(now);
-    if is_cut {
+    let listed = listed(&view.roster);
+    if view.own_reach.record_failure(now, key, &zone, listed) {
         view.balance.forget_unreached();
-    }
-    drop(view);
-    if is_cut {
+        drop(view);
         site.metrics.reaches_endpoints.set(0);
         tracing::warn!(last = %e, "no endpoint is in reach of this VM");
         site.urgent_update.notify_one();
-    }
-    match (before, state) {
-        (Reach::Sound, Reach::Doubtful) => drop(tokio::spawn(probe_once(Arc::clone(site)))),
-        (_, Reach::None) if is_cut => drop(tokio::spawn(probe_until_reached(Arc::clone(site)))),
-        _ => {}
+        tokio::spawn(probe_until_reached(Arc::clone(site)));
+    } else if view.own_reach.begin_probes(now) {
+        drop(view);
+        tokio::spawn(probe(Arc::clone(site), listed.failures_needed()));
     }
 }
 
-/// Returns the zones that have endpoints that accept work.
-fn zones(roster: &limehollow::roster::Roster) -> BTreeSet<&ZoneName> {
+/// Counts the endpoints that accept work, and their zones.
+fn listed(roster: &Roster) -> Listed {
     let open = roster.iter().filter(|(k, _)| roster.takes_work(*k));
-    open.map(|(_, e)| &e.zone).collect()
+    let zones: Vec<&ZoneName> = open.map(|(_, e)| &e.zone).collect();
+    Listed {
+        endpoints: zones.len(),
+        zones: zones.into_iter().collect::<BTreeSet<_>>().len(),
+    }
 }
 
 async fn probe_until_reached<P>(site: Arc<Site<P>>)
@@ -97,17 +97,17 @@
 {
     while site.view().own_reach.is_cut() {
         sleep(PROBE_EVERY.mul_f64(rand::random_range(0.5..1.5))).await;
-        probe_once(Arc::clone(&site)).await;
+        probe(Arc::clone(&site), PROBES).await;
     }
 }
 
-/// Opens connections to some endpoints, and keeps those that are established for requests.
-async fn probe_once<P>(site: Arc<Site<P>>)
+/// Opens connections to this number of endpoints, and keeps those that are established for requests.
+async fn probe<P>(site: Arc<Site<P>>, endpoints: usize)
 where
     P: Protocol,
 {
     let mut probes = JoinSet::new();
-    for (key, address) in endpoints_to_probe(&site, None) {
+    for (key, address) in endpoints_to_probe(&site, None, endpoints) {
         let site = Arc::clone(&site);
         probes.spawn(async move {
             if let Ok(c) = open(&site, &site.pool, key, address).await {
@@ -124,7 +124,7 @@
 where
     P: Protocol,
 {
-    let others = endpoints_to_probe(site, Some(except));
+    let others = endpoints_to_probe(site, Some(except), PROBES);
     for (key, address) in &others {
         if let Ok(c) = open(site, &site.pool, *key, *address).await {
             site.pool.put_in_background(c, None);
@@ -136,7 +136,7 @@
 
 /// Returns some endpoints to probe, drawn at random: each in another zone as far as possible, and preferably some that
 /// haven't failed.
-fn endpoints_to_probe<P>(site: &Site<P>, except: Option<EndpointKey>) -> Vec<Probed>
+fn endpoints_to_probe<P>(site: &Site<P>, except: Option<EndpointKey>, most: usize) -> Vec<Probed>
 where
     P: Protocol,
 {
@@ -150,6 +150,6 @@
     all.sort_by_key(|(k, _)| view.own_reach.has_failed(*k));
     let mut zones = BTreeSet::new();
     let (first, more): (Vec<_>, Vec<_>) = all.into_iter().partition(|(_, e)| zones.insert(&e.zone));
-    let chosen = first.into_iter().chain(more).take(PROBES);
+    let chosen = first.into_iter().chain(more).take(most);
     chosen.map(|(k, e)| (k, e.address)).collect()
 }
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -28,6 +28,7 @@
 
 /// Why a streamed answer ends early. The caller's connection is closed, so that the answer doesn't look complete.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum RelayError {
     /// The connection to the endpoint failed.
     #[snafu(display("the endpoint broke off: {source}"))]
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -2,12 +2,12 @@
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
 use crate::dispatch::{DEFAULT_RETRY_DELAY, Dispatch};
-use crate::edge::{HeaderPolicy, Protocol, RequestMeta};
-use crate::header_policy;
+use crate::edge::{Protocol, RequestMeta};
 use crate::keys::{self, KeyError};
 use crate::limits::{self, TokenOutcome};
 use crate::logging::may_log;
 use crate::metrics::Metrics;
+use crate::pass_on::Passage;
 use crate::relay::millis;
 use crate::site::Site;
 use bytes::Bytes;
@@ -43,10 +43,14 @@
 where
     P: Protocol,
 {
-    let arrived = site.now();
+    let arrival = Arrival {
+        from,
+        at: site.now(),
+        is_taken_over: false,
+    };
     let (head, body) = req.into_parts();
     let is_stopping = site.is_stopping();
-    let mut res = answer(site, from, arrived, head, body).await;
+    let mut res = answer(site, arrival, head, body).await;
     if is_stopping {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
@@ -54,11 +58,40 @@
     Ok(res)
 }
 
-async fn answer<P>(
+/// Answers a request that another VM has passed on, which had arrived there at this time.
+pub(crate) async fn take_over<P>(
     site: Arc<Site<P>>,
     from: IpAddr,
-    arrived: Instant,
-    mut head: Parts,
+    at: Instant,
+    req: Request<Incoming>,
+) -> Response<Outgoing<P>>
+where
+    P: Protocol,
+{
+    let arrival = Arrival {
+        from,
+        at,
+        is_taken_over: true,
+    };
+    let (head, body) = req.into_parts();
+    answer(site, arrival, head, body).await
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    /// The caller.
+    from: IpAddr,
+    /// When it arrived at the VM to which the caller sent it.
+    at: Instant,
+    /// Whether another VM has passed it on.
+    is_taken_over: bool,
+}
+
+async fn answer<P>(
+    site: Arc<Site<P>>,
+    arrival: Arrival,
+    head: Parts,
     body: Incoming,
 ) -> Response<Outgoing<P>>
 where
@@ -103,39 +136,37 @@
         return refuse(&site, &meta.id, Reason::NoEndpoint, DEFAULT_RETRY_DELAY);
     };
     let time = meta.timeout.map_or(rule.timeout, |p| p.min(rule.timeout));
-    let expiry = arrived + time;
+    let expiry = arrival.at + time;
     let limit = catalog.limits.body_bytes;
     let body = match read_body(&site, &meta.id, body, limit, expiry).await {
         Ok(b) => b,
         Err(res) => return res,
     };
+    if !arrival.is_taken_over && site.is_cut_off() {
+        let passage = Passage {
+            site: &site,
+            rule,
+            service,
+            id: &meta.id,
+            head: &head,
+            body,
+            caller: arrival.from,
+            arrived: arrival.at,
+            expiry,
+        };
+        return passage.run().await;
+    }
     let workspace = authorization
         .as_ref()
         .and_then(|p| catalog.workspaces.get(&p.workspace));
     let tokens = workspace.map_or(0.0, |w| w.cost.of(meta.tokens()));
-    if let Some(w) = workspace {
-        match limits::acquire(&site, &Subject::from(&w.name), tokens).await {
-            TokenOutcome::Granted => {}
-            TokenOutcome::OverLimit(after) => return over_limit(&site, &meta.id, &w.name, after),
-            TokenOutcome::Unanswered => {
-                return refuse(
-                    &site,
-                    &meta.id,
-                    Reason::LimitUnknown,
-                    limits::COORDINATOR_TAKEOVER,
-                );
-            }
-        }
+    if let Some(w) = workspace
+        && let Err(res) = acquire_tokens(&site, &meta.id, w, tokens).await
+    {
+        return res;
     }
     let fingerprint = fingerprint(workspace, &meta, &head, &body);
-    let hides_keys = !catalog.workspaces.is_empty();
     let homes = [&rule.homes[..], workspace.map_or(&[], |w| &w.homes[..])];
-    header_policy::clean(&mut head.headers, |n| {
-        match site.protocol.request_header(n) {
-            HeaderPolicy::Credential if hides_keys => HeaderPolicy::Reserved,
-            p => p,
-        }
-    });
     let d = Dispatch {
         job: job(
             service,
@@ -152,10 +183,11 @@
         meta: &meta,
         head: &head,
         body,
-        caller: from,
+        caller: arrival.from,
         fingerprint,
-        arrived,
+        arrived: arrival.at,
         expiry,
+        may_pass_on: !arrival.is_taken_over,
         tried: Vec::new(),
         reached: 0,
         unreached: 0,
@@ -164,6 +196,32 @@
     d.run().await
 }
 
+/// Acquires the tokens of a workspace's limit that a request needs.
+///
+/// # Errors
+///
+/// Returns the answer to a request that doesn't get them.
+async fn acquire_tokens<P>(
+    site: &Site<P>,
+    id: &str,
+    w: &Workspace,
+    tokens: f64,
+) -> Result<(), Response<Outgoing<P>>>
+where
+    P: Protocol,
+{
+    match limits::acquire(site, &Subject::from(&w.name), tokens).await {
+        TokenOutcome::Granted => Ok(()),
+        TokenOutcome::OverLimit(after) => Err(over_limit(site, id, &w.name, after)),
+        TokenOutcome::Unanswered => Err(refuse(
+            site,
+            id,
+            Reason::LimitUnknown,
+            limits::COORDINATOR_TAKEOVER,
+        )),
+    }
+}
+
 /// Reads a request's whole body.
 ///
 /// # Errors
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -24,6 +24,9 @@
 /// some too.
 const CALLERS_SHARE: f64 = 0.6;
 
+/// The share of the descriptors that connections of other VMs for their requests may use.
+const TAKEN_OVER_SHARE: f64 = 0.1;
+
 /// Choices between different ways to decide.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -208,6 +211,18 @@
         most
     }
 
+    /// Returns the largest number of requests of other VMs that this VM handles at once.
+    #[must_use]
+    pub fn max_taken_over(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it is less than the descriptors"
+        )]
+        let most = (f64::from(self.descriptors) * TAKEN_OVER_SHARE) as usize;
+        most
+    }
+
     /// Returns the read intervals of a feed, or `None` if the age of its copy has no bound.
     #[must_use]
     pub fn pace(&self, feed: Feed) -> Option<ReadPace> {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -26,8 +26,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
 /// The state of one process.
@@ -74,6 +74,8 @@
     pub load_requested: Notify,
     /// Notified when there is a VM that the store doesn't list.
     pub vm_unlisted: Notify,
+    /// One permit for each request of another VM that this VM may take over in addition.
+    pub taken_over: Arc<Semaphore>,
     /// Pending queries to other VMs.
     pub queries: PendingQueries,
     /// Notified when the holder of the lease has resigned.
@@ -103,7 +105,6 @@
         Arc::new(Self {
             own_vm: VmName::from(settings.name.as_str()),
             zone,
-            settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
             protocol,
             pool: Pool::new(Arc::clone(&clock)),
@@ -117,6 +118,7 @@
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
             vm_unlisted: Notify::new(),
+            taken_over: Arc::new(Semaphore::new(settings.max_taken_over())),
             queries: PendingQueries::default(),
             lease_free: Notify::new(),
             capacity_freed: Notify::new(),
@@ -126,6 +128,7 @@
             list_changes_rx: Mutex::new(Some(list_changes_rx)),
             view: Mutex::new(view),
             stopping: AtomicBool::new(false),
+            settings: ArcSwap::from_pointee(settings),
         })
     }
 
@@ -209,6 +212,13 @@
         keys && !self.view().roster.is_empty()
     }
 
+    /// Returns `true` if this VM reaches no endpoint, not even on connections that are open.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let now = self.now();
+        let view = self.view();
+        view.own_reach.is_cut() && !view.own_reach.hears(now)
+    }
+
     /// Returns `true` if this VM's configuration is fresh enough for its keys to be accepted.
     pub fn keys_are_valid(&self) -> bool {
         let Some(bound) = self.settings.load().key_bound() else {
--- a/crates/limehollow-node/src/small_server.rs
+++ b/crates/limehollow-node/src/small_server.rs
@@ -1,13 +1,12 @@
-//! A minimal HTTP server whose answers depend only on the path; it serves readiness checks and this VM's state.
+//! A minimal HTTP server for the load balancer's readiness checks and for other VMs.
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -18,9 +17,17 @@
 
 /// Serves requests until the process ends. `who` names the clients in log lines; `idle` is the idle timeout of a
 /// connection.
-pub(crate) async fn serve<F>(listener: TcpListener, who: &'static str, idle: Duration, answer: F)
-where
-    F: Fn(&str) -> Response<Full<Bytes>> + Send + Sync + 'static,
+pub(crate) async fn serve<F, A, B>(
+    listener: TcpListener,
+    who: &'static str,
+    idle: Duration,
+    answer: F,
+) where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<B>> + Send,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let answer = Arc::new(answer);
     loop {
@@ -34,8 +41,12 @@
         };
         let answer = Arc::clone(&answer);
         tokio::spawn(async move {
+            if let Err(e) = stream.set_nodelay(true) {
+                tracing::debug!(who, error = %e, "can't set TCP_NODELAY");
+            }
             let service = service_fn(|req: Request<Incoming>| {
-                std::future::ready(Ok::<_, Infallible>(answer(req.uri().path())))
+                let answered = answer(req);
+                async { Ok::<_, Infallible>(answered.await) }
             });
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/limehollow-node/src/unresponsive.rs
+++ b/crates/limehollow-node/src/unresponsive.rs
@@ -15,6 +15,8 @@
     EndpointTokens,
     /// Asks for the endpoint of a request.
     Assignment,
+    /// Passes a request on.
+    Request,
 }
 
 /// The VMs that didn't answer a query, and until when they aren't queried.
--- a/crates/limehollow/src/own_reach.rs
+++ b/crates/limehollow/src/own_reach.rs
@@ -5,7 +5,7 @@
 //! (`docs/design/cut-off-vms.md`).
 //!
 //! ```
-//! use limehollow::own_reach::{OwnReach, Reach};
+//! use limehollow::own_reach::{Listed, OwnReach, Reach};
 //! use slotmap::SlotMap;
 //! use std::time::Duration;
 //! use tokio::time::Instant;
@@ -14,10 +14,10 @@
 //! let (mut reach, now) = (OwnReach::default(), Instant::now());
 //! let zones = ["a", "b", "a"].map(limehollow::id::ZoneName::from);
 //! for zone in &zones {
-//!     reach.record_failure(now, keys.insert(()), zone, 2);
+//!     reach.record_failure(now, keys.insert(()), zone, Listed { endpoints: 3, zones: 2 });
 //! }
 //! assert_eq!(reach.state(now), Reach::None);
-//! reach.record_success();
+//! reach.record_success(now);
 //! assert_eq!(reach.state(now), Reach::Sound);
 //! ```
 
@@ -26,13 +26,18 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The number of endpoints that can't be reached, without one that can, from which the VM is cut off. Two may have crashed
-/// at once.
+/// The bounds of the number of endpoints that can't be reached, without one that can, from which the VM is cut off; between
+/// them it is half of the endpoints. Two may have crashed at once, and on a large site hundreds.
 const MIN_FAILED: usize = 3;
+const MAX_FAILED: usize = 8;
+/// The time without a success until the VM can be cut off.
+const SUCCESS_LIFE: Duration = Duration::from_millis(300);
 /// The number of such endpoints from which it is in doubt whether they are at fault.
 const MIN_DOUBTFUL: usize = 2;
 /// How long a failure counts. A VM with little traffic opens a connection every few seconds.
 const FAILURE_LIFE: Duration = Duration::from_secs(2);
+/// The least time between two rounds of probes because of a doubt.
+const DOUBT_EVERY: Duration = Duration::from_secs(1);
 /// How long ago the last bytes of an endpoint may be for open connections to count as live: the longest usual pause of a
 /// stream.
 const HEARD_LIFE: Duration = Duration::from_millis(250);
@@ -48,13 +53,33 @@
     None,
 }
 
+/// The endpoints that accept work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Their number.
+    pub endpoints: usize,
+    /// The number of zones in which they are.
+    pub zones: usize,
+}
+
+impl Listed {
+    /// Returns the number of them that can't be reached from which the VM is cut off.
+    #[must_use]
+    pub fn failures_needed(self) -> usize {
+        (self.endpoints / 2).clamp(MIN_FAILED, MAX_FAILED)
+    }
+}
+
 /// The attempts of this VM to open connections to endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct OwnReach {
     /// The endpoints that couldn't be reached since the last success, with their zone and the time.
     failed: BTreeMap<EndpointKey, (ZoneName, Instant)>,
     is_cut: bool,
+    succeeded: Option<Instant>,
     heard: Option<Instant>,
+    /// When the last doubt was to be resolved by probes.
+    doubted: Option<Instant>,
 }
 
 /// Queries.
@@ -99,30 +124,42 @@
 
 /// Commands.
 impl OwnReach {
-    /// Records that no connection to an endpoint could be opened; `zones` is the number of zones that have endpoints.
-    /// Returns `true` if this newly shows that the VM is cut off.
+    /// Records that no connection to an endpoint could be opened. Returns `true` if this newly shows that the VM is cut off.
     pub fn record_failure(
         &mut self,
         now: Instant,
         key: EndpointKey,
         zone: &ZoneName,
-        zones: usize,
+        listed: Listed,
     ) -> bool {
         self.failed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < FAILURE_LIFE);
         self.failed.insert(key, (zone.clone(), now));
-        let failed: BTreeSet<&ZoneName> = self.recent(now).collect();
-        let was_cut = self.is_cut;
-        self.is_cut |= self.failed.len() >= MIN_FAILED && failed.len() >= zones;
-        self.is_cut && !was_cut
+        let zones: BTreeSet<&ZoneName> = self.recent(now).collect();
+        let recent = |t: Instant| now.saturating_duration_since(t) < SUCCESS_LIFE;
+        let is_cut = self.failed.len() >= listed.failures_needed()
+            && zones.len() >= listed.zones
+            && !self.succeeded.is_some_and(recent);
+        is_cut && !std::mem::replace(&mut self.is_cut, true)
     }
 
     /// Records that a connection to an endpoint was opened. Returns `true` if the VM was cut off before.
-    pub fn record_success(&mut self) -> bool {
+    pub fn record_success(&mut self, now: Instant) -> bool {
         self.failed.clear();
+        self.succeeded = Some(now);
         std::mem::take(&mut self.is_cut)
     }
 
+    /// Returns `true` if endpoints are to be probed now because it is in doubt whether any is reached.
+    pub fn begin_probes(&mut self, now: Instant) -> bool {
+        let recent = |t: Instant| now.saturating_duration_since(t) < DOUBT_EVERY;
+        if self.state(now) != Reach::Doubtful || self.doubted.is_some_and(recent) {
+            return false;
+        }
+        self.doubted = Some(now);
+        true
+    }
+
     /// Records that bytes of an endpoint arrived.
     pub fn record_heard(&mut self, now: Instant) {
         self.heard = Some(now);
--- a/crates/limehollow/tests/own_reach.rs
+++ b/crates/limehollow/tests/own_reach.rs
@@ -1,12 +1,16 @@
 //! Tests of how a VM tells that its own way to the endpoints is cut off.
 
 use limehollow::id::{EndpointKey, ZoneName};
-use limehollow::own_reach::{OwnReach, Reach};
+use limehollow::own_reach::{Listed, OwnReach, Reach};
 use slotmap::SlotMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
 const ZONES: usize = 3;
+const SMALL: Listed = Listed {
+    endpoints: 6,
+    zones: ZONES,
+};
 
 fn endpoints(n: usize) -> Vec<(EndpointKey, ZoneName)> {
     let mut keys = SlotMap::<EndpointKey, ()>::with_key();
@@ -15,7 +19,7 @@
 }
 
 fn fail(r: &mut OwnReach, now: Instant, (key, zone): &(EndpointKey, ZoneName)) -> bool {
-    r.record_failure(now, *key, zone, ZONES)
+    r.record_failure(now, *key, zone, SMALL)
 }
 
 #[test]
@@ -28,9 +32,9 @@
     assert!(fail(&mut r, now, &all[2]));
     assert_eq!(r.state(now), Reach::None);
     assert!(!fail(&mut r, now, &all[3]), "it is told once");
-    assert!(r.record_success());
+    assert!(r.record_success(now));
     assert_eq!(r.state(now), Reach::Sound);
-    assert!(!r.record_success());
+    assert!(!r.record_success(now));
 }
 
 #[test]
@@ -58,7 +62,7 @@
         for e in pair {
             assert!(!fail(&mut r, now, e));
         }
-        r.record_success();
+        r.record_success(now);
     }
     assert_eq!(r.state(now), Reach::Sound);
 }
@@ -81,3 +85,41 @@
     assert!(r.hears(now + Duration::from_millis(200)));
     assert!(!r.hears(now + Duration::from_millis(300)));
 }
+
+#[test]
+fn state_of_a_large_site_after_crashes_of_many() {
+    let (mut r, now, all) = (OwnReach::default(), Instant::now(), endpoints(300));
+    let listed = Listed {
+        endpoints: 300,
+        zones: ZONES,
+    };
+    for (key, zone) in &all[..7] {
+        assert!(!r.record_failure(now, *key, zone, listed));
+    }
+    let (key, zone) = &all[7];
+    assert!(r.record_failure(now, *key, zone, listed));
+}
+
+#[test]
+fn state_while_a_quarter_is_reached() {
+    let (mut r, mut now, all) = (OwnReach::default(), Instant::now(), endpoints(12));
+    for (i, e) in all.iter().cycle().take(1000).enumerate() {
+        now += Duration::from_millis(20);
+        if i % 4 == 0 {
+            r.record_success(now);
+        } else {
+            assert!(!fail(&mut r, now, e));
+        }
+    }
+}
+
+#[test]
+fn probes_begin_once_a_second_while_in_doubt() {
+    let (mut r, now, all) = (OwnReach::default(), Instant::now(), endpoints(6));
+    fail(&mut r, now, &all[0]);
+    assert!(!r.begin_probes(now));
+    fail(&mut r, now, &all[1]);
+    assert!(r.begin_probes(now));
+    assert!(!r.begin_probes(now + Duration::from_millis(900)));
+    assert!(r.begin_probes(now + Duration::from_millis(1100)));
+}
