Passing on: a short cut keeps what was held against endpoints, and tests of what callers get

Cause: each time a VM that lost 11 of 15 endpoints took itself for cut off it forgot which of them had failed, and tried them again. Now that is forgotten when a cut ends that lasted 600 ms or more; a shorter one may have been the endpoints' fault. Ruled out: the ejections matter while the VM is cut off (its requests go elsewhere then).

Tests over sockets: refused at once where no VM reaches an endpoint; endpoints in use again a second after a cut; a stream that is passed on arrives as it comes, and ends at its endpoint within 400 ms of its caller; what breaks off at the VM that took it over gets 502, not "not run"; the lease is resigned to a VM that reaches endpoints, and kept where none does.

--- a/crates/limehollow-node/src/lease.rs
+++ b/crates/limehollow-node/src/lease.rs
@@ -74,8 +74,8 @@
         if holds_over_outage {
             publish_held(&site, &lease, sent);
         }
-        let should_apply = !yields
-            && (with_lease(&lease, |l| l.is_held()) || should_apply(&site, sent, joined));
+        let should_apply =
+            !yields && (with_lease(&lease, |l| l.is_held()) || should_apply(&site, sent, joined));
         if joined && (stopping || !should_apply) {
             if let Err(e) = store.leave(&member).await {
                 tracing::info!(error = %e, "failed to leave the group for the lease");
--- a/crates/limehollow-node/src/reach.rs
+++ b/crates/limehollow-node/src/reach.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::Protocol;
 use crate::pool::{ConnectError, Connection, Pool};
+use crate::relay::millis;
 use crate::site::Site;
 use limehollow::id::{EndpointKey, ZoneName};
 use limehollow::own_reach::Listed;
@@ -17,6 +18,9 @@
 /// The pause between two rounds of probes while no endpoint is reached; it is jittered by half, so that VMs that were cut
 /// off together don't probe together.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
+/// How long a VM has to be cut off until it holds no failure to reach them against endpoints: longer than two rounds of
+/// probes. If one is reached sooner, the others may well be at fault.
+const BLAMELESS_AFTER: Duration = Duration::from_millis(600);
 /// The number of endpoints that are probed at once while none is reached, each in another zone as far as possible.
 const PROBES: usize = 3;
 
@@ -51,11 +55,17 @@
     P: Protocol,
 {
     let now = site.now();
-    if site.view().own_reach.record_success(now) {
-        site.metrics.reaches_endpoints.set(1);
-        tracing::info!("endpoints are in reach again");
-        site.urgent_update.notify_one();
+    let mut view = site.view();
+    let Some(lasted) = view.own_reach.record_success(now) else {
+        return;
+    };
+    if lasted >= BLAMELESS_AFTER {
+        view.balance.forget_unreached();
     }
+    drop(view);
+    site.metrics.reaches_endpoints.set(1);
+    tracing::info!(lasted_ms = millis(lasted), "endpoints are in reach again");
+    site.urgent_update.notify_one();
 }
 
 fn record_failure<P>(site: &Arc<Site<P>>, key: EndpointKey, e: &ConnectError)
@@ -69,7 +79,6 @@
     };
     let listed = listed(&view.roster);
     if view.own_reach.record_failure(now, key, &zone, listed) {
-        view.balance.forget_unreached();
         drop(view);
         site.metrics.reaches_endpoints.set(0);
         tracing::warn!(last = %e, "no endpoint is in reach of this VM");
--- a/crates/limehollow-node/tests/lease_over_outage.rs
+++ b/crates/limehollow-node/tests/lease_over_outage.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use limehollow::group_lease::GroupLease;
+use limehollow::own_reach::Listed;
 use limehollow_node::lease::{SharedLease, fence, maintain_lease};
 use rig::fleet::{Fleet, Treats};
 use std::sync::{Arc, Mutex};
@@ -55,3 +56,44 @@
         assert!(time >= BETWEEN, "{time:?} with {vms} VMs");
     }
 }
+
+/// Makes a VM believe that it reaches no endpoint.
+fn cut_off(fleet: &Fleet, vm: usize) {
+    let mut view = fleet.vms[vm].site.view();
+    let all: Vec<_> = view
+        .roster
+        .iter()
+        .map(|(k, e)| (k, e.zone.clone()))
+        .collect();
+    let listed = Listed {
+        endpoints: all.len(),
+        zones: 1,
+    };
+    for (key, zone) in all {
+        view.own_reach
+            .record_failure(Instant::now(), key, &zone, listed);
+    }
+    assert!(view.own_reach.is_cut());
+}
+
+#[tokio::test(start_paused = true)]
+async fn lease_of_a_vm_that_reaches_no_endpoint_is_resigned_to_one_that_does() {
+    for (others_reach, expected) in [(true, None), (false, Some(1))] {
+        let fleet = Fleet::start(1, 3, 3000, 3).await;
+        let vm = &fleet.vms[0];
+        let lease: SharedLease = Arc::new(Mutex::new(GroupLease::new(BETWEEN)));
+        let (_stop, stopped) = watch::channel(false);
+        let (site, link) = (Arc::clone(&vm.site), vm.link.clone());
+        let task = tokio::spawn(maintain_lease(site, link, Arc::clone(&lease), stopped));
+        sleep(Duration::from_secs(8)).await;
+        assert_eq!(fence(&vm.site, &lease), Some(1));
+        cut_off(&fleet, 0);
+        if !others_reach {
+            cut_off(&fleet, 1);
+            cut_off(&fleet, 2);
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(fence(&vm.site, &lease), expected);
+        task.abort();
+    }
+}
--- a/crates/limehollow-node/tests/no_endpoint_in_reach.rs
+++ b/crates/limehollow-node/tests/no_endpoint_in_reach.rs
@@ -5,8 +5,12 @@
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::retry::Repeat;
 use rig::reach::{Site3, Way, whole};
-use rig::{Does, rule, status};
+use rig::{Does, request, rule, status};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
 
 /// The time in which a VM has to notice that it reaches no endpoint: a third of what the requirements allow.
 const NOTICED_WITHIN: Duration = Duration::from_millis(1000);
@@ -22,7 +26,7 @@
         for vm in 0..3 {
             site.set_way(vm, way).await;
         }
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
         while began.elapsed() < NOTICED_WITHIN {
             for vm in 0..3 {
                 site.ask(vm, "early").await;
@@ -49,7 +53,7 @@
     for _ in 0..10 {
         site.ask(0, "1").await;
     }
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    sleep(Duration::from_millis(300)).await;
     let request = Fingerprint::of(&Identity {
         caller: "",
         method: "POST",
@@ -60,3 +64,99 @@
     let vm = &site.vms[0].site;
     assert!(vm.view().quarantine.record(vm.now(), request).is_none());
 }
+
+/// Sends requests to a VM until it knows that it reaches no endpoint.
+async fn notice(site: &Site3, vm: usize) {
+    let began = Instant::now();
+    while !site.vms[vm].site.view().own_reach.is_cut() {
+        assert!(began.elapsed() < 3 * NOTICED_WITHIN, "vm {vm}");
+        site.ask(vm, "early").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_where_no_vm_reaches_an_endpoint() {
+    let site = Site3::start(24, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
+    for vm in 0..3 {
+        site.set_way(vm, Way::Hangs).await;
+    }
+    for vm in 0..3 {
+        notice(&site, vm).await;
+    }
+    // The last of them has told the others.
+    sleep(Duration::from_millis(500)).await;
+    for vm in 0..3 {
+        for (got, took) in site.ask_times(vm, 5, PAUSE).await {
+            assert_eq!(status(&got), 503, "vm {vm}: {got}");
+            assert!(got.contains("retry-after: 0."), "vm {vm}: {got}");
+            assert!(took < Duration::from_millis(100), "vm {vm}: {took:?}");
+        }
+    }
+    assert_eq!(site.arrivals(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_uses_endpoints_again_after_a_cut() {
+    let site = Site3::start(25, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
+    site.set_way(0, Way::Hangs).await;
+    notice(&site, 0).await;
+    sleep(Duration::from_secs(1)).await;
+    site.set_way(0, Way::Open).await;
+    sleep(NOTICED_WITHIN).await;
+    let vm = &site.vms[0].site;
+    assert!(!vm.view().own_reach.is_cut());
+    let keys: Vec<_> = vm.view().roster.iter().map(|(k, _)| k).collect();
+    let ejected = |k| vm.view().balance.is_ejected(vm.now(), k);
+    assert!(!keys.into_iter().any(ejected), "it blames endpoints");
+    let (got, _) = site.ask(0, "late").await;
+    assert_eq!(status(&got), 200, "{got}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_is_passed_on_arrives_as_it_comes_and_ends_with_its_caller() {
+    let head = "HTTP/1.1 200 x\r\nx-mark: m\r\ncontent-type: text/event-stream\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    let event = format!("{head}9\r\ndata: a\n\n\r\n");
+    let mut r = rule("/a/", Repeat::Never, 1);
+    r.stream = true;
+    r.timeout = Duration::from_secs(20);
+    let does = [Does::WritesAndWaits(event.into_bytes())];
+    let site = Site3::start(26, r, 3, 3, &does).await;
+    site.set_way(0, Way::Refuses).await;
+    notice(&site, 0).await;
+    let mut c = TcpStream::connect(site.vms[0].address)
+        .await
+        .expect("it accepts");
+    c.write_all(request("/a/x", "1", "", "").as_bytes())
+        .await
+        .expect("it is written");
+    let mut got = String::new();
+    while !got.contains("data: a") {
+        let mut buf = [0; 4096];
+        let read = timeout(Duration::from_secs(2), c.read(&mut buf)).await;
+        let n = read.expect("the event comes").expect("it is read");
+        assert!(n > 0, "{got}");
+        got.push_str(&String::from_utf8_lossy(&buf[..n]));
+    }
+    let left = || -> usize {
+        let all = site.endpoints.iter();
+        all.map(|e| e.left.load(Ordering::Relaxed)).sum()
+    };
+    let before = left();
+    drop(c);
+    let began = Instant::now();
+    while left() == before {
+        assert!(began.elapsed() < Duration::from_millis(400), "it runs on");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_breaks_off_at_the_vm_that_took_it_over_is_not_called_unrun() {
+    let site = Site3::start(27, rule("/a/", Repeat::Never, 1), 3, 3, &[Does::Closes]).await;
+    site.set_way(0, Way::Refuses).await;
+    notice(&site, 0).await;
+    let before = site.arrivals();
+    let (got, _) = site.ask(0, "1").await;
+    assert_eq!((status(&got), site.arrivals()), (502, before + 1), "{got}");
+}
--- a/crates/limehollow/src/own_reach.rs
+++ b/crates/limehollow/src/own_reach.rs
@@ -75,7 +75,8 @@
 pub struct OwnReach {
     /// The endpoints that couldn't be reached since the last success, with their zone and the time.
     failed: BTreeMap<EndpointKey, (ZoneName, Instant)>,
-    is_cut: bool,
+    /// Since when the VM has been cut off.
+    cut_since: Option<Instant>,
     succeeded: Option<Instant>,
     heard: Option<Instant>,
     /// When the last doubt was to be resolved by probes.
@@ -87,7 +88,7 @@
     /// Returns the state of the way to the endpoints.
     #[must_use]
     pub fn state(&self, now: Instant) -> Reach {
-        if self.is_cut {
+        if self.is_cut() {
             Reach::None
         } else if self.recent(now).count() >= MIN_DOUBTFUL {
             Reach::Doubtful
@@ -99,7 +100,7 @@
     /// Returns `true` if this VM opens no connection to any endpoint.
     #[must_use]
     pub fn is_cut(&self) -> bool {
-        self.is_cut
+        self.cut_since.is_some()
     }
 
     /// Returns `true` if connections that are already open carry answers.
@@ -140,14 +141,19 @@
         let is_cut = self.failed.len() >= listed.failures_needed()
             && zones.len() >= listed.zones
             && !self.succeeded.is_some_and(recent);
-        is_cut && !std::mem::replace(&mut self.is_cut, true)
+        let is_new = is_cut && self.cut_since.is_none();
+        if is_new {
+            self.cut_since = Some(now);
+        }
+        is_new
     }
 
-    /// Records that a connection to an endpoint was opened. Returns `true` if the VM was cut off before.
-    pub fn record_success(&mut self, now: Instant) -> bool {
+    /// Records that a connection to an endpoint was opened. Returns for how long the VM was cut off, if it was.
+    pub fn record_success(&mut self, now: Instant) -> Option<Duration> {
         self.failed.clear();
         self.succeeded = Some(now);
-        std::mem::take(&mut self.is_cut)
+        let since = self.cut_since.take()?;
+        Some(now.saturating_duration_since(since))
     }
 
     /// Returns `true` if endpoints are to be probed now because it is in doubt whether any is reached.
--- a/crates/limehollow/tests/own_reach.rs
+++ b/crates/limehollow/tests/own_reach.rs
@@ -32,9 +32,9 @@
     assert!(fail(&mut r, now, &all[2]));
     assert_eq!(r.state(now), Reach::None);
     assert!(!fail(&mut r, now, &all[3]), "it is told once");
-    assert!(r.record_success(now));
+    assert_eq!(r.record_success(now), Some(Duration::ZERO));
     assert_eq!(r.state(now), Reach::Sound);
-    assert!(!r.record_success(now));
+    assert_eq!(r.record_success(now), None);
 }
 
 #[test]
