A VM that stops waits for the requests that it has taken over

Cause: the drain counted callers' connections only, so a request that another VM had passed on broke off when its second VM was replaced. Found by reading. Test: stop_waits_for_requests_that_were_taken_over. The test rig's site gets a name that says what it is.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -79,6 +79,9 @@
     let _nobody = closing_tx.send(true);
     let end = site.now() + grace.saturating_sub(accept_after_stop + CUT_MARGIN);
     while let Ok(Some(_ended)) = site.clock.timeout_at(end, connections.join_next()).await {}
+    let taken_over = site.end_taking_over();
+    // After the end of the grace period what is left breaks off with the process.
+    let _served = site.clock.timeout_at(end, taken_over).await;
     tracing::info!(left = connections.len(), "callers served");
 }
 
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -213,13 +213,13 @@
 
     /// Returns the largest number of requests of other VMs that this VM handles at once.
     #[must_use]
-    pub fn max_taken_over(&self) -> usize {
+    pub fn max_taken_over(&self) -> u32 {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "it is less than the descriptors"
         )]
-        let most = (f64::from(self.descriptors) * TAKEN_OVER_SHARE) as usize;
+        let most = (f64::from(self.descriptors) * TAKEN_OVER_SHARE) as u32;
         most
     }
 
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -76,6 +76,7 @@
     pub vm_unlisted: Notify,
     /// One permit for each request of another VM that this VM may take over in addition.
     pub taken_over: Arc<Semaphore>,
+    max_taken_over: u32,
     /// Pending queries to other VMs.
     pub queries: PendingQueries,
     /// Notified when the holder of the lease has resigned.
@@ -118,7 +119,8 @@
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
             vm_unlisted: Notify::new(),
-            taken_over: Arc::new(Semaphore::new(settings.max_taken_over())),
+            taken_over: Arc::new(Semaphore::new(settings.max_taken_over() as usize)),
+            max_taken_over: settings.max_taken_over(),
             queries: PendingQueries::default(),
             lease_free: Notify::new(),
             capacity_freed: Notify::new(),
@@ -212,6 +214,12 @@
         keys && !self.view().roster.is_empty()
     }
 
+    /// Takes no more requests over, and waits until those that were taken over have ended.
+    pub(crate) async fn end_taking_over(&self) {
+        // The semaphore is never closed.
+        let _all = self.taken_over.acquire_many(self.max_taken_over).await;
+    }
+
     /// Returns `true` if this VM reaches no endpoint, not even on connections that are open.
     pub(crate) fn is_cut_off(&self) -> bool {
         let now = self.now();
--- a/crates/limehollow-node/tests/no_endpoint_in_reach.rs
+++ b/crates/limehollow-node/tests/no_endpoint_in_reach.rs
@@ -4,12 +4,16 @@
 
 use limehollow::fingerprint::{Fingerprint, Identity};
 use limehollow::retry::Repeat;
-use rig::reach::{Site3, Way, whole};
-use rig::{Does, request, rule, status};
+use limehollow_node::caller;
+use limehollow_node::site::Site;
+use rig::reach::{CutOffSite, Way, whole};
+use rig::{Does, Plain, request, rule, settings, status};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 /// The time in which a VM has to notice that it reaches no endpoint: a third of what the requirements allow.
@@ -21,7 +25,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_vms_that_reach_no_endpoint_are_served() {
     for (net, way) in [(21, Way::Hangs), (22, Way::Refuses)] {
-        let site = Site3::start(net, rule("/a/", Repeat::Never, 1), 3, 6, &[whole("done")]).await;
+        let site =
+            CutOffSite::start(net, rule("/a/", Repeat::Never, 1), 3, 6, &[whole("done")]).await;
         // In each zone one VM of two.
         for vm in 0..3 {
             site.set_way(vm, way).await;
@@ -44,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_of_a_vm_that_is_cut_off_are_not_suspected_of_crashes() {
     let does = [whole("done"), Does::Closes];
-    let site = Site3::start(23, rule("/a/", Repeat::Never, 1), 3, 1, &does).await;
+    let site = CutOffSite::start(23, rule("/a/", Repeat::Never, 1), 3, 1, &does).await;
     while site.arrivals() < site.endpoints.len() {
         site.ask(0, "1").await;
     }
@@ -66,7 +71,7 @@
 }
 
 /// Sends requests to a VM until it knows that it reaches no endpoint.
-async fn notice(site: &Site3, vm: usize) {
+async fn notice(site: &CutOffSite, vm: usize) {
     let began = Instant::now();
     while !site.vms[vm].site.view().own_reach.is_cut() {
         assert!(began.elapsed() < 3 * NOTICED_WITHIN, "vm {vm}");
@@ -76,7 +81,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_where_no_vm_reaches_an_endpoint() {
-    let site = Site3::start(24, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
+    let site = CutOffSite::start(24, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
     for vm in 0..3 {
         site.set_way(vm, Way::Hangs).await;
     }
@@ -97,7 +102,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn vm_uses_endpoints_again_after_a_cut() {
-    let site = Site3::start(25, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
+    let site = CutOffSite::start(25, rule("/a/", Repeat::Never, 1), 3, 3, &[whole("done")]).await;
     site.set_way(0, Way::Hangs).await;
     notice(&site, 0).await;
     sleep(Duration::from_secs(1)).await;
@@ -121,7 +126,7 @@
     r.stream = true;
     r.timeout = Duration::from_secs(20);
     let does = [Does::WritesAndWaits(event.into_bytes())];
-    let site = Site3::start(26, r, 3, 3, &does).await;
+    let site = CutOffSite::start(26, r, 3, 3, &does).await;
     site.set_way(0, Way::Refuses).await;
     notice(&site, 0).await;
     let mut c = TcpStream::connect(site.vms[0].address)
@@ -153,10 +158,29 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_breaks_off_at_the_vm_that_took_it_over_is_not_called_unrun() {
-    let site = Site3::start(27, rule("/a/", Repeat::Never, 1), 3, 3, &[Does::Closes]).await;
+    let site = CutOffSite::start(27, rule("/a/", Repeat::Never, 1), 3, 3, &[Does::Closes]).await;
     site.set_way(0, Way::Refuses).await;
     notice(&site, 0).await;
     let before = site.arrivals();
     let (got, _) = site.ask(0, "1").await;
     assert_eq!((status(&got), site.arrivals()), (502, before + 1), "{got}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_requests_that_were_taken_over() {
+    let site = Site::new(settings(), Plain);
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let (stop, stopped) = watch::channel(false);
+    let serving = tokio::spawn(caller::serve(Arc::clone(&site), listener, stopped));
+    let permit = Arc::clone(&site.taken_over).try_acquire_owned();
+    let permit = permit.expect("none is taken over yet");
+    stop.send(true).expect("it is served");
+    // The listener stays open for 2.8 s.
+    sleep(Duration::from_millis(3300)).await;
+    assert!(!serving.is_finished());
+    drop(permit);
+    let ended = timeout(Duration::from_secs(1), serving).await;
+    assert!(ended.is_ok(), "it waits on");
+}
--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -34,14 +34,14 @@
 
 /// VMs of several zones, with two endpoints in each zone.
 #[derive(Debug)]
-pub struct Site3 {
+pub struct CutOffSite {
     pub vms: Vec<Gateway>,
     pub endpoints: Vec<Server>,
     /// The ways from each VM to each endpoint.
     ways: Vec<Vec<Path>>,
 }
 
-impl Site3 {
+impl CutOffSite {
     /// Starts VMs with addresses in 127.`net` and endpoints with these answers, in turn over the zones.
     pub async fn start(net: u8, rule: Rule, zones: usize, vms: usize, does: &[Does]) -> Self {
         let mut site = Self {
