--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -250,3 +250,55 @@
     );
     assert!(!p.receive(now, "vm-3", second, 3));
 }
+
+/// Returns the peers of vm-2 with messages of vm-1 and vm-3 and a summary of the other zone.
+fn heard(now: Instant) -> Peers {
+    let mut p = peers();
+    p.receive(now, "vm-1", START, 1);
+    p.receive(now, "vm-3", START, 1);
+    p.receive_zone(now, "b".into(), "vm-4".into(), 3);
+    p
+}
+
+#[tokio::test(start_paused = true)]
+async fn reaching_endpoints_prefers_the_own_zone() {
+    let now = Instant::now();
+    let mut p = heard(now);
+    assert_eq!(p.reaching_endpoints(now), [address(1), address(3)]);
+    p.set_reaches_endpoints("vm-1", false);
+    assert_eq!(p.reaching_endpoints(now), [address(3)]);
+    assert_eq!(p.cut_off_in_zone(now).collect::<Vec<_>>(), ["vm-1"]);
+    p.set_reaches_endpoints("vm-3", false);
+    let elsewhere = [address(4), address(5), address(6)];
+    assert_eq!(p.reaching_endpoints(now), elsewhere);
+    p.set_cut_off_in_zone(&"b".into(), &["vm-5".into()]);
+    assert_eq!(p.reaching_endpoints(now), [address(4), address(6)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn reaching_endpoints_leaves_out_silent_vms_and_zones() {
+    let then = Instant::now();
+    let mut p = heard(then);
+    advance(PEER_TIMEOUT).await;
+    let now = Instant::now();
+    p.receive(now, "vm-3", START, 2);
+    assert_eq!(p.reaching_endpoints(now), [address(3)]);
+    advance(Duration::from_secs(2)).await;
+    assert!(p.reaching_endpoints(Instant::now()).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn reaching_endpoints_spreads_over_zones_where_few_are_left() {
+    let now = Instant::now();
+    let mut p = heard(now);
+    for i in 10..100_u16 {
+        let name = format_smolstr!("vm-{i}");
+        p.upsert(name.clone(), "a".into(), address(i), 250);
+        p.receive(now, &name, START, 1);
+        p.set_reaches_endpoints(&name, i >= 80);
+    }
+    let all = p.reaching_endpoints(now);
+    let here = all.iter().filter(|a| (80..100).contains(&a.port()));
+    assert_eq!(here.count(), 20);
+    assert!(all.contains(&address(4)), "22 of 93 would get too much");
+}
