--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -14,6 +14,9 @@
 use crate::metrics::Metrics;
 use crate::pass_on::Passage;
 use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
+use crate::retry_delay::{
+    ADAPTER_RETRY, DEFAULT_RETRY_DELAY, MIN_RETRY_DELAY, until_less_busy, until_loaded, with_jitter,
+};
 use crate::site::Site;
 use bytes::Bytes;
 use http::request::Parts;
@@ -45,27 +48,8 @@
 const WAIT_SHARE: f64 = 0.2;
 /// How often a request that waits for an overloaded endpoint checks again, in addition to each notification.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// The share of the objective that is left for a caller's second try.
-const SECOND_TRY_SHARE: f64 = 0.6;
 /// The maximum number of endpoints that are tried if no connection can be opened.
 const MAX_UNREACHED: u32 = 4;
-/// The shortest retry delay that a refusal states.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The retry delay of a refusal for which there is no estimate.
-pub(crate) const DEFAULT_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// The longest retry delay that is derived from the expected time of the first result.
-const MAX_BUSY_RETRY_DELAY: Duration = Duration::from_secs(5);
-/// The jitter of a retry delay that many callers get at the same time, as a share of the delay.
-const RETRY_JITTER: f64 = 0.25;
-/// The retry delay for a model of which an endpoint has a local copy: it covers the order, the unloads that make room,
-/// and the load.
-const LOCAL_COPY_RETRY: Duration = Duration::from_millis(2500);
-/// The time around a load from the weight store: the demand is reported, the order sent, and the result announced.
-const LOAD_OVERHEAD: Duration = Duration::from_millis(1000);
-/// The retry delay for an adapter: it loads within milliseconds, and up to a second if it waits behind an order on a
-/// model.
-const ADAPTER_RETRY: Duration = Duration::from_millis(500);
-
 /// A request that is being dispatched to endpoints.
 pub(crate) struct Dispatch<'a, P>
 where
@@ -216,12 +200,16 @@
                     }
                     continue;
                 }
-                Choice::Overloaded(expected_ms) => {
-                    (Reason::Busy, self.busy_retry_delay(expected_ms))
-                }
+                Choice::Overloaded(expected_ms) => (
+                    Reason::Busy,
+                    until_less_busy(expected_ms, self.objective_ms()),
+                ),
                 Choice::BackingOff(wait) => (Reason::AtLimit, wait),
                 Choice::NoEndpoint => (Reason::NoEndpoint, DEFAULT_RETRY_DELAY),
-                Choice::NoModel => (Reason::NoModel, self.model_retry_delay()),
+                Choice::NoModel => (
+                    Reason::NoModel,
+                    until_loaded(self.site, self.catalog, &self.job),
+                ),
                 Choice::NoAdapter => (Reason::NoAdapter, ADAPTER_RETRY),
             };
             // An endpoint that holds what the request needs is at its limit.
@@ -284,30 +272,6 @@
         }
     }
 
-    /// Returns the retry delay for a model that no endpoint holds: the time to load it, from a local copy if an
-    /// endpoint has one, otherwise from the weight store.
-    fn model_retry_delay(&self) -> Duration {
-        let Some(model) = &self.job.model else {
-            return DEFAULT_RETRY_DELAY;
-        };
-        let view = self.site.view();
-        let mut open = view.roster.open(&self.job.service);
-        if open.any(|(_, e)| e.copies.contains(&model.model)) {
-            return LOCAL_COPY_RETRY;
-        }
-        let engine = self.catalog.engine(&self.job.service);
-        let spec = engine.and_then(|e| e.models.get(&model.model));
-        spec.map_or(DEFAULT_RETRY_DELAY, |s| s.cold_load + LOAD_OVERHEAD)
-    }
-
-    /// Returns the retry delay for a request that is refused because its first result would take too long.
-    fn busy_retry_delay(&self, expected_ms: f64) -> Duration {
-        let objective = self.objective_ms();
-        let excess =
-            Duration::from_secs_f64((expected_ms - objective * SECOND_TRY_SHARE).max(0.0) / 1000.0);
-        excess.clamp(MIN_RETRY_DELAY, MAX_BUSY_RETRY_DELAY)
-    }
-
     fn objective_ms(&self) -> f64 {
         let objective = self.catalog.shortest_objective(&self.job.service);
         objective.unwrap_or(self.rule.objective).as_secs_f64() * 1000.0
@@ -315,7 +279,10 @@
 
     fn admit(&self, key: EndpointKey, expected_ms: f64) -> Result<Chosen, (Reason, Duration)> {
         if expected_ms > self.objective_ms() * MAX_EXPECTED_OBJECTIVES {
-            return Err((Reason::Busy, self.busy_retry_delay(expected_ms)));
+            return Err((
+                Reason::Busy,
+                until_less_busy(expected_ms, self.objective_ms()),
+            ));
         }
         let view = self.site.view();
         let e = view
@@ -602,10 +569,3 @@
     let window = view.repeats.entry(service.clone()).or_default();
     f(window, site.now(), rules, gateways)
 }
-
-/// Adds jitter to the retry delay of one of many refused callers: if all came back at the moment at which there is
-/// capacity again, all but the first would be refused again.
-pub(crate) fn with_jitter(wait: Duration) -> Duration {
-    wait.max(MIN_RETRY_DELAY)
-        .mul_f64(1.0 + rand::random_range(0.0..RETRY_JITTER))
-}
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -15,6 +15,7 @@
 //!   to other VMs.
 //! * [`endpoint_signals`] applies what endpoints signal about the load that they accept, and
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
+//! * `retry_delay` says when the caller of a refused request is told to come back.
 //! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
 //! * `answer_body` follows the body of an answer to its end.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
@@ -66,6 +67,7 @@
 mod receiver;
 pub mod relay;
 pub mod request;
+mod retry_delay;
 pub mod run;
 mod sender;
 pub mod settings;
--- a/crates/limehollow-node/src/pass_on.rs
+++ b/crates/limehollow-node/src/pass_on.rs
@@ -4,7 +4,7 @@
 //! the endpoint and retries. It doesn't pass it on again (`docs/design/cut-off-vms.md`).
 
 use crate::answer::{Outgoing, Reason, expired, lost, refuse};
-use crate::dispatch::{take_repeat, with_jitter};
+use crate::dispatch::take_repeat;
 use crate::edge::{HeaderPolicy, Protocol};
 use crate::header_policy;
 use crate::logging::may_log;
@@ -12,6 +12,7 @@
 use crate::pool::ResetOnDrop;
 use crate::relay::{ExpiredSnafu, RelayError, millis};
 use crate::request;
+use crate::retry_delay::with_jitter;
 use crate::site::Site;
 use crate::unresponsive::QueryKind;
 use bytes::Bytes;
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -1,7 +1,7 @@
 //! Handles one request: parses it, checks its key and its workspace's limit, and dispatches it to endpoints.
 
 use crate::answer::{Outgoing, Reason, plain, refuse};
-use crate::dispatch::{DEFAULT_RETRY_DELAY, Dispatch};
+use crate::dispatch::Dispatch;
 use crate::edge::{Protocol, RequestMeta};
 use crate::keys::{self, KeyError};
 use crate::limits::{self, TokenOutcome};
@@ -9,6 +9,7 @@
 use crate::metrics::Metrics;
 use crate::pass_on::Passage;
 use crate::relay::millis;
+use crate::retry_delay::DEFAULT_RETRY_DELAY;
 use crate::site::Site;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -329,7 +329,7 @@
     /// Returns the VMs that may take over requests of this VM because they reach endpoints, as far as is known.
     ///
     /// They are those of the own zone, since other zones are further away, unless each of them would get the requests of
-    /// more than [`MAX_SHARES`] VMs; then they are those of all zones.
+    /// more than four VMs; then they are those of all zones.
     #[must_use]
     pub fn reaching_endpoints(&self, now: Instant) -> Vec<SocketAddr> {
         let here = self.heard_in_zone(now).filter(|(_, p)| p.reaches_endpoints);
