--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -11,6 +11,7 @@
 use limehollow::crash_record::CrashRecord;
 use limehollow::id::{EndpointKey, VmName};
 use limehollow::instance::Instance;
+use limehollow::own_reach::Reach;
 use limehollow::roster::ModelRef;
 use limehollow_wire::gossip::{LastReader, LeaseNotice, ListChanges, Message, RateReport, Scope};
 use smol_str::{SmolStr, format_smolstr};
@@ -387,7 +388,7 @@
 
 /// Returns the endpoints that this VM couldn't reach recently. While it may itself be cut off, that is nothing to tell.
 fn unreached(now: Instant, view: &SiteView) -> Vec<Instance> {
-    if view.own_reach.may_be_at_fault(now) {
+    if view.own_reach.state(now) != Reach::Sound {
         return Vec::new();
     }
     let keys = view.balance.unreached(now);
--- a/crates/limehollow/src/own_reach.rs
+++ b/crates/limehollow/src/own_reach.rs
@@ -110,17 +110,6 @@
         self.heard.is_some_and(recent)
     }
 
-    /// Returns `true` if what couldn't be reached may be this VM's own fault: it is cut off, or in doubt and no endpoint's
-    /// bytes arrive.
-    #[must_use]
-    pub fn may_be_at_fault(&self, now: Instant) -> bool {
-        match self.state(now) {
-            Reach::Sound => false,
-            Reach::Doubtful => !self.hears(now),
-            Reach::None => true,
-        }
-    }
-
     /// Returns `true` if an endpoint couldn't be reached since the last success.
     #[must_use]
     pub fn has_failed(&self, key: EndpointKey) -> bool {
--- a/crates/limehollow/tests/own_reach.rs
+++ b/crates/limehollow/tests/own_reach.rs
@@ -123,18 +123,3 @@
     assert!(!r.begin_probes(now + Duration::from_millis(900)));
     assert!(r.begin_probes(now + Duration::from_millis(1100)));
 }
-
-#[test]
-fn crashes_are_not_its_own_fault_while_other_endpoints_are_heard() {
-    let (mut r, now, all) = (OwnReach::default(), Instant::now(), endpoints(6));
-    for e in &all[..2] {
-        fail(&mut r, now, e);
-    }
-    assert!(r.may_be_at_fault(now));
-    r.record_heard(now);
-    assert!(!r.may_be_at_fault(now));
-    assert!(r.may_be_at_fault(now + Duration::from_millis(300)));
-    fail(&mut r, now, &all[2]);
-    r.record_heard(now);
-    assert!(r.may_be_at_fault(now), "it is cut off");
-}
