Log which version of an endpoint's software a request is sent to, who chose it, and which stream it takes up

The list's version is kept with the endpoint; the headers of a request that takes a stream up are read, and always passed on. Nothing is decided by them yet. State and list changes carry the version, so the schema between VMs rises to 12.

--- a/crates/limehollow-node/src/assignment.rs
+++ b/crates/limehollow-node/src/assignment.rs
@@ -20,6 +20,7 @@
 use limehollow::job::Job;
 use limehollow::roster::Endpoint;
 use limehollow_wire::gossip::{Assignment, QueryBody, Reply};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -35,26 +36,50 @@
 /// meanwhile, and prompts that other gateways send at the same time come in addition.
 const READING_SHARE: f64 = 0.5;
 
-/// Chooses the endpoint for a job, other than those that were tried already.
+/// Chooses the endpoint for a job, other than those that were tried already. Returns also who chose.
 pub(crate) async fn choose<P>(
     site: &Site<P>,
     catalog: &Catalog,
     job: &Job,
     tried: &[EndpointKey],
-) -> Choice
+) -> (Choice, ChosenBy)
 where
     P: Protocol,
 {
     match chooser(site, job) {
-        Chooser::Coordinator => return assign(site, catalog, job, tried),
+        Chooser::Coordinator => {
+            return (assign(site, catalog, job, tried), ChosenBy::OwnCoordinator);
+        }
         Chooser::Other(coordinator) => {
             if let Some(choice) = query_coordinator(site, coordinator, job, tried).await {
-                return choice;
+                return (choice, ChosenBy::Coordinator(coordinator));
             }
         }
         Chooser::Alone => {}
     }
-    choose_locally(site.now(), &site.view(), catalog, job, tried)
+    let choice = choose_locally(site.now(), &site.view(), catalog, job, tried);
+    (choice, ChosenBy::OwnView)
+}
+
+/// The VM that chose an endpoint, and by which view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChosenBy {
+    /// This VM, as the coordinator of the model.
+    OwnCoordinator,
+    /// The coordinator of the model, at this address.
+    Coordinator(SocketAddr),
+    /// This VM, by its own view.
+    OwnView,
+}
+
+impl fmt::Display for ChosenBy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OwnCoordinator => f.write_str("this VM as coordinator"),
+            Self::Coordinator(vm) => write!(f, "coordinator {vm}"),
+            Self::OwnView => f.write_str("this VM"),
+        }
+    }
 }
 
 /// Returns where a job could go by this VM's view, without reserving the endpoint.
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -3,7 +3,7 @@
 
 use crate::answer::{Outgoing, Reason, expired, lost, refuse};
 use crate::answer_body::AnswerBody;
-use crate::assignment;
+use crate::assignment::{self, ChosenBy};
 use crate::attempt::{self, AttemptFailure, EndpointEvidence, LimitGrant, Target};
 use crate::crash_probe;
 use crate::edge::{Feed, ForwardMeta, HeaderPolicy, Protocol, RequestMeta};
@@ -25,7 +25,7 @@
 use limehollow::balance::Choice;
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::fingerprint::{Fingerprint, OriginTag};
-use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::id::{EndpointKey, ServiceName, SoftwareVersion};
 use limehollow::job::Job;
 use limehollow::load::AttemptOutcome;
 use limehollow::quarantine::Standing;
@@ -81,7 +81,9 @@
 /// An endpoint chosen for the request.
 struct Chosen {
     to: Target,
+    software: SoftwareVersion,
     expected_ms: f64,
+    by: ChosenBy,
 }
 
 impl<P> Dispatch<'_, P>
@@ -187,10 +189,11 @@
                 Standing::Quarantined(left) => return Err((Reason::Quarantined, left)),
             };
             let unusable = [&self.tried[..], at_limit.keys()].concat();
-            let choice = assignment::choose(self.site, self.catalog, &self.job, &unusable).await;
+            let (choice, by) =
+                assignment::choose(self.site, self.catalog, &self.job, &unusable).await;
             let (reason, after) = match choice {
                 Choice::To(key, expected_ms) => {
-                    let mut chosen = self.admit(key, expected_ms)?;
+                    let mut chosen = self.admit(key, expected_ms, by)?;
                     match limit_grant::acquire(self.site, &chosen.to).await {
                         Ok(grant) => {
                             chosen.to.grant = grant;
@@ -277,7 +280,12 @@
         objective.unwrap_or(self.rule.objective).as_secs_f64() * 1000.0
     }
 
-    fn admit(&self, key: EndpointKey, expected_ms: f64) -> Result<Chosen, (Reason, Duration)> {
+    fn admit(
+        &self,
+        key: EndpointKey,
+        expected_ms: f64,
+        by: ChosenBy,
+    ) -> Result<Chosen, (Reason, Duration)> {
         if expected_ms > self.objective_ms() * MAX_EXPECTED_OBJECTIVES {
             return Err((
                 Reason::Busy,
@@ -295,7 +303,12 @@
             address: e.address,
             grant: LimitGrant::Unlimited,
         };
-        Ok(Chosen { to, expected_ms })
+        Ok(Chosen {
+            to,
+            software: e.software.clone(),
+            expected_ms,
+            by,
+        })
     }
 
     async fn attempt(&mut self, c: &Chosen) -> Result<Response<Outgoing<P>>, AttemptFailure> {
@@ -522,6 +535,12 @@
         Some(freshness.age(self.site.now()))
     }
 
+    /// Returns the id of the request that began the stream that this one takes up, if the caller names it.
+    fn first_request(&self) -> Option<&str> {
+        let resumption = self.meta.resumption.as_ref()?;
+        resumption.first_request.as_deref()
+    }
+
     fn log_sent(&self, c: &Chosen) {
         if may_log() {
             let model = self.job.model.as_ref();
@@ -533,6 +552,10 @@
                 workspace = self.authorization.map(|p| p.workspace.as_str()),
                 version = self.catalog.version,
                 endpoint = %c.to.instance,
+                software = %c.software,
+                by = %c.by,
+                takes_up = self.meta.resumption.is_some(),
+                first_request = self.first_request(),
                 model = model.map(|m| m.model.as_str()),
                 adapter = model.and_then(|m| m.adapter.as_deref()),
                 expected_ms = c.expected_ms.round(),
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -280,6 +280,15 @@
     pub max_output: u32,
     /// The parts of its prompt.
     pub parts: Vec<PromptPart>,
+    /// The stream that it takes up, if it does.
+    pub resumption: Option<Resumption>,
+}
+
+/// What a request says of the stream that it takes up after it was broken off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The id of the request that brought the stream's first event, if the caller names it.
+    pub first_request: Option<SmolStr>,
 }
 
 impl RequestMeta {
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -27,7 +27,8 @@
 use limehollow_node::caller;
 use limehollow_node::edge::{
     AnswerClass, Change, Changes, Feed, ForwardMeta, HeaderPolicy, Order, OrderReply,
-    ParseRequestError, ParseRequestSnafu, PeerStates, Protocol, RequestMeta, Store, StoreError, Vm,
+    ParseRequestError, ParseRequestSnafu, PeerStates, Protocol, RequestMeta, Resumption, Store,
+    StoreError, Vm,
 };
 use limehollow_node::settings::NodeSettings;
 use limehollow_node::site::Site;
@@ -73,12 +74,13 @@
             prompt_tokens: 0,
             max_output: 0,
             parts: Vec::new(),
+            resumption: resumption(&head.headers),
         })
     }
 
     fn request_header(&self, name: &HeaderName) -> HeaderPolicy {
         match name.as_str() {
-            "x-id" | "host" => HeaderPolicy::Required,
+            "x-id" | "x-resumes" | "x-last-event" | "host" => HeaderPolicy::Required,
             "x-instance" | "x-reserve" | "x-workspace" => HeaderPolicy::Reserved,
             "x-key" => HeaderPolicy::Credential,
             _ => HeaderPolicy::Forward,
@@ -157,6 +159,17 @@
     }
 }
 
+fn resumption(headers: &HeaderMap) -> Option<Resumption> {
+    let text = |name| {
+        headers
+            .get(name)
+            .map(|v: &HeaderValue| v.to_str().expect("text"))
+    };
+    let first_request = text("x-resumes").map(SmolStr::new);
+    let is_taken_up = first_request.is_some() || text("x-last-event").is_some();
+    is_taken_up.then_some(Resumption { first_request })
+}
+
 /// What a scripted endpoint does with a request.
 #[derive(Clone, Debug)]
 pub enum Does {
@@ -320,6 +333,7 @@
         service: ServiceName::from("portal"),
         address,
         zone: "a".into(),
+        software: "v1".into(),
         slots: 6,
         leaving: false,
         cold_ms: 0,
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -24,7 +24,7 @@
 use tokio::time::Instant;
 
 /// The schema version that this release writes and reads.
-pub const SCHEMA: u8 = 11;
+pub const SCHEMA: u8 = 12;
 
 /// The maximum decompressed size of a state, in bytes: many times the size of the largest deployment's state.
 const MAX_STATE: usize = 64 << 20;
--- a/crates/limehollow/src/id.rs
+++ b/crates/limehollow/src/id.rs
@@ -72,6 +72,11 @@
     /// The name of a plain service, as used in request paths.
     ServiceName
 }
+name! {
+    /// The version of the software that an endpoint runs, as an opaque text: versions are equal or different, and
+    /// have no order.
+    SoftwareVersion
+}
 name! {
     /// The name of an operator who publishes intents and answers plans.
     OperatorName
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -7,7 +7,7 @@
 //! A key stands for one start of an endpoint ([`Instance`]). A later start gets a new key, so that everything recorded
 //! about the former start, here and in other modules, is dropped with its key.
 
-use crate::id::{EndpointKey, ServiceName, ZoneName};
+use crate::id::{EndpointKey, ServiceName, SoftwareVersion, ZoneName};
 use crate::instance::{Instance, StartOrder};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
@@ -67,6 +67,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The version of its software; that of the weights is in [`Held`].
+    pub software: SoftwareVersion,
     /// The number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is leaving and accepts no new work.
