--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_net;
 mod fleet_store;
 pub mod reach;
+pub mod versions;
 
 use bytes::Bytes;
 use http::request::Parts;
