A stream that is taken up goes on only at the version of the software that began it

Cause, shown by the test: the version played no part. It was read from the list and dropped, and the request that began the stream (Resumes) was read nowhere; a request that takes a stream up was placed like a new one. Why this works: the version binds in the job, so that every choice keeps to it. It is known from the VM that passed on the first event, which tells four VMs found by rendezvous hashing; a VM that is asked asks them, and refuses what nobody knows.

--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -37,6 +37,12 @@
     LimitUnknown,
     /// The request has crashed endpoints that ran it.
     Quarantined,
+    /// Nobody knows at which version the stream to take up began.
+    StreamUnknown,
+    /// The stream to take up began at a service to which the rule leads no more.
+    StreamElsewhere,
+    /// No endpoint of the version at which the stream to take up began takes work.
+    NoVersion,
 }
 
 impl Reason {
@@ -55,6 +61,9 @@
             Self::OverLimit => "the workspace is over its limit",
             Self::LimitUnknown => "the workspace's limit can't be looked up now",
             Self::Quarantined => "the request crashes the endpoints that run it",
+            Self::StreamUnknown => "the version that began the stream is unknown",
+            Self::StreamElsewhere => "the stream began at another service",
+            Self::NoVersion => "no endpoint of the version that began the stream takes work",
         }
     }
 }
--- a/crates/limehollow-node/src/assignment.rs
+++ b/crates/limehollow-node/src/assignment.rs
@@ -164,7 +164,7 @@
         Assignment::Endpoint(instance, expected_ms) => {
             let view = site.view();
             let key = view.roster.find(&instance)?;
-            let is_usable = |e: &&Endpoint| view.roster.takes_work(key) && job.may_run_in(&e.zone);
+            let is_usable = |e: &&Endpoint| view.roster.takes_work(key) && job.may_run_at(e);
             let e = view.roster.get(key).filter(is_usable)?;
             let now = site.now();
             let is_closed = view.balance.backpressure.opens_in(now, key).is_some();
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::pass_on::Passage;
 use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
+use crate::resumption::{self, NotFound, ResumableStream};
 use crate::retry_delay::{
     ADAPTER_RETRY, DEFAULT_RETRY_DELAY, MIN_RETRY_DELAY, until_less_busy, until_loaded, with_jitter,
 };
@@ -32,6 +33,7 @@
 use limehollow::quota::MAX_TRANSFER_TIME;
 use limehollow::retry::Repeat;
 use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
+use limehollow::stream_origin::{MAX_LIFE, StreamOrigin, StreamTag};
 use limehollow::verdict::{Failure, Verdict};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -81,7 +83,7 @@
 /// An endpoint chosen for the request.
 struct Chosen {
     to: Target,
-    software: SoftwareVersion,
+    software: Option<SoftwareVersion>,
     expected_ms: f64,
     by: ChosenBy,
 }
@@ -92,6 +94,9 @@
 {
     pub(crate) async fn run(mut self) -> Response<Outgoing<P>> {
         self.record_arrival();
+        if let Err((reason, after)) = self.bind_version().await {
+            return self.give_up(reason, after);
+        }
         loop {
             if self.may_be_passed_on() && self.site.is_cut_off() {
                 return self.pass_on().await;
@@ -131,6 +136,70 @@
         }
     }
 
+    /// Restricts a request that takes a stream up to the service and the version that began the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a refusal and the retry delay.
+    async fn bind_version(&mut self) -> Result<(), (Reason, Duration)> {
+        let Some(resumption) = self.meta.resumption.as_ref().filter(|_| self.rule.stream) else {
+            return Ok(());
+        };
+        let found = match &resumption.first_request {
+            Some(_) => resumption::find(self.site, self.stream_tag()).await,
+            None => Err(NotFound::Nobody),
+        };
+        let first = resumption.first_request.as_deref().unwrap_or_default();
+        resumption::log(self.site, &self.meta.id, first, &found);
+        let origin = match found {
+            Ok(f) => f.origin,
+            Err(NotFound::Unanswered) => {
+                return Err((Reason::StreamUnknown, DEFAULT_RETRY_DELAY));
+            }
+            // What nobody knows will not be known later.
+            Err(NotFound::Nobody | NotFound::Conflicting) => {
+                return Err((Reason::StreamUnknown, self.time_left()));
+            }
+        };
+        if !self.rule.leads_to(&origin.service) {
+            return Err((Reason::StreamElsewhere, self.time_left()));
+        }
+        self.job.service = origin.service;
+        self.job.software = Some(origin.software);
+        Ok(())
+    }
+
+    /// Returns `true` if no endpoint of the version that began the stream takes work.
+    fn lacks_version(&self) -> bool {
+        let view = self.site.view();
+        let mut open = view.roster.open(&self.job.service);
+        self.job.software.is_some() && !open.any(|(_, e)| self.job.may_run_at(e))
+    }
+
+    /// Returns the tag of the stream that this request begins or takes up.
+    fn stream_tag(&self) -> StreamTag {
+        let workspace = self.authorization.map(|p| p.workspace.as_str());
+        StreamTag::of(workspace, self.first_request().unwrap_or(&self.meta.id))
+    }
+
+    /// Returns the stream for an attempt whose caller may take it up later.
+    fn resumable_stream(&self, c: &Chosen) -> Option<ResumableStream> {
+        if !self.rule.stream || !self.rule.resumable {
+            return None;
+        }
+        let origin = StreamOrigin {
+            service: self.job.service.clone(),
+            software: c.software.clone()?,
+        };
+        let caller_waits = self.meta.timeout.unwrap_or(self.rule.timeout);
+        let expires = self.arrived + caller_waits.min(MAX_LIFE);
+        Some(ResumableStream::new(self.stream_tag(), origin, expires))
+    }
+
+    fn time_left(&self) -> Duration {
+        self.expiry.saturating_duration_since(self.site.now())
+    }
+
     fn may_be_passed_on(&self) -> bool {
         self.may_pass_on && self.verdict == Verdict::NotRun && self.reached == 0
     }
@@ -208,6 +277,8 @@
                     until_less_busy(expected_ms, self.objective_ms()),
                 ),
                 Choice::BackingOff(wait) => (Reason::AtLimit, wait),
+                // A version that is replaced doesn't come back.
+                Choice::NoEndpoint if self.lacks_version() => (Reason::NoVersion, self.time_left()),
                 Choice::NoEndpoint => (Reason::NoEndpoint, DEFAULT_RETRY_DELAY),
                 Choice::NoModel => (
                     Reason::NoModel,
@@ -330,6 +401,9 @@
         let instance = c.to.instance.clone();
         let (site, id) = (Arc::clone(self.site), self.meta.id.clone());
         let mut running = RunningAttempt::new(site, sent, id, identity, instance, self.arrived);
+        if let Some(stream) = self.resumable_stream(c) {
+            running.set_stream(stream);
+        }
         self.log_sent(c);
         let req = self.request(c, now);
         let answer = attempt::send(
@@ -552,7 +626,7 @@
                 workspace = self.authorization.map(|p| p.workspace.as_str()),
                 version = self.catalog.version,
                 endpoint = %c.to.instance,
-                software = %c.software,
+                software = c.software.as_ref().map(SoftwareVersion::as_str),
                 by = %c.by,
                 takes_up = self.meta.resumption.is_some(),
                 first_request = self.first_request(),
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::metrics::{EventLabels, Metrics};
 use crate::query;
 pub use crate::receiver::handle_message;
+use crate::resumption::{self, OriginSender};
 use crate::sender::GONE_SENT_FOR;
 pub use crate::sender::{GossipSender, Outgoing};
 use crate::site::Site;
@@ -176,6 +177,10 @@
                 site.queries.complete(a);
                 continue;
             }
+            Datagram::Origins(records) => {
+                resumption::receive(&site, records);
+                continue;
+            }
         };
         if !w.requested_loads.is_empty() {
             wake_controller.notify_one();
@@ -199,6 +204,19 @@
     }
 }
 
+/// Tells other VMs what began this VM's streams, for as long as the process lives.
+pub async fn send_origins<P>(site: Arc<Site<P>>, socket: Arc<GossipSocket<P>>)
+where
+    P: Protocol,
+{
+    let mut s = OriginSender::new(site);
+    loop {
+        for (to, records) in s.next().await {
+            socket.send(&Datagram::Origins(records), &[to]).await;
+        }
+    }
+}
+
 async fn pause_after(e: &io::Error) {
     tracing::debug!(error = %e, "failed to receive a message");
     sleep(READ_RETRY_PAUSE).await;
@@ -232,6 +250,21 @@
     }
 }
 
+/// Forgets streams that no caller waits for any more.
+fn forget_streams(now: Instant, view: &mut SiteView, metrics: &Metrics) {
+    view.stream_origins.sweep(now);
+    let remembered = i64::try_from(view.stream_origins.len()).unwrap_or(i64::MAX);
+    metrics.streams_remembered.set(remembered);
+    let dropped = view.stream_origins.take_dropped();
+    if dropped > 0 {
+        metrics.streams_dropped.inc_by(dropped);
+        tracing::warn!(
+            dropped,
+            "too many streams: some were forgotten before their time"
+        );
+    }
+}
+
 /// Removes expired state once a second, and logs how many log lines were dropped.
 pub async fn sweep<P>(site: Arc<Site<P>>)
 where
@@ -249,6 +282,7 @@
             view.warm_up(now);
             view.drop_limits();
             view.forget_removals(now);
+            forget_streams(now, view, &site.metrics);
             view.update_vm_count(now, 0);
             let settings = site.settings.load();
             view.quotas.set_allowance(now, settings.quota_allowance());
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -17,6 +17,7 @@
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
 //! * `retry_delay` says when the caller of a refused request is told to come back.
 //! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
+//! * [`resumption`] finds out which version of a service's software began a stream that is taken up.
 //! * `answer_body` follows the body of an answer to its end.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
 //!   requests that crash endpoints to all VMs.
@@ -67,6 +68,7 @@
 mod receiver;
 pub mod relay;
 pub mod request;
+pub mod resumption;
 mod retry_delay;
 pub mod run;
 mod sender;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -63,6 +63,12 @@
     pub answer_ends: Family<AnswerEndLabels, Counter>,
     /// Refusals by reason.
     pub refusals: Family<EventLabels, Counter>,
+    /// Requests that take a stream up, by how it was known what began the stream.
+    pub resumptions: Family<EventLabels, Counter>,
+    /// Streams of which this VM remembers what began them.
+    pub streams_remembered: Gauge,
+    /// Streams that were forgotten before their time, because there were too many.
+    pub streams_dropped: Counter,
     /// Requests refused because their workspace was over its limit.
     pub over_limit: Family<WorkspaceLabels, Counter>,
     /// Requests sent to another endpoint.
@@ -132,6 +138,9 @@
             requests: Family::default(),
             answer_ends: Family::default(),
             refusals: Family::default(),
+            resumptions: Family::default(),
+            streams_remembered: Gauge::default(),
+            streams_dropped: Counter::default(),
             over_limit: Family::default(),
             repeats: Counter::default(),
             connections_opened: Counter::default(),
@@ -235,6 +244,25 @@
         );
     }
 
+    /// Registers the metrics of streams that are taken up.
+    fn register_streams(&self, r: &mut Registry) {
+        r.register(
+            "resumptions",
+            "Requests that take a stream up, by how its version was known",
+            self.resumptions.clone(),
+        );
+        r.register(
+            "streams_remembered",
+            "Streams of which this VM remembers the version",
+            self.streams_remembered.clone(),
+        );
+        r.register(
+            "streams_dropped",
+            "Streams forgotten before their time",
+            self.streams_dropped.clone(),
+        );
+    }
+
     /// Returns the registry that the administration port exports.
     #[must_use]
     pub fn registry(&self) -> Registry {
@@ -246,6 +274,7 @@
             self.answer_ends.clone(),
         );
         r.register("refusals", "Refusals by reason", self.refusals.clone());
+        self.register_streams(&mut r);
         r.register(
             "over_limit",
             "Requests refused because their workspace was over its limit",
--- a/crates/limehollow-node/src/query.rs
+++ b/crates/limehollow-node/src/query.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::edge::Protocol;
 use crate::site::Site;
-use crate::{assignment, keys, limits, start};
+use crate::{assignment, keys, limits, resumption, start};
 use limehollow_wire::gossip::{Answer, Query, QueryBody, Reply};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -117,6 +117,7 @@
             vms_known,
             subjects,
         } => limits::transfer_earnings(site, &coordinator, usize::from(vms_known), &subjects),
+        QueryBody::StreamOrigin(stream) => resumption::answer(site, stream),
     };
     Answer {
         number: q.number,
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::logging::may_log;
 use crate::metrics::{AnswerEndLabels, Metrics};
 use crate::pool::Connection;
+use crate::resumption::ResumableStream;
 use crate::site::Site;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -65,6 +66,8 @@
     arrived: Instant,
     /// The answer's body, from the answer's head on.
     body: Option<AnswerBody>,
+    /// The stream that the attempt may begin or go on with, if it may be taken up later.
+    stream: Option<ResumableStream>,
     /// When the last part of a streamed answer arrived.
     last_part: Option<Instant>,
     /// The longest pause between two parts of a streamed answer.
@@ -94,6 +97,7 @@
             instance,
             arrived,
             body: None,
+            stream: None,
             last_part: None,
             longest_pause: Duration::ZERO,
         }
@@ -103,6 +107,11 @@
         self.site.now().saturating_duration_since(self.began)
     }
 
+    /// Has the stream's origin recorded with its first event.
+    pub(crate) fn set_stream(&mut self, stream: ResumableStream) {
+        self.stream = Some(stream);
+    }
+
     /// Records that the head of the answer arrived.
     pub(crate) fn begin_body(&mut self, body: AnswerBody) {
         self.body = Some(body);
@@ -114,6 +123,9 @@
             b.push(part);
         }
         self.record_first_result();
+        if let Some(stream) = &mut self.stream {
+            stream.begin(&self.site);
+        }
         let now = self.site.now();
         self.site.view().own_reach.record_heard(now);
         if let Some(last) = self.last_part.replace(now) {
@@ -192,6 +204,9 @@
     /// Ends the attempt and logs its outcome.
     pub fn end(&mut self, ending: AttemptOutcome, what: &'static str) {
         let Some(sent) = self.sent.take() else { return };
+        if let Some(stream) = self.stream.take() {
+            stream.end(&self.site);
+        }
         let first_ms = sent.first().map(millis);
         self.site
             .view()
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -72,6 +72,10 @@
         Arc::clone(&site),
         Arc::clone(&gossip_socket),
     ));
+    tokio::spawn(gossip::send_origins(
+        Arc::clone(&site),
+        Arc::clone(&gossip_socket),
+    ));
     tokio::spawn(keys::confirm(Arc::clone(&site)));
     tokio::spawn(limits::collect_earnings(Arc::clone(&site)));
     tokio::spawn(gossip::receive(
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -74,6 +74,8 @@
     pub load_requested: Notify,
     /// Notified when there is a VM that the store doesn't list.
     pub vm_unlisted: Notify,
+    /// Notified when a stream has begun of which no other VM has been told.
+    pub stream_began: Notify,
     /// One permit for each request of another VM that this VM may take over in addition.
     pub taken_over: Arc<Semaphore>,
     max_taken_over: u32,
@@ -119,6 +121,7 @@
             quarantine_differs: Notify::new(),
             quarantine_unsaved: Notify::new(),
             vm_unlisted: Notify::new(),
+            stream_began: Notify::new(),
             taken_over: Arc::new(Semaphore::new(settings.max_taken_over() as usize)),
             max_taken_over: settings.max_taken_over(),
             queries: PendingQueries::default(),
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -27,6 +27,7 @@
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow::start_tree::StartTree;
+use limehollow::stream_origin::StreamOrigins;
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -142,6 +143,8 @@
     pub start_tree: StartTree,
     /// Coordinators that didn't answer recently.
     pub unresponsive: UnresponsiveVms,
+    /// What began the streams of this VM, and those of which other VMs told it.
+    pub stream_origins: StreamOrigins,
     /// The digest that each other VM last sent of its quarantine records, and the address to fetch them
     /// from.
     pub quarantines: BTreeMap<SmolStr, ReportedDigest>,
@@ -203,6 +206,7 @@
             start_tree: StartTree::default(),
             unresponsive: UnresponsiveVms::default(),
             quarantines: BTreeMap::new(),
+            stream_origins: StreamOrigins::default(),
         }
     }
 
--- a/crates/limehollow-node/src/traffic.rs
+++ b/crates/limehollow-node/src/traffic.rs
@@ -22,10 +22,12 @@
 const TOKENS: &str = "question: tokens";
 const PLACE: &str = "question: place";
 const EARNINGS: &str = "question: earnings";
+const STREAM_ORIGIN: &str = "question: stream origin";
 const ANSWER: &str = "answer";
+const ORIGINS: &str = "origins of streams";
 
 /// All kinds of datagrams.
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 14] = [
     OWN,
     CHANGES,
     SUMMARY,
@@ -37,7 +39,9 @@
     TOKENS,
     PLACE,
     EARNINGS,
+    STREAM_ORIGIN,
     ANSWER,
+    ORIGINS,
 ];
 /// How often the totals are logged.
 const LOG_TOTALS_EVERY: Duration = Duration::from_secs(10);
@@ -96,6 +100,7 @@
 pub(crate) fn urgency(d: &Datagram) -> Urgency {
     match d {
         Datagram::Query(_) | Datagram::Answer(_) => Urgency::Answer,
+        Datagram::Origins(_) => Urgency::Change,
         Datagram::Message(m) => match (m.scope, m.forward) {
             (Scope::Change | Scope::News, _) => Urgency::Change,
             (Scope::Vm, _) | (Scope::Zone, true) => Urgency::Periodic,
@@ -114,8 +119,10 @@
             QueryBody::Tokens { .. } => TOKENS,
             QueryBody::Assignment { .. } => PLACE,
             QueryBody::Earnings { .. } => EARNINGS,
+            QueryBody::StreamOrigin(_) => STREAM_ORIGIN,
         },
         Datagram::Answer(_) => ANSWER,
+        Datagram::Origins(_) => ORIGINS,
     }
 }
 
--- a/crates/limehollow-node/tests/rig/crashing.rs
+++ b/crates/limehollow-node/tests/rig/crashing.rs
@@ -233,7 +233,7 @@
             service: ServiceName::from("portal"),
             address: listener.local_addr().expect("it is bound"),
             zone: ZoneName::from(format!("z{}", n % 2)),
-            software: "v1".into(),
+            software: Some("v1".into()),
             slots: 6,
             leaving: false,
             cold_ms: 0,
--- a/crates/limehollow-node/tests/rig/fleet_net.rs
+++ b/crates/limehollow-node/tests/rig/fleet_net.rs
@@ -98,6 +98,7 @@
             QueryBody::Tokens { .. } => "tokens",
             QueryBody::Assignment { .. } => "place",
             QueryBody::Earnings { .. } => "earnings",
+            QueryBody::StreamOrigin(_) => "origin",
         };
         let mut net = self.0.lock().expect("the lock is not poisoned");
         *net.queries.entry(about).or_default() += 1;
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -334,7 +334,7 @@
         service: ServiceName::from("portal"),
         address,
         zone: "a".into(),
-        software: "v1".into(),
+        software: Some("v1".into()),
         slots: 6,
         leaving: false,
         cold_ms: 0,
--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -145,7 +145,7 @@
         service: ServiceName::from("portal"),
         address,
         zone,
-        software: "v1".into(),
+        software: Some("v1".into()),
         slots: 64,
         leaving: false,
         cold_ms: 0,
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -87,18 +87,28 @@
 }
 
 impl VersionSite {
-    /// Starts VMs with addresses in 127.`net`, and for each zone `pairs` endpoints of each version.
-    pub async fn start(net: u8, zones: usize, vms: usize, pairs: usize) -> Self {
+    /// Starts VMs with addresses in 127.`net`, and in each zone an endpoint of each version.
+    pub async fn start(net: u8, zones: usize, vms: usize) -> Self {
+        let mut endpoints = Vec::new();
+        for i in 0..zones * 2 {
+            endpoints.push((Server::start(vec![streams()]).await, VERSIONS[i % 2]));
+        }
+        Self::with(net, zones, vms, endpoints).await
+    }
+
+    /// Starts VMs with addresses in 127.`net`, before these endpoints, of which each zone gets two in turn.
+    pub async fn with(
+        net: u8,
+        zones: usize,
+        vms: usize,
+        endpoints: Vec<(Server, &'static str)>,
+    ) -> Self {
         let mut site = Self {
             vms: Vec::new(),
-            endpoints: Vec::new(),
+            endpoints,
             rule: resumable_rule(),
             zones,
         };
-        for i in 0..zones * pairs * 2 {
-            site.endpoints
-                .push((Server::start(vec![streams()]).await, VERSIONS[i % 2]));
-        }
         for i in 0..vms {
             let ip = Ipv4Addr::new(127, net, 0, u8::try_from(i + 1).expect("there are few"));
             let vm = site.start_vm(i, ip, 0).await;
@@ -145,7 +155,7 @@
     fn listed(&self, n: usize, address: SocketAddr, version: &str) -> Endpoint {
         Endpoint {
             zone: ZoneName::from(format!("z{}", n / 2 % self.zones)),
-            software: version.into(),
+            software: Some(version.into()),
             slots: 64,
             ..endpoint(n, address)
         }
@@ -180,7 +190,7 @@
         self.introduce();
     }
 
-    /// Asks a VM to stop and waits until it has ended.
+    /// Asks a VM to stop, and ends it a little later.
     pub async fn stop(&mut self, vm: usize) {
         self.vms[vm].site.stop();
         self.vms[vm].stop.send_replace(true);
@@ -188,6 +198,26 @@
         self.kill(vm);
     }
 
+    /// Has all VMs learn of a change to an endpoint's entry.
+    pub fn relist<F>(&self, n: usize, change: F)
+    where
+        F: Fn(&mut Endpoint),
+    {
+        for vm in &self.vms {
+            let (server, version) = &self.endpoints[n];
+            let mut entry = self.listed(n, server.address, version);
+            change(&mut entry);
+            vm.site.view().list(Instant::now(), entry);
+        }
+    }
+
+    /// Puts a configuration with another rule in force on all VMs.
+    pub fn set_rule(&self, version: u64, rule: &Rule) {
+        for vm in &self.vms {
+            vm.site.set_catalog(catalog(version, vec![rule.clone()]));
+        }
+    }
+
     /// Returns the VMs of a zone.
     pub fn zone(&self, zone: usize) -> Vec<usize> {
         (0..self.vms.len())
@@ -206,6 +236,11 @@
         ask(self.vms[vm].address, id, &more).await
     }
 
+    /// Takes up at a VM a stream without naming the request that began it.
+    pub async fn take_up_unnamed(&self, vm: usize, id: &str) -> Begun {
+        ask(self.vms[vm].address, id, "x-last-event: 1\r\n").await
+    }
+
     /// Returns the version of the endpoint that a request reached last.
     pub fn version_of(&self, id: &str) -> Option<&'static str> {
         let line = format!("x-id: {id}\r\n");
@@ -231,6 +266,7 @@
     vec![
         tokio::spawn(gossip::send(site(), Arc::clone(&socket), Arc::clone(&wake))),
         tokio::spawn(gossip::send_questions(site(), Arc::clone(&socket))),
+        tokio::spawn(gossip::send_origins(site(), Arc::clone(&socket))),
         tokio::spawn(gossip::receive(site(), socket, wake)),
         tokio::spawn(gossip::sweep(site())),
         tokio::spawn(peer_state::serve(site(), peers)),
@@ -239,7 +275,7 @@
 }
 
 /// Returns an action of an endpoint that sends a stream's first event and then nothing.
-fn streams() -> Does {
+pub fn streams() -> Does {
     let head = "HTTP/1.1 200 x\r\nx-mark: m\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
     Does::WritesAndWaits(format!("{head}{:x}\r\n{EVENT}\r\n", EVENT.len()).into_bytes())
 }
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -16,6 +16,7 @@
 use limehollow::log_position::LogPosition;
 use limehollow::quota::Subject;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
+use limehollow::stream_origin::{OriginRecord, StreamOrigin, StreamTag};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::ResultExt;
@@ -248,7 +249,9 @@
     }
 }
 
-fn millis(d: Duration) -> u32 {
+/// Returns a duration in whole milliseconds, as ages are sent.
+#[must_use]
+pub fn millis(d: Duration) -> u32 {
     u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -327,6 +330,8 @@
         /// The subjects of the limits.
         subjects: Vec<Subject>,
     },
+    /// What began a stream.
+    StreamOrigin(StreamTag),
 }
 
 /// The endpoint assigned to a job, or the reason why there is none.
@@ -340,6 +345,17 @@
     NoEndpoint,
 }
 
+/// What the queried VM knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginReply {
+    /// Nothing.
+    Unknown,
+    /// It was told of two origins.
+    Conflicting,
+    /// What began the stream, and the time since the VM recorded it, in ms.
+    Began(StreamOrigin, u32),
+}
+
 /// The answer to a [`Query`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
@@ -373,6 +389,8 @@
     Assignment(Assignment),
     /// The tokens handed over for each limit, in the order of the query; `None` where another VM coordinates the pool.
     Earnings(Vec<Option<f64>>),
+    /// What the VM knows of the stream.
+    StreamOrigin(OriginReply),
 }
 
 /// A datagram between VMs.
@@ -384,6 +402,8 @@
     Query(Query),
     /// An answer.
     Answer(Answer),
+    /// What began some streams, for VMs that store it.
+    Origins(Vec<OriginRecord>),
 }
 
 /// The positions up to which a process has read the feeds that it follows.
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -303,7 +303,7 @@
         let mut backoff: Option<Duration> = None;
         let mut best: Option<Candidate> = None;
         let open = roster.open(&job.service);
-        for (key, e) in open.filter(|(_, e)| job.may_run_in(&e.zone)) {
+        for (key, e) in open.filter(|(_, e)| job.may_run_at(e)) {
             if let Some(wanted) = &job.model
                 && !holds(&e.holdings, wanted)
             {
--- a/crates/limehollow/src/catalog.rs
+++ b/crates/limehollow/src/catalog.rs
@@ -54,6 +54,12 @@
 }
 
 impl Rule {
+    /// Returns `true` if the rule leads some of its requests to a service.
+    #[must_use]
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.shares.iter().any(|s| s.service == *service)
+    }
+
     /// Returns the service for a request. The choice depends on the request's hash, in proportion to the
     /// weights.
     #[must_use]
--- a/crates/limehollow/src/job.rs
+++ b/crates/limehollow/src/job.rs
@@ -1,7 +1,7 @@
 //! The requirements of a request on an endpoint.
 
-use crate::id::{ServiceName, ZoneName};
-use crate::roster::ModelRef;
+use crate::id::{ServiceName, SoftwareVersion, ZoneName};
+use crate::roster::{Endpoint, ModelRef};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::hash::Hasher;
@@ -37,6 +37,8 @@
     pub isolated: bool,
     /// The zones in which the job may run; `None` allows all zones.
     pub zones: Option<BTreeSet<ZoneName>>,
+    /// The only version of the endpoints' software at which the job may run, if it takes a stream up; `None` allows all.
+    pub software: Option<SoftwareVersion>,
     /// The hashes of the prompt's prefixes, shortest first, each with the number of tokens that its last part
     /// adds.
     pub(crate) beginnings: Vec<(u64, u32)>,
@@ -54,6 +56,7 @@
             rank,
             isolated: false,
             zones: None,
+            software: None,
             beginnings: Vec::new(),
         }
     }
@@ -83,6 +86,7 @@
             rank,
             isolated: false,
             zones: None,
+            software: None,
         }
     }
 
@@ -92,10 +96,11 @@
         Self { zones, ..self }
     }
 
-    /// Returns `true` if the job may run in a zone.
+    /// Returns `true` if the job may run at an endpoint, by the endpoint's zone and version.
     #[must_use]
-    pub fn may_run_in(&self, zone: &ZoneName) -> bool {
-        self.zones.as_ref().is_none_or(|z| z.contains(zone))
+    pub fn may_run_at(&self, e: &Endpoint) -> bool {
+        let zone = self.zones.as_ref().is_none_or(|z| z.contains(&e.zone));
+        zone && (self.software.is_none() || self.software == e.software)
     }
 
     /// Returns the estimated number of tokens that the request will hold in memory.
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -5,6 +5,8 @@
 //! VM that receives one relays it inside its own zone. Traffic between zones therefore grows with the number of zones,
 //! not with the square of the number of VMs.
 
+mod owners;
+
 use crate::id::ZoneName;
 use smol_str::SmolStr;
 use std::cmp::Reverse;
@@ -14,6 +16,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
+pub use owners::Owner;
+
 /// The time without a message after which a VM counts as silent: eight messages.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The time for which a newly added VM counts as alive before its first message: [`PEER_TIMEOUT`], with some room for
--- a/crates/limehollow/src/roster.rs
+++ b/crates/limehollow/src/roster.rs
@@ -67,8 +67,9 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
-    /// The version of its software; that of the weights is in [`Held`].
-    pub software: SoftwareVersion,
+    /// The version of its software; that of the weights is in [`Held`]. `None` if it has started again and the list
+    /// doesn't show that start yet.
+    pub software: Option<SoftwareVersion>,
     /// The number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is leaving and accepts no new work.
@@ -263,10 +264,13 @@
                 replaced,
             };
         }
+        entry.software = entry.software.or_else(|| known.software.clone());
         // An endpoint that began to leave doesn't return within the same start, even if a late entry indicates it.
         entry.leaving |= known.leaving;
-        if (known.address, &known.service) != (entry.address, &entry.service) {
-            // Connections and measurements belong to the endpoint at the former address.
+        let has_other_software = known.software.is_some() && known.software != entry.software;
+        if has_other_software || (known.address, &known.service) != (entry.address, &entry.service)
+        {
+            // Connections and measurements belong to the endpoint at the former address or version.
             return self.replace(key, entry, lists_born);
         }
         row.held_back = None;
@@ -296,6 +300,7 @@
                     instance: r.instance.clone(),
                     leaving: false,
                     cold_ms: 0,
+                    software: None,
                     holdings: r.holdings.clone(),
                     copies: BTreeSet::new(),
                     ..row.endpoint.clone()
--- a/crates/limehollow/tests/site/mod.rs
+++ b/crates/limehollow/tests/site/mod.rs
@@ -68,7 +68,7 @@
         service: llm(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: zone.into(),
-        software: "v1".into(),
+        software: Some("v1".into()),
         slots: 8,
         leaving: false,
         cold_ms: 0,
