A stream that nobody remembers goes on if its service has had no other version

Change: a VM keeps which versions the list showed in the last 60 s, and since when it knows them all; a VM that starts asks another one. One version all that time, by a list not older than a second, is a proof for services that run models.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -149,6 +149,12 @@
             Some(_) => resumption::find(self.site, self.stream_tag()).await,
             None => Err(NotFound::Nobody),
         };
+        let found = found.or_else(|e| match e {
+            NotFound::Conflicting => Err(e),
+            NotFound::Nobody | NotFound::Unanswered => {
+                resumption::prove(self.site, self.catalog, self.rule).ok_or(e)
+            }
+        });
         let first = resumption.first_request.as_deref().unwrap_or_default();
         resumption::log(self.site, &self.meta.id, first, &found);
         let origin = match found {
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -283,6 +283,9 @@
         let mut evacuated = BTreeSet::new();
         let mut vms = Vec::new();
         let mut has_changes = false;
+        if whole && self.feed == Feed::Endpoints {
+            self.site.view().version_history.restart(now);
+        }
         for c in changes {
             match c {
                 Change::Catalog(c) => {
@@ -298,6 +301,8 @@
                     let mut view = self.site.view();
                     if whole && view.may_be_from_copy(&instance.id, position.era()) {
                         tracing::info!(%instance, "an entry that was removed before the store was restored is in doubt");
+                        view.version_history
+                            .record(now, &e.service, e.software.as_ref());
                         view.doubtful.insert(instance.id, e);
                         continue;
                     }
--- a/crates/limehollow-node/src/gossip.rs
+++ b/crates/limehollow-node/src/gossip.rs
@@ -283,6 +283,7 @@
             view.drop_limits();
             view.forget_removals(now);
             forget_streams(now, view, &site.metrics);
+            view.version_history.record_listed(now, &view.roster);
             view.update_vm_count(now, 0);
             let settings = site.settings.load();
             view.quotas.set_allowance(now, settings.quota_allowance());
--- a/crates/limehollow-node/src/query.rs
+++ b/crates/limehollow-node/src/query.rs
@@ -118,6 +118,7 @@
             subjects,
         } => limits::transfer_earnings(site, &coordinator, usize::from(vms_known), &subjects),
         QueryBody::StreamOrigin(stream) => resumption::answer(site, stream),
+        QueryBody::Versions => resumption::versions(site),
     };
     Answer {
         number: q.number,
--- a/crates/limehollow-node/src/resumption.rs
+++ b/crates/limehollow-node/src/resumption.rs
@@ -4,15 +4,17 @@
 //! gets a request to take the stream up asks them: first those of its own zone, then those of the other zones. If nobody
 //! knows, the request is refused: a version is never guessed (`docs/design/streams.md`).
 
-use crate::edge::Protocol;
+use crate::edge::{Feed, Protocol};
 use crate::logging::may_log;
 use crate::metrics::Metrics;
 use crate::relay::millis;
 use crate::site::Site;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use limehollow::catalog::{Catalog, Rule};
 use limehollow::stream_origin::{Batches, Known, OriginRecord, StreamOrigin, StreamTag};
 use limehollow_wire::gossip::{OriginReply, QueryBody, Reply, millis as wire_millis};
+use rand::seq::IndexedRandom;
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +25,13 @@
 const OWN_ZONE_TIMEOUT: Duration = Duration::from_millis(25);
 /// The timeout of a query to the owners in other zones, which may be in another region.
 const OTHER_ZONES_TIMEOUT: Duration = Duration::from_millis(100);
+/// The largest age of the list with which it proves that a service has one version: less than the load of a model takes.
+const PROOF_LIST_AGE: Duration = Duration::from_millis(1000);
+/// How often another VM is asked for the versions that it has seen.
+const HISTORY_EVERY: Duration = Duration::from_millis(1000);
+const THIS_VM: &str = "this VM";
+/// Who knows a stream's version if the service has had no other.
+const ONLY_VERSION: &str = "the list";
 /// How often the owners of the streams that run on this VM are determined anew.
 const OWNERS_CHECKED_EVERY: Duration = Duration::from_millis(1000);
 
@@ -70,7 +79,7 @@
         Known::Began { origin, recorded } => {
             return Ok(Found {
                 origin,
-                by: SmolStr::new_static("this VM"),
+                by: SmolStr::new_static(THIS_VM),
                 age: now.saturating_duration_since(recorded),
             });
         }
@@ -127,6 +136,79 @@
     Err(outcome)
 }
 
+/// Proves what began a stream of a service, if it can only have been one version.
+///
+/// The list must be so fresh that a version that it doesn't show can't have begun a stream yet: a new endpoint holds no
+/// model, and loads one for longer than [`PROOF_LIST_AGE`]. Endpoints of plain services may begin one at once.
+pub(crate) fn prove<P>(site: &Site<P>, catalog: &Catalog, rule: &Rule) -> Option<Found>
+where
+    P: Protocol,
+{
+    let [share] = rule.shares.as_slice() else {
+        return None;
+    };
+    catalog.engine(&share.service)?;
+    let now = site.now();
+    let view = site.view();
+    let list_age = view.feed_reads.freshness(Feed::Endpoints)?.age(now);
+    if list_age > PROOF_LIST_AGE {
+        return None;
+    }
+    let software = view.version_history.only_version(now, &share.service)?;
+    Some(Found {
+        origin: StreamOrigin {
+            service: share.service.clone(),
+            software,
+        },
+        by: SmolStr::new_static(ONLY_VERSION),
+        age: list_age,
+    })
+}
+
+/// Answers another VM's query for the versions that this VM has seen.
+pub(crate) fn versions<P>(site: &Site<P>) -> Reply
+where
+    P: Protocol,
+{
+    let now = site.now();
+    let view = site.view();
+    let freshness = view.feed_reads.freshness(Feed::Endpoints);
+    let seen = freshness.and_then(|f| view.version_history.to_seen(now, f.age(now)));
+    Reply::Versions(seen)
+}
+
+/// Asks other VMs for the versions that they have seen, until this VM knows all that matter.
+pub async fn complete_history<P>(site: Arc<Site<P>>)
+where
+    P: Protocol,
+{
+    loop {
+        site.clock.sleep_until(site.now() + HISTORY_EVERY).await;
+        let now = site.now();
+        let vm = {
+            let view = site.view();
+            if view.version_history.is_complete(now) {
+                continue;
+            }
+            let here = view.peers.responsive_neighbours(now);
+            let all = view.peers.addresses();
+            let vm = here
+                .choose(&mut rand::rng())
+                .or(all.choose(&mut rand::rng()));
+            vm.copied()
+        };
+        let Some(vm) = vm else { continue };
+        let asked = site
+            .queries
+            .ask(&site.clock, vm, QueryBody::Versions, OTHER_ZONES_TIMEOUT);
+        if let Some(Reply::Versions(Some(seen))) = asked.await {
+            let mut view = site.view();
+            view.version_history
+                .merge(site.now(), seen, OTHER_ZONES_TIMEOUT);
+        }
+    }
+}
+
 /// Answers another VM's query for what began a stream.
 pub(crate) fn answer<P>(site: &Site<P>, stream: StreamTag) -> Reply
 where
@@ -249,7 +331,8 @@
     P: Protocol,
 {
     let what = match found {
-        Ok(f) if f.by == "this VM" => "known here",
+        Ok(f) if f.by == THIS_VM => "known here",
+        Ok(f) if f.by == ONLY_VERSION => "the only version",
         Ok(_) => "known to another VM",
         Err(NotFound::Nobody) => "known to nobody",
         Err(NotFound::Unanswered) => "no answer",
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -6,8 +6,8 @@
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{
-    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync, start,
-    traffic,
+    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync,
+    resumption, start, traffic,
 };
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
@@ -76,6 +76,7 @@
         Arc::clone(&site),
         Arc::clone(&gossip_socket),
     ));
+    tokio::spawn(resumption::complete_history(Arc::clone(&site)));
     tokio::spawn(keys::confirm(Arc::clone(&site)));
     tokio::spawn(limits::collect_earnings(Arc::clone(&site)));
     tokio::spawn(gossip::receive(
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -68,6 +68,9 @@
     /// ignored.
     #[serde(default)]
     pub seeds: Vec<String>,
+    /// Whether the site starts for the first time, so that no caller waits for a stream that began before.
+    #[serde(default)]
+    pub first_start: bool,
     /// The number of processor cores of this VM; may be a fraction.
     #[serde(default = "default_cores")]
     pub cores: f64,
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -28,6 +28,7 @@
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow::start_tree::StartTree;
 use limehollow::stream_origin::StreamOrigins;
+use limehollow::version_history::VersionHistory;
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -145,6 +146,8 @@
     pub unresponsive: UnresponsiveVms,
     /// What began the streams of this VM, and those of which other VMs told it.
     pub stream_origins: StreamOrigins,
+    /// The versions of the endpoints' software that were listed lately.
+    pub version_history: VersionHistory,
     /// The digest that each other VM last sent of its quarantine records, and the address to fetch them
     /// from.
     pub quarantines: BTreeMap<SmolStr, ReportedDigest>,
@@ -207,6 +210,7 @@
             unresponsive: UnresponsiveVms::default(),
             quarantines: BTreeMap::new(),
             stream_origins: StreamOrigins::default(),
+            version_history: VersionHistory::new(settings.first_start),
         }
     }
 
@@ -307,6 +311,8 @@
 
     /// Applies an entry of the list.
     pub fn list(&mut self, now: Instant, e: Endpoint) -> Update {
+        self.version_history
+            .record(now, &e.service, e.software.as_ref());
         let former = self.instance_of(&e.instance.id);
         let (id, cold) = (e.instance.id.clone(), millis(e.cold_ms));
         let update = self.roster.apply_entry(now, e);
--- a/crates/limehollow-node/src/traffic.rs
+++ b/crates/limehollow-node/src/traffic.rs
@@ -23,11 +23,12 @@
 const PLACE: &str = "question: place";
 const EARNINGS: &str = "question: earnings";
 const STREAM_ORIGIN: &str = "question: stream origin";
+const VERSIONS: &str = "question: versions";
 const ANSWER: &str = "answer";
 const ORIGINS: &str = "origins of streams";
 
 /// All kinds of datagrams.
-const KINDS: [&str; 14] = [
+const KINDS: [&str; 15] = [
     OWN,
     CHANGES,
     SUMMARY,
@@ -40,6 +41,7 @@
     PLACE,
     EARNINGS,
     STREAM_ORIGIN,
+    VERSIONS,
     ANSWER,
     ORIGINS,
 ];
@@ -120,6 +122,7 @@
             QueryBody::Assignment { .. } => PLACE,
             QueryBody::Earnings { .. } => EARNINGS,
             QueryBody::StreamOrigin(_) => STREAM_ORIGIN,
+            QueryBody::Versions => VERSIONS,
         },
         Datagram::Answer(_) => ANSWER,
         Datagram::Origins(_) => ORIGINS,
--- a/crates/limehollow-node/tests/resumption.rs
+++ b/crates/limehollow-node/tests/resumption.rs
@@ -265,3 +265,37 @@
     let got = site.begin(0, "1").await;
     assert_eq!(status(&got.text), 200, "{}", got.text);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_nobody_knows_goes_on_if_the_service_never_had_another_version() {
+    let servers = vec![
+        (Server::start(vec![streams()]).await, "v1"),
+        (Server::start(vec![streams()]).await, "v1"),
+    ];
+    let mut site = VersionSite::with(52, 1, 3, servers).await;
+    site.refresh_lists();
+    assert!(site.take_up_unnamed(0, "1").await.has_event());
+    assert!(site.take_up(0, "2", "never-begun").await.has_event());
+    // A VM that starts learns from another one that there was no other version.
+    site.kill(1);
+    site.start_again(1).await;
+    site.refresh_lists();
+    assert!(!site.take_up_unnamed(1, "3").await.has_event());
+    for _ in 0..10 {
+        sleep(Duration::from_millis(250)).await;
+        site.refresh_lists();
+    }
+    assert!(site.take_up_unnamed(1, "4").await.has_event());
+    // From the first entry of another version on, the proof fails.
+    site.relist(1, |e| e.software = Some("v1.1".into()));
+    assert!(!site.take_up_unnamed(0, "5").await.has_event());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_nobody_knows_is_refused_by_a_vm_whose_list_is_old() {
+    let servers = vec![(Server::start(vec![streams()]).await, "v1")];
+    let site = VersionSite::with(53, 1, 1, servers).await;
+    site.refresh_lists();
+    sleep(Duration::from_millis(1100)).await;
+    assert!(!site.take_up_unnamed(0, "1").await.has_event());
+}
--- a/crates/limehollow-node/tests/rig/fleet_net.rs
+++ b/crates/limehollow-node/tests/rig/fleet_net.rs
@@ -99,6 +99,7 @@
             QueryBody::Assignment { .. } => "place",
             QueryBody::Earnings { .. } => "earnings",
             QueryBody::StreamOrigin(_) => "origin",
+            QueryBody::Versions => "versions",
         };
         let mut net = self.0.lock().expect("the lock is not poisoned");
         *net.queries.entry(about).or_default() += 1;
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -1,12 +1,14 @@
 //! Test support: VMs over sockets, and endpoints of two software versions whose streams never end by themselves.
 
 use super::{Does, Plain, Server, catalog, endpoint, parse_settings, request, rule};
-use limehollow::catalog::Rule;
+use limehollow::catalog::{Catalog, EngineSpec, Rule, ServiceSpec};
 use limehollow::id::ZoneName;
 use limehollow::retry::Repeat;
 use limehollow::roster::Endpoint;
+use limehollow_node::edge::Feed;
 use limehollow_node::site::Site;
-use limehollow_node::{caller, gossip, peer_state};
+use limehollow_node::{caller, gossip, peer_state, resumption};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +20,8 @@
 
 /// The first event of every stream.
 const EVENT: &str = "id: 1\ndata: a\n\n";
+/// The longest gap between two reads of the list that counts as none.
+const LIST_GAP: Duration = Duration::from_secs(60);
 /// The time within which an answer's first event, or a refusal, arrives.
 const ANSWERED_WITHIN: Duration = Duration::from_secs(3);
 
@@ -111,7 +115,7 @@
         };
         for i in 0..vms {
             let ip = Ipv4Addr::new(127, net, 0, u8::try_from(i + 1).expect("there are few"));
-            let vm = site.start_vm(i, ip, 0).await;
+            let vm = site.start_vm(i, ip, 0, true).await;
             site.vms.push(vm);
         }
         site.introduce();
@@ -124,15 +128,19 @@
         sleep(Duration::from_millis(500)).await;
     }
 
-    async fn start_vm(&self, i: usize, ip: Ipv4Addr, port: u16) -> Vm {
+    async fn start_vm(&self, i: usize, ip: Ipv4Addr, port: u16, is_first_start: bool) -> Vm {
         let socket = UdpSocket::bind((ip, port)).await.expect("the port is free");
         let port = socket.local_addr().expect("it is bound").port();
         let zone = i % self.zones;
         let own = format!(
-            "name = \"vm-{i}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = {port}\n"
+            "name = \"vm-{i}\"\navailability_zone = \"z{zone}\"\nip = \"{ip}\"\npeer_port = {port}\n\
+             first_start = {is_first_start}\n"
         );
         let site = Site::new(parse_settings(&own), Plain);
-        site.set_catalog(catalog(1, vec![self.rule.clone()]));
+        site.set_catalog(engine_catalog(1, self.rule.clone()));
+        site.view()
+            .feed_reads
+            .record_read(Feed::Endpoints, Instant::now(), LIST_GAP);
         for (n, (server, version)) in self.endpoints.iter().enumerate() {
             let listed = self.listed(n, server.address, version);
             site.view().list(Instant::now(), listed);
@@ -186,7 +194,7 @@
         let (ip, port) = (self.vms[vm].ip, self.vms[vm].peer_port);
         // The tasks that were aborted let go of their sockets at once.
         sleep(Duration::from_millis(20)).await;
-        self.vms[vm] = self.start_vm(vm, ip, port).await;
+        self.vms[vm] = self.start_vm(vm, ip, port, false).await;
         self.introduce();
     }
 
@@ -214,7 +222,7 @@
     /// Puts a configuration with another rule in force on all VMs.
     pub fn set_rule(&self, version: u64, rule: &Rule) {
         for vm in &self.vms {
-            vm.site.set_catalog(catalog(version, vec![rule.clone()]));
+            vm.site.set_catalog(engine_catalog(version, rule.clone()));
         }
     }
 
@@ -241,6 +249,15 @@
         ask(self.vms[vm].address, id, "x-last-event: 1\r\n").await
     }
 
+    /// Has the lists of all VMs be complete now.
+    pub fn refresh_lists(&self) {
+        for vm in &self.vms {
+            let mut view = vm.site.view();
+            view.feed_reads
+                .record_read(Feed::Endpoints, Instant::now(), LIST_GAP);
+        }
+    }
+
     /// Returns the version of the endpoint that a request reached last.
     pub fn version_of(&self, id: &str) -> Option<&'static str> {
         let line = format!("x-id: {id}\r\n");
@@ -253,6 +270,27 @@
     }
 }
 
+/// Returns a configuration with one rule, whose service runs models.
+fn engine_catalog(version: u64, rule: Rule) -> Catalog {
+    let engine = EngineSpec {
+        slots: 64,
+        kv_tokens: 100_000,
+        megabytes: 1000.0,
+        adapter_places: 1,
+        loads_per_second: 1.0,
+        models: BTreeMap::new(),
+    };
+    let service = ServiceSpec {
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: Some(engine),
+        cold: None,
+    };
+    let mut c = catalog(version, vec![rule]);
+    c.services.insert("portal".into(), service);
+    c
+}
+
 fn run(
     site: &Arc<Site<Plain>>,
     socket: UdpSocket,
@@ -269,6 +307,7 @@
         tokio::spawn(gossip::send_origins(site(), Arc::clone(&socket))),
         tokio::spawn(gossip::receive(site(), socket, wake)),
         tokio::spawn(gossip::sweep(site())),
+        tokio::spawn(resumption::complete_history(site())),
         tokio::spawn(peer_state::serve(site(), peers)),
         tokio::spawn(caller::serve(site(), callers, stopped)),
     ]
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -17,6 +17,7 @@
 use limehollow::quota::Subject;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use limehollow::stream_origin::{OriginRecord, StreamOrigin, StreamTag};
+use limehollow::version_history::VersionsSeen;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::ResultExt;
@@ -332,6 +333,8 @@
     },
     /// What began a stream.
     StreamOrigin(StreamTag),
+    /// The versions of the endpoints' software that the receiver has seen.
+    Versions,
 }
 
 /// The endpoint assigned to a job, or the reason why there is none.
@@ -391,6 +394,8 @@
     Earnings(Vec<Option<f64>>),
     /// What the VM knows of the stream.
     StreamOrigin(OriginReply),
+    /// The versions that the VM has seen; `None` if it has read no list.
+    Versions(Option<VersionsSeen>),
 }
 
 /// A datagram between VMs.
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -12,8 +12,8 @@
 //! * [`placement`] turns an [`intent::Intent`] into a [`plan::Plan`] whose steps fit in memory.
 //! * [`lease`], [`membership`] and [`order`] make the decisions of a controller.
 //! * [`routing`], [`admission`], [`retry`], [`claim`] and [`verdict`] make the decisions of a gateway.
-//! * [`answer_end`] decides whether an endpoint's answer is complete, and [`stream_origin`] remembers which version of a
-//!   service's software began a stream (`docs/design/streams.md`).
+//! * [`answer_end`] decides whether an endpoint's answer is complete, [`stream_origin`] remembers which version of a
+//!   service's software began a stream, and [`version_history`] proves it where nobody does (`docs/design/streams.md`).
 //! * [`fingerprint`], [`crash_watch`], [`crash_record`] and [`quarantine`] detect requests that crash the
 //!   endpoints that run them (`docs/design/crashing-requests.md`).
 //! * [`workspace`], [`confirmation`] and [`quota`] identify callers, bound how long a key stays valid without
@@ -91,6 +91,7 @@
 pub mod start_tree;
 pub mod stream_origin;
 pub mod verdict;
+pub mod version_history;
 pub mod workspace;
 
 pub use error::{Category, Error, Result};
--- /dev/null
+++ b/crates/limehollow/tests/version_history.rs
@@ -0,0 +1,120 @@
+//! The proof that a service has had one version for as long as a stream may live.
+
+use limehollow::id::{ServiceName, SoftwareVersion};
+use limehollow::version_history::{LONGEST_STREAM, VersionHistory};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const TRANSIT: Duration = Duration::from_millis(100);
+
+fn drafter() -> ServiceName {
+    "drafter".into()
+}
+
+fn v(name: &str) -> SoftwareVersion {
+    name.into()
+}
+
+#[test]
+fn version_is_proven_from_the_first_start_on() {
+    let now = Instant::now();
+    let mut h = VersionHistory::new(true);
+    assert_eq!(h.only_version(now, &drafter()), None);
+    h.record(now, &drafter(), Some(&v("v1")));
+    assert_eq!(h.only_version(now, &drafter()), Some(v("v1")));
+    assert_eq!(h.only_version(now, &"other".into()), None);
+    h.record(now, &drafter(), Some(&v("v1.1")));
+    assert_eq!(h.only_version(now, &drafter()), None);
+}
+
+#[test]
+fn version_is_proven_again_after_the_other_one_has_gone() {
+    let now = Instant::now();
+    let mut h = VersionHistory::new(true);
+    h.record(now, &drafter(), Some(&v("v1")));
+    let last = now + LONGEST_STREAM;
+    h.record(last, &drafter(), Some(&v("v1.1")));
+    assert_eq!(h.only_version(last, &drafter()), None);
+    let later = last + Duration::from_millis(1);
+    assert_eq!(h.only_version(later, &drafter()), Some(v("v1.1")));
+}
+
+#[test]
+fn version_is_not_proven_by_a_vm_that_has_just_started() {
+    let now = Instant::now();
+    let mut h = VersionHistory::default();
+    h.record(now, &drafter(), Some(&v("v1")));
+    let at = now + LONGEST_STREAM;
+    assert_eq!(
+        h.only_version(at - Duration::from_millis(1), &drafter()),
+        None
+    );
+    assert_eq!(h.only_version(at, &drafter()), Some(v("v1")));
+}
+
+#[test]
+fn version_is_not_proven_after_the_whole_list_was_read_anew() {
+    let now = Instant::now();
+    let mut h = VersionHistory::new(true);
+    h.restart(now);
+    h.record(now, &drafter(), Some(&v("v1")));
+    assert_eq!(h.only_version(now, &drafter()), Some(v("v1")));
+    h.restart(now);
+    assert_eq!(h.only_version(now, &drafter()), None);
+}
+
+#[test]
+fn unknown_version_counts_as_another_one() {
+    let now = Instant::now();
+    let mut h = VersionHistory::new(true);
+    h.record(now, &drafter(), None);
+    assert_eq!(h.only_version(now, &drafter()), None);
+    h.record(now, &drafter(), Some(&v("v1")));
+    assert_eq!(h.only_version(now, &drafter()), None);
+}
+
+#[test]
+fn history_of_another_vm_completes_that_of_one_that_starts() {
+    let start = Instant::now();
+    let mut old = VersionHistory::new(true);
+    old.record(start, &drafter(), Some(&v("v1")));
+    let now = start + Duration::from_secs(1);
+    let mut new = VersionHistory::default();
+    new.record(now, &drafter(), Some(&v("v1")));
+    let later = now + Duration::from_secs(1);
+    let seen = old
+        .to_seen(later, Duration::from_millis(200))
+        .expect("it has a list");
+    new.merge(later, seen, TRANSIT);
+    assert_eq!(new.only_version(later, &drafter()), Some(v("v1")));
+    // What the other VM has seen of another version is not forgotten.
+    old.record(later, &drafter(), Some(&v("v1.1")));
+    let mut third = VersionHistory::default();
+    third.record(
+        later - Duration::from_millis(500),
+        &drafter(),
+        Some(&v("v1")),
+    );
+    let seen = old.to_seen(later, Duration::ZERO).expect("it has a list");
+    third.merge(later, seen, TRANSIT);
+    assert!(third.is_complete(later));
+    assert_eq!(third.only_version(later, &drafter()), None);
+}
+
+#[test]
+fn history_of_a_vm_with_an_old_list_completes_none() {
+    let start = Instant::now();
+    let mut old = VersionHistory::new(true);
+    old.record(start, &drafter(), Some(&v("v1")));
+    let now = start + Duration::from_secs(5);
+    let mut new = VersionHistory::default();
+    new.record(now, &drafter(), Some(&v("v1")));
+    // Its list was complete a moment before the other VM's first one.
+    let later = now + Duration::from_secs(1);
+    let seen = old
+        .to_seen(later, Duration::from_millis(950))
+        .expect("it has a list");
+    new.merge(later, seen, TRANSIT);
+    assert!(!new.is_complete(later));
+    assert_eq!(VersionHistory::default().to_seen(now, Duration::ZERO), None);
+}
