A model is loaded at the version at which a stream waits to go on

What callers would see: a stream whose endpoint ended is refused for its whole time, although endpoints of its version serve, since the model is held at another version only. Rare models have one or two replicas, and a release divides them. Cause: a request for a load named the model, not where it may run; a model that is held anywhere is not missing. Change: the request names service and version, the controller loads the model there if only duplicates make room, and second replicas prefer the version of the first. Nothing changes where a service has one version. Shown: without bound_move in plan the first new test finds no move.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -12,10 +12,11 @@
 use crate::site_view::SiteView;
 use limehollow::catalog::{Catalog, EngineSpec};
 use limehollow::group_lease::GroupLease;
-use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::id::{EndpointKey, ServiceName, SoftwareVersion};
 use limehollow::order_book::OrderBook;
 use limehollow::rebalance::Rebalancer;
 use limehollow::roster::ModelRef;
+use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -88,6 +89,15 @@
     keys.filter(|k| view.balance.is_lost(now, *k)).collect()
 }
 
+/// Returns the models of a service for which streams wait that have to go on at a version.
+fn bound(view: &SiteView, service: &ServiceName) -> BTreeSet<(SmolStr, SoftwareVersion)> {
+    let rows = view.requested_loads.keys().filter_map(|r| {
+        let origin = r.origin.as_ref().filter(|o| o.service == *service)?;
+        Some((r.model.model.clone(), origin.software.clone()))
+    });
+    rows.collect()
+}
+
 /// Runs an evaluation, and returns when the next one is due.
 fn next_after<F>(clock: &Clock, every: Duration, evaluate: F) -> Instant
 where
@@ -161,6 +171,7 @@
             let r = self.rebalancers.entry(service.clone()).or_default();
             r.observe(now, &demand);
             r.observe_lost(lost(&self.site.view(), now));
+            r.observe_bound(bound(&self.site.view(), service));
             if now.duration_since(self.demand_logged) >= LOG_DEMAND_EVERY {
                 self.demand_logged = now;
                 let view = self.site.view();
@@ -226,8 +237,9 @@
             let busy_endpoints = &self.busy_endpoints;
             let resting = |k: EndpointKey| !busy_endpoints.contains(&k);
             let view = self.site.view();
-            let requested = &view.requested_loads;
-            let moves = r.plan_adapters(now, &view.roster, service, engine, requested, resting);
+            let requested = view.requested_loads.iter();
+            let requested = requested.map(|(r, at)| (r.model.clone(), *at)).collect();
+            let moves = r.plan_adapters(now, &view.roster, service, engine, &requested, resting);
             drop(view);
             for (key, m) in moves {
                 let book = self.books.get(&key).cloned();
@@ -251,8 +263,8 @@
             *sum.entry(m.clone()).or_default() += f64::from(*d);
         }
         // A requested load is reported at once, before the demand that it is part of.
-        for m in view.requested_loads.keys() {
-            sum.entry(m.clone()).or_insert(WAITING_DEMAND);
+        for r in view.requested_loads.keys() {
+            sum.entry(r.model.clone()).or_insert(WAITING_DEMAND);
         }
         sum
     }
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -31,6 +31,7 @@
 use limehollow::load::AttemptOutcome;
 use limehollow::quarantine::Standing;
 use limehollow::quota::MAX_TRANSFER_TIME;
+use limehollow::rebalance::RequestedLoad;
 use limehollow::retry::Repeat;
 use limehollow::retry_window::{RepeatAllowance, RepeatWindow};
 use limehollow::stream_origin::{MAX_LIFE, StreamOrigin, StreamTag};
@@ -175,6 +176,14 @@
         Ok(())
     }
 
+    /// Returns what began the stream that this request takes up.
+    fn origin(&self) -> Option<StreamOrigin> {
+        Some(StreamOrigin {
+            service: self.job.service.clone(),
+            software: self.job.software.clone()?,
+        })
+    }
+
     /// Returns `true` if no endpoint of the version that began the stream takes work.
     fn lacks_version(&self) -> bool {
         let view = self.site.view();
@@ -298,7 +307,10 @@
                 _ => (reason, after),
             };
             if let (Reason::NoModel | Reason::NoAdapter, Some(m)) = (reason, &self.job.model) {
-                self.site.request_load(m);
+                self.site.request_load(RequestedLoad {
+                    model: m.clone(),
+                    origin: self.origin(),
+                });
             }
             let may_start_in_time = match reason {
                 Reason::Busy | Reason::NoAdapter => now < until,
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -154,7 +154,7 @@
             Scope::Zone | Scope::News => {}
         }
         view.requested_loads
-            .extend(w.requested_loads.into_iter().map(|m| (m, now)));
+            .extend(w.requested_loads.into_iter().map(|r| (r, now)));
         // A repeated notice of a zone changes nothing, but still counts as received.
         if let Some(notice) = w.lease
             && view.candidacy.observe(now, to_notice(now, notice))
--- a/crates/limehollow-node/src/resumption.rs
+++ b/crates/limehollow-node/src/resumption.rs
@@ -23,7 +23,8 @@
 
 /// The timeout of a query to the owners in the own zone: many times the round trip.
 const OWN_ZONE_TIMEOUT: Duration = Duration::from_millis(25);
-/// The timeout of a query to the owners in other zones, which may be in another region.
+/// The timeout of a query to the owners in other zones, which may be in another region, and of a second one in the own
+/// zone.
 const OTHER_ZONES_TIMEOUT: Duration = Duration::from_millis(100);
 /// The largest age of the list with which it proves that a service has one version: less than the load of a model takes.
 const PROOF_LIST_AGE: Duration = Duration::from_millis(1000);
@@ -86,19 +87,18 @@
         Known::Conflicting => return Err(NotFound::Conflicting),
         Known::Nothing => {}
     }
-    let here = ask(site, &here, stream, OWN_ZONE_TIMEOUT).await;
-    if !matches!(here, Err(NotFound::Nobody | NotFound::Unanswered)) {
-        return here;
+    let first = ask(site, &here, stream, OWN_ZONE_TIMEOUT).await;
+    if !matches!(first, Err(NotFound::Nobody | NotFound::Unanswered)) {
+        return first;
     }
-    let elsewhere = {
+    let mut vms = {
         let view = site.view();
         view.peers
             .possible_owners_elsewhere(site.now(), stream.as_bytes())
     };
-    match ask(site, &elsewhere, stream, OTHER_ZONES_TIMEOUT).await {
-        Err(NotFound::Nobody) => here,
-        found => found,
-    }
+    // A VM of the zone that didn't answer may be slow, or the datagram was lost.
+    vms.extend(here.iter().filter(|_| first == Err(NotFound::Unanswered)));
+    ask(site, &vms, stream, OTHER_ZONES_TIMEOUT).await
 }
 
 /// Asks VMs at once and returns the first answer that says what began the stream.
--- a/crates/limehollow-node/src/retry_delay.rs
+++ b/crates/limehollow-node/src/retry_delay.rs
@@ -36,7 +36,7 @@
     };
     let view = site.view();
     let mut open = view.roster.open(&job.service);
-    if open.any(|(_, e)| e.copies.contains(&model.model)) {
+    if open.any(|(_, e)| job.may_run_at(e) && e.copies.contains(&model.model)) {
         return LOCAL_COPY_RETRY;
     }
     let engine = catalog.engine(&job.service);
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -20,7 +20,8 @@
 use limehollow::log_position::LogPosition;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::{Quotas, Subject};
-use limehollow::roster::{HoldingsReport, ModelRef, Update};
+use limehollow::rebalance::RequestedLoad;
+use limehollow::roster::{HoldingsReport, Update};
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
@@ -402,8 +403,8 @@
     }
 
     /// Records that a request waits for a model or adapter that isn't loaded, and notifies the controller.
-    pub fn request_load(&self, m: &ModelRef) {
-        self.view().request_load(self.now(), m);
+    pub fn request_load(&self, r: RequestedLoad) {
+        self.view().request_load(self.now(), r);
         self.load_requested.notify_one();
     }
 
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -24,6 +24,7 @@
 use limehollow::peers::Peers;
 use limehollow::quarantine::Quarantine;
 use limehollow::quota::Quotas;
+use limehollow::rebalance::RequestedLoad;
 use limehollow::retry_window::RepeatWindow;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow::start_tree::StartTree;
@@ -82,9 +83,9 @@
     /// Instances of endpoints that announced that they leave, with the time at which this VM learned that.
     pub leaving: BTreeMap<Instance, Instant>,
     /// Models and adapters that requests on this VM wait for and that the controller hasn't been sent yet.
-    pub unsent_loads: BTreeSet<ModelRef>,
+    pub unsent_loads: BTreeSet<RequestedLoad>,
     /// Models and adapters that requests on any VM wait for, with the time of the last report.
-    pub requested_loads: BTreeMap<ModelRef, Instant>,
+    pub requested_loads: BTreeMap<RequestedLoad, Instant>,
     /// The holder of the lease to give orders, as far as this VM knows, and whether this VM should apply
     /// for it.
     pub candidacy: Candidacy,
@@ -248,9 +249,9 @@
     }
 
     /// Records that a request on this VM waits for a model or adapter that isn't loaded.
-    pub(crate) fn request_load(&mut self, now: Instant, m: &ModelRef) {
-        self.unsent_loads.insert(m.clone());
-        self.requested_loads.insert(m.clone(), now);
+    pub(crate) fn request_load(&mut self, now: Instant, r: RequestedLoad) {
+        self.unsent_loads.insert(r.clone());
+        self.requested_loads.insert(r, now);
     }
 
     /// Adds a VM, or updates its address and zone. Returns `true` if it was unknown.
--- a/crates/limehollow-node/tests/left_alone.rs
+++ b/crates/limehollow-node/tests/left_alone.rs
@@ -49,7 +49,7 @@
                 model: format!("model-{}", i % 50).into(),
                 adapter: None,
             };
-            waiting.request_load(&m);
+            waiting.request_load(m.into());
             sleep(Duration::from_millis(2)).await;
         }
     });
--- a/crates/limehollow-node/tests/requests.rs
+++ b/crates/limehollow-node/tests/requests.rs
@@ -126,7 +126,13 @@
     assert_eq!(status(&got), 503);
     assert!(got.contains("retry-after: "), "{got}");
     assert_eq!(s.requests(), 0);
-    assert!(g.site.view().unsent_loads.iter().any(|m| m.model == "big"));
+    assert!(
+        g.site
+            .view()
+            .unsent_loads
+            .iter()
+            .any(|r| r.model.model == "big")
+    );
 }
 
 #[tokio::test]
--- a/crates/limehollow-node/tests/resumption.rs
+++ b/crates/limehollow-node/tests/resumption.rs
@@ -14,6 +14,9 @@
 /// The time within which a stream that can't be taken up is refused: what other VMs are asked, in turn.
 const REFUSED_WITHIN: Duration = Duration::from_millis(300);
 
+/// The time after which a VM has told others of its streams. One that is killed before takes along what it knows.
+const TOLD_WITHIN: Duration = Duration::from_millis(100);
+
 /// What became of streams that were taken up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Tally {
@@ -40,6 +43,7 @@
         assert!(begun.has_event(), "{first}: {}", begun.text);
         open.push((first, begun));
     }
+    sleep(TOLD_WITHIN).await;
     open
 }
 
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -15,6 +15,7 @@
 use limehollow::job::Job;
 use limehollow::log_position::LogPosition;
 use limehollow::quota::Subject;
+use limehollow::rebalance::RequestedLoad;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use limehollow::stream_origin::{OriginRecord, StreamOrigin, StreamTag};
 use limehollow::version_history::VersionsSeen;
@@ -181,7 +182,7 @@
     /// The callers' demand for each model, in ms of work per second.
     pub demand: Vec<(ModelRef, f32)>,
     /// The models that requests wait for and that aren't loaded.
-    pub requested_loads: Vec<ModelRef>,
+    pub requested_loads: Vec<RequestedLoad>,
     /// Changes to the list of endpoints that the VM read recently.
     pub list: Vec<ListChanges>,
     /// The state of the lease to issue orders, if known.
--- a/crates/limehollow/src/rebalance.rs
+++ b/crates/limehollow/src/rebalance.rs
@@ -6,10 +6,12 @@
 //! the weight store (`docs/design/system.md`).
 
 use crate::catalog::EngineSpec;
-use crate::id::{EndpointKey, ServiceName};
+use crate::id::{EndpointKey, ServiceName, SoftwareVersion};
 use crate::late_loads::Reserve;
 use crate::load_window::LoadWindow;
 use crate::roster::{Endpoint, Holdings, ModelRef, Roster};
+use crate::stream_origin::StreamOrigin;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -55,6 +57,24 @@
     pub slack: f64,
 }
 
+/// A model or adapter, not loaded where a request may run, that the request waits for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestedLoad {
+    /// The model or adapter.
+    pub model: ModelRef,
+    /// The service and the version of the endpoints, if the request takes a stream up; else any endpoint will do.
+    pub origin: Option<StreamOrigin>,
+}
+
+impl From<ModelRef> for RequestedLoad {
+    fn from(model: ModelRef) -> Self {
+        Self {
+            model,
+            origin: None,
+        }
+    }
+}
+
 /// A load of a model on an endpoint, after unloading others if necessary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ModelMove {
@@ -189,6 +209,8 @@
     loads: LoadWindow,
     /// The endpoints that are listed but unreachable.
     lost: BTreeSet<EndpointKey>,
+    /// The models for which streams wait that have to go on at a version of the endpoints' software.
+    bound: BTreeSet<(SmolStr, SoftwareVersion)>,
 }
 
 /// Queries.
@@ -275,6 +297,11 @@
         self.lost = lost;
     }
 
+    /// Sets the models for which streams wait that have to go on at a version of the endpoints' software.
+    pub fn observe_bound(&mut self, bound: BTreeSet<(SmolStr, SoftwareVersion)>) {
+        self.bound = bound;
+    }
+
     /// Chooses the moves that begin now, and records them as in progress.
     pub fn plan(
         &mut self,
@@ -303,7 +330,8 @@
                 break;
             }
             let begun = self.loads.begun(now, ceiling);
-            let Some(best) = w.best_move().or_else(|| w.spare_move(left, begun)) else {
+            let best = w.best_move().or_else(|| w.bound_move());
+            let Some(best) = best.or_else(|| w.spare_move(left, begun)) else {
                 break;
             };
             let p = table.endpoint(best.at);
--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -13,7 +13,7 @@
 
 use super::table::{EndpointIx, EndpointState, ModelIx, Table};
 use super::{HIGH_LOAD, Rebalancer};
-use crate::id::ZoneName;
+use crate::id::{SoftwareVersion, ZoneName};
 
 /// The minimum value of a move, in units of an endpoint at [`HIGH_LOAD`]: a move costs one or two orders and
 /// the endpoint's prefix cache.
@@ -31,7 +31,7 @@
 const ONLY_IN_ZONE: f64 = 1.5;
 /// The smallest fraction of its value that a move keeps, however long the load takes.
 const MIN_TIMELY_PART: f64 = 0.1;
-/// The maximum cost of a second replica, and its additional cost in the zone of the first.
+/// The maximum cost of a second replica, and its additional cost in the zone of the first, or at another version.
 const SPARE_COST: f64 = 0.1;
 /// The fraction of the replicas of a model with adapters whose endpoints may be executing orders for models at
 /// the same time, since these accept no adapters meanwhile; and the same for second replicas.
@@ -128,6 +128,47 @@
         back.or_else(|| single.map(|m| self.best_spare(m)).fold(None, better))
     }
 
+    /// Returns a move that brings a model to a version of the software at which a stream waits to go on. Only models
+    /// that keep a replica make room for it.
+    pub(super) fn bound_move(&self) -> Option<RatedMove> {
+        let bound = self.rebalancer.bound.iter();
+        let moves = bound.map(|(name, version)| {
+            let load = self.table.find(name)?;
+            self.best_move_to(load, version)
+        });
+        moves.fold(None, better)
+    }
+
+    /// Returns the move at the lowest cost that brings a model to a version, unless an endpoint of the version has it.
+    fn best_move_to(&self, load: ModelIx, version: &SoftwareVersion) -> Option<RatedMove> {
+        let t = self.table;
+        let has_version = |p: &EndpointState| p.software.as_ref() == Some(version);
+        if t.holders(load).any(|(_, p)| has_version(p)) {
+            return None;
+        }
+        let mut best = None;
+        for (at, p) in t.endpoints().filter(|(_, p)| has_version(p)) {
+            if !self.may_move(p, load, f64::INFINITY) {
+                continue;
+            }
+            let Some(evict) = self.make_room(p, load, 1.0) else {
+                continue;
+            };
+            let mut worth = self.gain(at, load, &evict);
+            if !p.has_copy(load) {
+                worth -= COLD_COST;
+            }
+            let rated = RatedMove {
+                worth,
+                at,
+                load,
+                evict,
+            };
+            best = better(best, Some(rated));
+        }
+        best
+    }
+
     /// Returns `true` if a model is requested and has no replica, or if an endpoint that holds it is loaded
     /// above [`HIGH_LOAD`].
     fn is_short(&self, m: ModelIx) -> bool {
@@ -212,6 +253,7 @@
     fn best_spare(&self, load: ModelIx) -> Option<RatedMove> {
         let t = self.table;
         let zones: Vec<&ZoneName> = t.holders(load).map(|(_, p)| &p.zone).collect();
+        let versions: Vec<_> = t.holders(load).map(|(_, p)| &p.software).collect();
         let mut best = None;
         for (at, p) in t.endpoints() {
             if !self.may_move(p, load, SPARE_MOVING_PART) {
@@ -228,6 +270,10 @@
             if zones.contains(&&p.zone) {
                 worth -= SPARE_COST;
             }
+            // The streams of the first replica couldn't go on there.
+            if !versions.contains(&&p.software) {
+                worth -= SPARE_COST;
+            }
             if !p.has_copy(load) {
                 worth -= COLD_COST;
             }
--- a/crates/limehollow/src/rebalance/table.rs
+++ b/crates/limehollow/src/rebalance/table.rs
@@ -7,7 +7,7 @@
 use super::recent::RecentDemand;
 use super::{Rebalancer, used};
 use crate::catalog::EngineSpec;
-use crate::id::{EndpointKey, ServiceName, ZoneName};
+use crate::id::{EndpointKey, ServiceName, SoftwareVersion, ZoneName};
 use crate::roster::{Endpoint, Roster};
 use smol_str::SmolStr;
 use std::collections::HashMap;
@@ -25,6 +25,7 @@
 pub(super) struct EndpointState {
     pub(super) key: EndpointKey,
     pub(super) zone: ZoneName,
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) models: Vec<ModelIx>,
     /// The models of which the endpoint has a local copy.
     copies: Vec<ModelIx>,
@@ -84,6 +85,11 @@
         rows.filter(|(_, r)| r.is_served).map(|(i, _)| ModelIx(i))
     }
 
+    /// Returns a model that may be loaded, by its name.
+    pub(super) fn find(&self, name: &str) -> Option<ModelIx> {
+        self.models().find(|m| self.name(*m) == name)
+    }
+
     pub(super) fn name(&self, m: ModelIx) -> &SmolStr {
         &self.rows[m.0].name
     }
@@ -190,6 +196,7 @@
             EndpointState {
                 key,
                 zone: e.zone.clone(),
+                software: e.software.clone(),
                 models,
                 copies: e.copies.iter().map(|m| names.index(m)).collect(),
                 free: spec.megabytes - used(&e.holdings, spec),
--- a/crates/limehollow/src/stream_origin.rs
+++ b/crates/limehollow/src/stream_origin.rs
@@ -79,7 +79,7 @@
 }
 
 /// What began a stream. Versions of two services can't be compared.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// The service.
     pub service: ServiceName,
--- a/crates/limehollow/tests/rebalance.rs
+++ b/crates/limehollow/tests/rebalance.rs
@@ -365,3 +365,35 @@
     let moves = plan(&mut r, &roster, 7);
     assert_eq!(moves.first().map(|(k, _)| *k), Some(keys[5]), "{moves:?}");
 }
+
+#[test]
+fn plan_loads_a_model_at_the_version_at_which_a_stream_waits() {
+    let (mut roster, keys) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-1", "big-2"]]);
+    set_version(&mut roster, 0, "v1.1");
+    let mut r = Rebalancer::default();
+    r.observe(Instant::now(), &demand(&[("big-0", 10.0)]));
+    r.observe_bound([("big-0".into(), "v1".into())].into());
+    let moves = plan(&mut r, &roster, 3);
+    let (key, m) = moves.first().expect("there is a move");
+    assert_eq!(m.load, "big-0");
+    assert!(keys[1..].contains(key), "{key:?}");
+    // It is loaded once, although the stream goes on waiting.
+    assert!(!loads(&plan(&mut r, &roster, 3)).contains(&"big-0"));
+}
+
+#[test]
+fn plan_unloads_no_last_replica_for_a_stream() {
+    let (mut roster, _) = roster(&[&["big-0"], &["big-1", "big-2"], &["big-3", "big-4"]]);
+    set_version(&mut roster, 0, "v1.1");
+    let mut r = Rebalancer::default();
+    r.observe(Instant::now(), &demand(&[("big-0", 10.0)]));
+    r.observe_bound([("big-0".into(), "v1".into())].into());
+    assert_eq!(plan(&mut r, &roster, 5), []);
+}
+
+/// Has the list show another version of an endpoint's software.
+fn set_version(roster: &mut Roster, i: usize, version: &str) {
+    let mut entry = roster.iter().nth(i).expect("it is there").1.clone();
+    entry.software = Some(version.into());
+    roster.apply_entry(Instant::now(), entry);
+}
