A VM that starts doesn't take a stream for unknown to all before it knows the others

Cause: it knew no other VM yet, asked nobody, and took that for an answer. Now it says to come back after a second until it has read which VMs there are.

--- a/crates/limehollow-node/src/resumption.rs
+++ b/crates/limehollow-node/src/resumption.rs
@@ -98,7 +98,13 @@
     };
     // A VM of the zone that didn't answer may be slow, or the datagram was lost.
     vms.extend(here.iter().filter(|_| first == Err(NotFound::Unanswered)));
-    ask(site, &vms, stream, OTHER_ZONES_TIMEOUT).await
+    let found = ask(site, &vms, stream, OTHER_ZONES_TIMEOUT).await;
+    let view = site.view();
+    match found {
+        // A VM that starts may not know those yet that know the stream.
+        Err(NotFound::Nobody) if !view.has_vms || view.is_starting => Err(NotFound::Unanswered),
+        found => found,
+    }
 }
 
 /// Asks VMs at once and returns the first answer that says what began the stream.
--- a/crates/limehollow-node/tests/resumption.rs
+++ b/crates/limehollow-node/tests/resumption.rs
@@ -3,6 +3,8 @@
 mod rig;
 
 use limehollow::catalog::Share;
+use limehollow::peers::Peers;
+use limehollow::stream_origin::StreamOrigins;
 use rig::reach::whole;
 use rig::versions::{Begun, VERSIONS, VersionSite, resumable_rule, streams};
 use rig::{Does, Server, status};
@@ -184,6 +186,20 @@
     assert!(site.endpoints.iter().all(|(s, _)| s.requests() == 0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_may_come_back_to_a_vm_that_starts() {
+    let mut site = VersionSite::start(54, 1, 2).await;
+    let begun = begin(&site, &[0], 1).await;
+    // Another VM may know the stream, of which this one hasn't heard yet.
+    site.kill(0);
+    site.vms[1].site.view().has_vms = false;
+    site.vms[1].site.view().peers = Peers::new("vm-1".into(), "z0".into(), 250);
+    site.vms[1].site.view().stream_origins = StreamOrigins::default();
+    let taken = site.take_up(1, "again", &begun[0].0).await;
+    assert_eq!(status(&taken.text), 503, "{}", taken.text);
+    assert!(retry_after(&taken.text) <= 1.0, "{}", taken.text);
+}
+
 /// Returns the seconds after which the caller may come back.
 fn retry_after(text: &str) -> f64 {
     let value = text.split("retry-after: ").nth(1);
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -173,6 +173,7 @@
     pub fn introduce(&self) {
         for vm in &self.vms {
             let mut view = vm.site.view();
+            view.has_vms = true;
             for other in &self.vms {
                 let s = other.site.settings.load();
                 let (name, zone) = (s.name.as_str().into(), other.site.zone.clone());
