--- a/crates/limehollow-node/tests/no_endpoint_in_reach.rs
+++ b/crates/limehollow-node/tests/no_endpoint_in_reach.rs
@@ -7,6 +7,7 @@
 use limehollow_node::caller;
 use limehollow_node::site::Site;
 use rig::reach::{CutOffSite, Way, whole};
+use rig::versions::{ask_for_stream, resumable_rule, streams};
 use rig::{Does, Plain, request, rule, settings, status};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -119,6 +120,26 @@
     assert_eq!(status(&got), 200, "{got}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_is_passed_on_goes_on_at_the_version_that_began_it() {
+    let site = CutOffSite::start(29, resumable_rule(), 3, 6, &[streams()]).await;
+    site.set_way(0, Way::Refuses).await;
+    notice(&site, 0).await;
+    sleep(Duration::from_millis(500)).await;
+    let mut open = Vec::new();
+    for n in 0..12 {
+        let (first, again) = (format!("first-{n}"), format!("again-{n}"));
+        let begun = ask_for_stream(site.vms[n % 6].address, &first, "").await;
+        assert!(begun.has_event(), "{first}: {}", begun.text);
+        open.push(begun);
+        let more = format!("x-last-event: 1\r\nx-resumes: {first}\r\n");
+        let taken = ask_for_stream(site.vms[0].address, &again, &more).await;
+        assert!(taken.has_event(), "{again}: {}", taken.text);
+        open.push(taken);
+        assert_eq!(site.version_of(&again), site.version_of(&first), "{n}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_is_passed_on_arrives_as_it_comes_and_ends_with_its_caller() {
     let head = "HTTP/1.1 200 x\r\nx-mark: m\r\ncontent-type: text/event-stream\r\n\
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -18,6 +18,7 @@
 use limehollow_node::follow::follow;
 use limehollow_node::gossip::GossipSender;
 use limehollow_node::quarantine_sync::sync_with_peers;
+use limehollow_node::resumption::OriginSender;
 use limehollow_node::site::Site;
 use limehollow_node::{keys, limits, start};
 use std::sync::Arc;
@@ -297,6 +298,15 @@
         vm.tasks
             .push(tokio::spawn(limits::collect_earnings(Arc::clone(&vm.site))));
         let (net, site, zone) = (self.net.clone(), Arc::clone(&vm.site), vm.zone);
+        vm.tasks.push(tokio::spawn(async move {
+            let mut sender = OriginSender::new(site);
+            loop {
+                for (to, records) in sender.next().await {
+                    net.deliver_origins(zone, to, records);
+                }
+            }
+        }));
+        let (net, site, zone) = (self.net.clone(), Arc::clone(&vm.site), vm.zone);
         vm.tasks.push(tokio::spawn(async move {
             let mut sender = GossipSender::new(Arc::clone(&site));
             loop {
@@ -382,6 +392,12 @@
         net.crash_bytes.values().copied().max().unwrap_or(0)
     }
 
+    /// Returns the number of records of streams' origins that were sent, and their bytes.
+    pub fn origins_sent(&self) -> (usize, usize) {
+        let net = self.net.0.lock().expect("the lock is not poisoned");
+        net.origins
+    }
+
     /// Has a VM record that an instance of an endpoint crashed under a request.
     pub fn crash(&self, vm: usize, request: Fingerprint, endpoint: usize, timing: Timing) {
         let start = instance::Instance::from(format!("e-{endpoint}").as_str());
--- a/crates/limehollow-node/tests/rig/fleet_net.rs
+++ b/crates/limehollow-node/tests/rig/fleet_net.rs
@@ -5,11 +5,15 @@
 use super::fleet_store::at_rate;
 use limehollow::crash_record::CrashRecord;
 use limehollow::log_position::LogPosition;
+use limehollow::stream_origin::OriginRecord;
 use limehollow_node::edge::PeerStates;
 use limehollow_node::gossip::{Outgoing, handle_message};
 use limehollow_node::query;
+use limehollow_node::resumption;
 use limehollow_node::site::Site;
-use limehollow_wire::gossip::{Members, Query, QueryBody, State, encode_crashes, encode_state};
+use limehollow_wire::gossip::{
+    Datagram, Members, Query, QueryBody, State, encode, encode_crashes, encode_state,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -38,6 +42,8 @@
     pub(super) still: BTreeSet<SocketAddr>,
     /// The number of sent queries, by kind.
     pub(super) queries: BTreeMap<&'static str, usize>,
+    /// The records of streams' origins that were sent, and their bytes.
+    pub(super) origins: (usize, usize),
     /// Bytes of crash records that each VM has received.
     pub(super) crash_bytes: BTreeMap<SocketAddr, usize>,
     /// Until when each VM's link is busy with states that it hands over, and the number of states that it
@@ -124,6 +130,35 @@
         }
     }
 
+    /// Sends what began some streams to another VM.
+    pub(super) fn deliver_origins(
+        &self,
+        from_zone: usize,
+        to: SocketAddr,
+        records: Vec<OriginRecord>,
+    ) {
+        let n = records.len();
+        let datagram = Datagram::Origins(records.clone());
+        let bytes = encode(&datagram).expect("it can be encoded").len();
+        {
+            let mut net = self.0.lock().expect("the lock is not poisoned");
+            net.origins.0 += n;
+            net.origins.1 += bytes;
+        }
+        let Some((_, site)) = self.reach(from_zone, to) else {
+            return;
+        };
+        if self.loses_message() {
+            return;
+        }
+        let net = self.clone();
+        tokio::spawn(async move {
+            sleep(NETWORK_DELAY).await;
+            net.wait_resumed(to).await;
+            resumption::receive(&site, records);
+        });
+    }
+
     pub(super) fn deliver(&self, from_zone: usize, (message, to): Outgoing) {
         for address in to {
             let Some((zone, site)) = self.reach(from_zone, address) else {
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -239,6 +239,13 @@
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
+
+    /// Returns `true` if a request with this id has arrived.
+    pub fn has_received(&self, id: &str) -> bool {
+        let line = format!("x-id: {id}\r\n");
+        let received = self.received.lock().expect("no test panics with it");
+        received.iter().any(|r| r.contains(&line))
+    }
 }
 
 async fn serve(
--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -1,5 +1,6 @@
 //! Test support: VMs that talk to each other over sockets, some of which reach no endpoint.
 
+use super::versions::VERSIONS;
 use super::{Does, Gateway, Plain, Server, answer, catalog, parse_settings, request};
 use limehollow::catalog::Rule;
 use limehollow::id::{ServiceName, ZoneName};
@@ -58,9 +59,9 @@
             for (n, e) in site.endpoints.iter().enumerate() {
                 let path = Path::start(e.address);
                 let zone = ZoneName::from(format!("z{}", n % zones));
-                vm.site
-                    .view()
-                    .list(Instant::now(), listed(n, zone, path.address));
+                let mut entry = listed(n, zone, path.address);
+                entry.software = Some(site.version(n).into());
+                vm.site.view().list(Instant::now(), entry);
                 ways.push(path);
             }
             site.ways.push(ways);
@@ -81,6 +82,17 @@
         site
     }
 
+    /// Returns the version of an endpoint: each zone has one of each.
+    fn version(&self, n: usize) -> &'static str {
+        VERSIONS[n / (self.endpoints.len() / 2)]
+    }
+
+    /// Returns the version of the endpoint that a request reached.
+    pub fn version_of(&self, id: &str) -> Option<&'static str> {
+        let n = self.endpoints.iter().position(|e| e.has_received(id))?;
+        Some(self.version(n))
+    }
+
     /// Sets what happens to the connections that a VM opens to endpoints from now on.
     pub async fn set_way(&self, vm: usize, way: Way) {
         for path in &self.ways[vm] {
@@ -170,6 +182,11 @@
         Arc::clone(&socket),
         Arc::clone(&wake),
     ));
+    tokio::spawn(gossip::send_questions(
+        Arc::clone(&site),
+        Arc::clone(&socket),
+    ));
+    tokio::spawn(gossip::send_origins(Arc::clone(&site), Arc::clone(&socket)));
     tokio::spawn(gossip::receive(Arc::clone(&site), socket, wake));
     let peers = TcpListener::bind((ip, port)).await.expect("it is free too");
     tokio::spawn(peer_state::serve(Arc::clone(&site), peers));
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -236,18 +236,18 @@
 
     /// Begins a stream at a VM.
     pub async fn begin(&self, vm: usize, id: &str) -> Begun {
-        ask(self.vms[vm].address, id, "").await
+        ask_for_stream(self.vms[vm].address, id, "").await
     }
 
     /// Takes up at a VM the stream that request `first` began.
     pub async fn take_up(&self, vm: usize, id: &str, first: &str) -> Begun {
         let more = format!("x-last-event: 1\r\nx-resumes: {first}\r\n");
-        ask(self.vms[vm].address, id, &more).await
+        ask_for_stream(self.vms[vm].address, id, &more).await
     }
 
     /// Takes up at a VM a stream without naming the request that began it.
     pub async fn take_up_unnamed(&self, vm: usize, id: &str) -> Begun {
-        ask(self.vms[vm].address, id, "x-last-event: 1\r\n").await
+        ask_for_stream(self.vms[vm].address, id, "x-last-event: 1\r\n").await
     }
 
     /// Has the lists of all VMs be complete now.
@@ -261,12 +261,7 @@
 
     /// Returns the version of the endpoint that a request reached last.
     pub fn version_of(&self, id: &str) -> Option<&'static str> {
-        let line = format!("x-id: {id}\r\n");
-        let has = |s: &Server| {
-            let received = s.received.lock().expect("no test panics with it");
-            received.iter().any(|r| r.contains(&line))
-        };
-        let reached = self.endpoints.iter().rfind(|(s, _)| has(s));
+        let reached = self.endpoints.iter().rfind(|(s, _)| s.has_received(id));
         reached.map(|(_, version)| *version)
     }
 }
@@ -320,7 +315,8 @@
     Does::WritesAndWaits(format!("{head}{:x}\r\n{EVENT}\r\n", EVENT.len()).into_bytes())
 }
 
-async fn ask(to: SocketAddr, id: &str, more: &str) -> Begun {
+/// Asks a VM for a stream and reads up to its first event, or to the end.
+pub async fn ask_for_stream(to: SocketAddr, id: &str, more: &str) -> Begun {
     let mut connection = TcpStream::connect(to).await.expect("it accepts");
     let more = format!("connection: close\r\n{more}");
     let head = request("/a/x", id, &more, "");
--- a/crates/limehollow/tests/roster.rs
+++ b/crates/limehollow/tests/roster.rs
@@ -2,7 +2,9 @@
 
 mod site;
 
-use limehollow::roster::{HoldingsReport, REPORT_PREFERRED, holds};
+use limehollow::id::SoftwareVersion;
+use limehollow::instance::Instance;
+use limehollow::roster::{Endpoint, HoldingsReport, REPORT_PREFERRED, Roster, holds};
 use site::{adapter, endpoint, holding, model, roster};
 use tokio::time::{Instant, advance};
 
@@ -159,3 +161,43 @@
     assert!(holds(&h, &adapter("big-0", "a1")));
     assert!(!holds(&h, &adapter("big-1", "a1")));
 }
+
+#[test]
+fn apply_entry_of_another_version_is_another_start() {
+    let (mut r, keys) = roster(&[&["big-0"]]);
+    let mut entry = endpoint(0, "a", holding(&["big-0"]));
+    entry.software = Some("v1.1".into());
+    let update = r.apply_entry(Instant::now(), entry);
+    assert_eq!(update.replaced, Some(keys[0]));
+    let key = r.key("i-0").expect("listed");
+    let software = &r.get(key).expect("listed").software;
+    assert_eq!(software.as_ref().map(SoftwareVersion::as_str), Some("v1.1"));
+}
+
+#[test]
+fn version_of_a_start_that_only_a_report_shows_is_unknown() {
+    let born = |ms| Instance {
+        id: "i-0".into(),
+        born: Some(ms),
+    };
+    let mut r = Roster::default();
+    let listed = |ms| Endpoint {
+        instance: born(ms),
+        ..endpoint(0, "a", holding(&[]))
+    };
+    r.apply_entry(Instant::now(), listed(1));
+    let report = HoldingsReport {
+        instance: born(2),
+        ..report(0, &["big-0"])
+    };
+    r.apply_report(Instant::now(), &report);
+    let software = |r: &Roster| r.get(r.key("i-0").expect("listed"))?.software.clone();
+    assert_eq!(software(&r), None);
+    // An entry of the former start says nothing of it.
+    r.apply_entry(Instant::now(), listed(1));
+    assert_eq!(software(&r), None);
+    let key = r.key("i-0");
+    r.apply_entry(Instant::now(), listed(2));
+    assert!(software(&r).is_some());
+    assert_eq!(r.key("i-0"), key);
+}
