After a start of all VMs, streams of a service with one version go on

Cause: the proof needs the time before, which no VM remembers then. Change: the holder of the lease keeps the listed versions in the store beside the records of crashing requests, where a VM that starts reads them with the same call; it orders no model to an endpoint of a version that isn't kept. The history comes along with another VM's list, and a VM that is young says to come back after a second.

--- a/crates/limehollow-node/src/controller.rs
+++ b/crates/limehollow-node/src/controller.rs
@@ -10,6 +10,7 @@
 use crate::order_task::{MoveKind, OrderTask, SharedLateLoads, SharedLoadWindow, TaskEnd};
 use crate::site::Site;
 use crate::site_view::SiteView;
+use crate::version_store;
 use limehollow::catalog::{Catalog, EngineSpec};
 use limehollow::group_lease::GroupLease;
 use limehollow::id::{EndpointKey, ServiceName, SoftwareVersion};
@@ -60,6 +61,11 @@
         demand_logged: site.now(),
         ended: ended_tx,
     };
+    tokio::spawn(version_store::keep(
+        Arc::clone(&site),
+        store.clone(),
+        Arc::clone(&lease),
+    ));
     tokio::spawn(maintain_lease(Arc::clone(&site), store, lease, stop));
     let mut models_due = site.now();
     let mut adapters_due = site.now();
@@ -165,12 +171,13 @@
         self.record_lease(fence, &catalog);
         let now = self.site.now();
         let demand = self.demand(now);
+        let unkept = version_store::unkept(&self.site);
         let ceiling = self.site.settings.load().load_ceiling();
         for (service, spec) in &catalog.services {
             let Some(engine) = &spec.engine else { continue };
             let r = self.rebalancers.entry(service.clone()).or_default();
             r.observe(now, &demand);
-            r.observe_lost(lost(&self.site.view(), now));
+            r.observe_lost(&lost(&self.site.view(), now) | &unkept);
             r.observe_bound(bound(&self.site.view(), service));
             if now.duration_since(self.demand_logged) >= LOG_DEMAND_EVERY {
                 self.demand_logged = now;
--- a/crates/limehollow-node/src/counting_store.rs
+++ b/crates/limehollow-node/src/counting_store.rs
@@ -1,23 +1,24 @@
 //! Counts the calls to the platform's store by call and outcome: each call is paid for, and all VMs share the store's
 //! capacity.
 
-use crate::edge::{Changes, Feed, Store, StoreError, Vm};
+use crate::edge::{Changes, Feed, Kept, Store, StoreError, Vm};
 use crate::metrics::{Metrics, StoreCallLabels};
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::GroupAssignment;
 use limehollow::log_position::LogPosition;
+use limehollow::version_history::ListedVersion;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The calls, and the records that they concern.
-const CALLS: [(&str, &str); 13] = [
+const CALLS: [(&str, &str); 14] = [
     ("newest", "configuration"),
     ("newest", "endpoints"),
     ("newest", "vms"),
-    ("newest", "crashes"),
+    ("newest", "kept"),
     ("changes", "configuration"),
     ("changes", "endpoints"),
     ("changes", "vms"),
@@ -25,6 +26,7 @@
     ("wait", "vms"),
     ("append", "vms"),
     ("append", "crashes"),
+    ("append", "versions"),
     ("join", "lease"),
     ("leave", "lease"),
 ];
@@ -136,9 +138,14 @@
         self.count("join", "lease", res)
     }
 
-    async fn crash_records(&self) -> Result<Vec<CrashRecord>, StoreError> {
-        let res = self.store.crash_records().await;
-        self.count("newest", "crashes", res)
+    async fn kept(&self) -> Result<Kept, StoreError> {
+        let res = self.store.kept().await;
+        self.count("newest", "kept", res)
+    }
+
+    async fn put_versions(&self, versions: &[ListedVersion]) -> Result<(), StoreError> {
+        let res = self.store.put_versions(versions).await;
+        self.count("append", "versions", res)
     }
 
     async fn put_crash_record(
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -148,7 +148,7 @@
         };
         let found = match &resumption.first_request {
             Some(_) => resumption::find(self.site, self.stream_tag()).await,
-            None => Err(NotFound::Nobody),
+            None => Err(resumption::unnamed(self.site)),
         };
         let found = found.or_else(|e| match e {
             NotFound::Conflicting => Err(e),
--- a/crates/limehollow-node/src/edge.rs
+++ b/crates/limehollow-node/src/edge.rs
@@ -16,6 +16,7 @@
 use limehollow::log_position::LogPosition;
 use limehollow::rebalance::EndpointReport;
 use limehollow::roster::{Endpoint, ModelRef};
+use limehollow::version_history::ListedVersion;
 use limehollow::workspace::KeyDigest;
 use limehollow_wire::gossip::{ListChange, Members, State};
 use smol_str::SmolStr;
@@ -143,6 +144,15 @@
     },
 }
 
+/// What VMs keep in the platform's store for when all of them lose their memory.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    /// The records of quarantined requests.
+    pub crashes: Vec<CrashRecord>,
+    /// The versions of the endpoints' software that were listed; `None` if none were ever stored.
+    pub versions: Option<Vec<ListedVersion>>,
+}
+
 /// A client of the platform's store.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads the newest record of each key.
@@ -183,13 +193,23 @@
         generation: u64,
     ) -> impl Future<Output = Result<GroupAssignment, StoreError>> + Send;
 
-    /// Reads the stored records of quarantined requests. Ages aren't stored, so each record's age counts from this
-    /// read.
+    /// Reads what VMs keep in the store for when all of them lose their memory. Ages aren't stored, so each record's age
+    /// counts from this read.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] if the call fails.
+    fn kept(&self) -> impl Future<Output = Result<Kept, StoreError>> + Send;
+
+    /// Stores which versions of the endpoints' software are listed, in place of those stored before.
     ///
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the call fails.
-    fn crash_records(&self) -> impl Future<Output = Result<Vec<CrashRecord>, StoreError>> + Send;
+    fn put_versions(
+        &self,
+        versions: &[ListedVersion],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Stores the record of a quarantined request, or deletes it if `record` is `None`.
     ///
--- a/crates/limehollow-node/src/follower.rs
+++ b/crates/limehollow-node/src/follower.rs
@@ -223,7 +223,7 @@
     /// Applies another VM's state. Returns the new position if that VM had read further than this VM.
     pub(crate) fn apply_state(
         &mut self,
-        PeerState { vm, state }: PeerState,
+        PeerState { vm, mut state }: PeerState,
     ) -> Option<LogPosition> {
         if !self.is_ahead(&state) {
             return None;
@@ -237,6 +237,7 @@
             self.site
                 .merge_freshness(&mut view, self.feed, ages.to_freshness(now), true);
         }
+        let mut versions = None;
         let changes: Vec<Change> = match self.feed {
             Feed::Configuration => {
                 let catalog = state.catalog.into_iter();
@@ -245,9 +246,15 @@
                 let evacuated = evacuated.map(|zone| Change::Evacuation { zone, begins: true });
                 catalog.chain(evacuated).collect()
             }
-            Feed::Endpoints | Feed::Vms => listed(state),
+            Feed::Endpoints | Feed::Vms => {
+                versions = state.versions.take();
+                listed(state)
+            }
         };
         self.apply(ChangeSource::State, changes, true);
+        if let Some(seen) = versions {
+            self.site.view().version_history.adopt(now, seen);
+        }
         Some(at)
     }
 
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -17,6 +17,7 @@
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
 //! * `retry_delay` says when the caller of a refused request is told to come back.
 //! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
+//! * `version_store` keeps the listed versions of the endpoints' software in the platform's store.
 //! * [`resumption`] finds out which version of a service's software began a stream that is taken up.
 //! * `answer_body` follows the body of an answer to its end.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
@@ -79,3 +80,4 @@
 pub mod start;
 pub mod traffic;
 mod unresponsive;
+mod version_store;
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -204,21 +204,25 @@
     }
 }
 
-/// Reads the stored records. Returns `true` if the store answered.
+/// Reads the stored records, and the versions that are stored beside them. Returns `true` if the store answered.
 async fn read_once<P, S>(site: &Site<P>, store: &S) -> bool
 where
     P: Protocol,
     S: Store,
 {
-    match store.crash_records().await {
-        Ok(records) => {
-            if merge(site, "the store", &records) {
-                tracing::info!(records = records.len(), "quarantined requests read");
+    match store.kept().await {
+        Ok(kept) => {
+            if merge(site, "the store", &kept.crashes) {
+                tracing::info!(records = kept.crashes.len(), "quarantined requests read");
+            }
+            if let Some(versions) = kept.versions {
+                let now = site.now();
+                site.view().version_history.add_earlier(now, versions);
             }
             true
         }
         Err(e) => {
-            tracing::debug!(error = %e, "quarantined requests can't be read from the store");
+            tracing::debug!(error = %e, "what the store keeps can't be read");
             false
         }
     }
--- a/crates/limehollow-node/src/resumption.rs
+++ b/crates/limehollow-node/src/resumption.rs
@@ -9,10 +9,12 @@
 use crate::metrics::Metrics;
 use crate::relay::millis;
 use crate::site::Site;
+use crate::site_view::SiteView;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::stream_origin::{Batches, Known, OriginRecord, StreamOrigin, StreamTag};
+use limehollow::version_history::VersionsSeen;
 use limehollow_wire::gossip::{OriginReply, QueryBody, Reply, millis as wire_millis};
 use rand::seq::IndexedRandom;
 use smol_str::{SmolStr, format_smolstr};
@@ -29,7 +31,7 @@
 /// The largest age of the list with which it proves that a service has one version: less than the load of a model takes.
 const PROOF_LIST_AGE: Duration = Duration::from_millis(1000);
 /// How often another VM is asked for the versions that it has seen.
-const HISTORY_EVERY: Duration = Duration::from_millis(1000);
+const HISTORY_EVERY: Duration = Duration::from_millis(500);
 const THIS_VM: &str = "this VM";
 /// Who knows a stream's version if the service has had no other.
 const ONLY_VERSION: &str = "the list";
@@ -101,12 +103,28 @@
     let found = ask(site, &vms, stream, OTHER_ZONES_TIMEOUT).await;
     let view = site.view();
     match found {
-        // A VM that starts may not know those yet that know the stream.
-        Err(NotFound::Nobody) if !view.has_vms || view.is_starting => Err(NotFound::Unanswered),
+        // A VM that starts may not know those yet that know the stream, or what was listed before.
+        Err(NotFound::Nobody)
+            if !view.has_vms || view.is_starting || view.version_history.is_young(site.now()) =>
+        {
+            Err(NotFound::Unanswered)
+        }
         found => found,
     }
 }
 
+/// Returns why it isn't known what began a stream whose caller doesn't name the first request.
+pub(crate) fn unnamed<P>(site: &Site<P>) -> NotFound
+where
+    P: Protocol,
+{
+    if site.view().version_history.is_young(site.now()) {
+        NotFound::Unanswered
+    } else {
+        NotFound::Nobody
+    }
+}
+
 /// Asks VMs at once and returns the first answer that says what began the stream.
 async fn ask<P>(
     site: &Site<P>,
@@ -176,11 +194,13 @@
 where
     P: Protocol,
 {
-    let now = site.now();
-    let view = site.view();
-    let freshness = view.feed_reads.freshness(Feed::Endpoints);
-    let seen = freshness.and_then(|f| view.version_history.to_seen(now, f.age(now)));
-    Reply::Versions(seen)
+    Reply::Versions(versions_seen(site.now(), &site.view()))
+}
+
+/// Returns the versions that a VM has seen, for another one.
+pub(crate) fn versions_seen(now: Instant, view: &SiteView) -> Option<VersionsSeen> {
+    let freshness = view.feed_reads.freshness(Feed::Endpoints)?;
+    view.version_history.to_seen(now, freshness.age(now))
 }
 
 /// Asks other VMs for the versions that they have seen, until this VM knows all that matter.
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::query::PendingQueries;
+use crate::resumption;
 use crate::settings::NodeSettings;
 use crate::site_view::{SiteView, StoreReturn};
 use crate::start;
@@ -348,6 +349,7 @@
             unreadable: view.roster.unreadable().cloned().collect(),
             evacuated: view.roster.evacuated().cloned().collect(),
             members,
+            versions: resumption::versions_seen(self.now(), &view),
         }
     }
 
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -29,7 +29,7 @@
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef, Roster, Update};
 use limehollow::start_tree::StartTree;
 use limehollow::stream_origin::StreamOrigins;
-use limehollow::version_history::VersionHistory;
+use limehollow::version_history::{ListedVersion, VersionHistory};
 use limehollow_wire::gossip::{ListChanges, Positions};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -149,6 +149,8 @@
     pub stream_origins: StreamOrigins,
     /// The versions of the endpoints' software that were listed lately.
     pub version_history: VersionHistory,
+    /// The versions that this VM, as the holder of the lease, has stored.
+    pub versions_kept: Option<BTreeSet<ListedVersion>>,
     /// The digest that each other VM last sent of its quarantine records, and the address to fetch them
     /// from.
     pub quarantines: BTreeMap<SmolStr, ReportedDigest>,
@@ -212,6 +214,7 @@
             quarantines: BTreeMap::new(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::new(settings.first_start),
+            versions_kept: None,
         }
     }
 
--- a/crates/limehollow-node/tests/rig/fleet_store.rs
+++ b/crates/limehollow-node/tests/rig/fleet_store.rs
@@ -6,7 +6,8 @@
 use limehollow::fingerprint::Fingerprint;
 use limehollow::group_lease::GroupAssignment;
 use limehollow::log_position::LogPosition;
-use limehollow_node::edge::{Changes, Feed, Store, StoreError, Vm};
+use limehollow::version_history::ListedVersion;
+use limehollow_node::edge::{Changes, Feed, Kept, Store, StoreError, Vm};
 use std::future::pending;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -231,8 +232,12 @@
         Ok(())
     }
 
-    async fn crash_records(&self) -> Result<Vec<CrashRecord>, StoreError> {
-        self.call(self.store.crash_records()).await
+    async fn kept(&self) -> Result<Kept, StoreError> {
+        self.call(self.store.kept()).await
+    }
+
+    async fn put_versions(&self, versions: &[ListedVersion]) -> Result<(), StoreError> {
+        self.call(self.store.put_versions(versions)).await
     }
 
     async fn put_crash_record(
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -23,11 +23,12 @@
 use limehollow::rebalance::EndpointReport;
 use limehollow::retry::Repeat;
 use limehollow::roster::{Endpoint, ModelRef};
+use limehollow::version_history::ListedVersion;
 use limehollow::workspace::KeyDigest;
 use limehollow_edge::settings::parse;
 use limehollow_node::caller;
 use limehollow_node::edge::{
-    AnswerClass, Change, Changes, Feed, ForwardMeta, HeaderPolicy, Order, OrderReply,
+    AnswerClass, Change, Changes, Feed, ForwardMeta, HeaderPolicy, Kept, Order, OrderReply,
     ParseRequestError, ParseRequestSnafu, PeerStates, Protocol, RequestMeta, Resumption, Store,
     StoreError, Vm,
 };
@@ -470,6 +471,7 @@
     /// The number of calls for each feed.
     calls: BTreeMap<Feed, usize>,
     crashes: BTreeMap<Fingerprint, CrashRecord>,
+    versions: Option<Vec<ListedVersion>>,
 }
 
 impl Memory {
@@ -653,12 +655,24 @@
         Ok(())
     }
 
-    async fn crash_records(&self) -> Result<Vec<CrashRecord>, StoreError> {
+    async fn kept(&self) -> Result<Kept, StoreError> {
         let kept = self.0.lock().expect("sound");
         if kept.is_away {
-            return Err(away("crash records"));
+            return Err(away("kept"));
         }
-        Ok(kept.crashes.values().cloned().collect())
+        Ok(Kept {
+            crashes: kept.crashes.values().cloned().collect(),
+            versions: kept.versions.clone(),
+        })
+    }
+
+    async fn put_versions(&self, versions: &[ListedVersion]) -> Result<(), StoreError> {
+        let mut kept = self.0.lock().expect("sound");
+        if kept.is_away {
+            return Err(away("keep versions"));
+        }
+        kept.versions = Some(versions.to_vec());
+        Ok(())
     }
 
     async fn put_crash_record(
--- a/crates/limehollow-wire/src/gossip.rs
+++ b/crates/limehollow-wire/src/gossip.rs
@@ -18,7 +18,7 @@
 use limehollow::rebalance::RequestedLoad;
 use limehollow::roster::{Endpoint, HoldingsReport, ModelRef};
 use limehollow::stream_origin::{OriginRecord, StreamOrigin, StreamTag};
-use limehollow::version_history::VersionsSeen;
+use limehollow::version_history::{ListedVersion, VersionsSeen};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::ResultExt;
@@ -439,6 +439,8 @@
     pub evacuated: Vec<ZoneName>,
     /// The VMs of the site.
     pub members: Members,
+    /// The versions of the endpoints' software that the list has shown lately.
+    pub versions: Option<VersionsSeen>,
 }
 
 /// Encodes and compresses a state.
@@ -512,6 +514,25 @@
     postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
 }
 
+/// Encodes the versions that are listed.
+///
+/// # Errors
+///
+/// Returns [`crate::Error::Binary`] if they can't be encoded.
+pub fn encode_versions(versions: &[ListedVersion]) -> Result<Vec<u8>> {
+    postcard::to_extend(versions, vec![SCHEMA]).context(BinarySnafu { len: 0_usize })
+}
+
+/// Decodes the versions that are listed.
+///
+/// # Errors
+///
+/// Returns [`crate::Error::Version`] for another schema version, and [`crate::Error::Binary`] if the bytes can't be
+/// decoded.
+pub fn decode_versions(bytes: &[u8]) -> Result<Vec<ListedVersion>> {
+    postcard::from_bytes(body(bytes)?).context(BinarySnafu { len: bytes.len() })
+}
+
 /// Encodes a datagram.
 ///
 /// # Errors
--- a/crates/limehollow/src/version_history.rs
+++ b/crates/limehollow/src/version_history.rs
@@ -26,6 +26,9 @@
 /// The longest time for which a caller waits for a stream, over all its tries.
 pub const LONGEST_STREAM: Duration = Duration::from_secs(60);
 
+/// The time in which a VM that has read its list gets the history of another one, if any has it.
+const YOUNG: Duration = Duration::from_secs(2);
+
 /// Since when a history names all versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Complete {
@@ -41,8 +44,8 @@
 #[derive(Clone, Debug)]
 pub struct VersionHistory {
     complete: Complete,
-    /// Whether the site is there for the first time, so that no stream has begun before the first list.
-    is_first_start: bool,
+    /// Whether the versions from before the first list are known, or there were none.
+    knows_earlier: bool,
     /// When each version was last listed; `None` stands for an unknown version.
     seen: BTreeMap<ServiceName, BTreeMap<Option<SoftwareVersion>, Instant>>,
 }
@@ -53,6 +56,9 @@
     }
 }
 
+/// A version of a service's software.
+pub type ListedVersion = (ServiceName, SoftwareVersion);
+
 /// A history, as one VM tells it to another. Times are ages in ms, since the clocks of VMs differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionsSeen {
@@ -71,7 +77,7 @@
     pub fn new(is_first_start: bool) -> Self {
         Self {
             complete: Complete::Never,
-            is_first_start,
+            knows_earlier: is_first_start,
             seen: BTreeMap::new(),
         }
     }
@@ -86,6 +92,16 @@
         }
     }
 
+    /// Returns `true` if the VM has read its list so lately that other VMs may still say what was listed before.
+    #[must_use]
+    pub fn is_young(&self, now: Instant) -> bool {
+        match self.complete {
+            Complete::Never => true,
+            Complete::Always => false,
+            Complete::Since(t) => now.saturating_duration_since(t) < YOUNG,
+        }
+    }
+
     /// Returns the only version at which a stream of a service can have begun, or `None` if there may be several.
     #[must_use]
     pub fn only_version(&self, now: Instant, service: &ServiceName) -> Option<SoftwareVersion> {
@@ -95,6 +111,16 @@
         recent.next().is_none().then(|| version.clone())?
     }
 
+    /// Returns the known versions at which a stream may have begun that is still alive.
+    #[must_use]
+    pub fn listed(&self, now: Instant) -> BTreeSet<ListedVersion> {
+        let rows = self.seen.iter().flat_map(|(service, versions)| {
+            let recent = versions.iter().filter(|(_, at)| is_recent(now, **at));
+            recent.filter_map(|(v, _)| Some((service.clone(), v.clone()?)))
+        });
+        rows.collect()
+    }
+
     /// Returns the history for another VM, given the age of this VM's list. Returns `None` before the list has been read.
     #[must_use]
     pub fn to_seen(&self, now: Instant, list_age: Duration) -> Option<VersionsSeen> {
@@ -125,7 +151,7 @@
         version: Option<&SoftwareVersion>,
     ) {
         if self.complete == Complete::Never {
-            self.complete = if self.is_first_start {
+            self.complete = if self.knows_earlier {
                 Complete::Always
             } else {
                 Complete::Since(now)
@@ -155,6 +181,21 @@
         }
     }
 
+    /// Adds all versions from before the first list, which were read from the store now.
+    pub fn add_earlier<I>(&mut self, now: Instant, earlier: I)
+    where
+        I: IntoIterator<Item = ListedVersion>,
+    {
+        for (service, version) in earlier {
+            let versions = self.seen.entry(service).or_default();
+            versions.insert(Some(version), now);
+        }
+        self.knows_earlier = true;
+        if self.complete != Complete::Never {
+            self.complete = Complete::Always;
+        }
+    }
+
     /// Adds what another VM has seen. `transit` is the longest time for which its answer may have been on the way.
     pub fn merge(&mut self, now: Instant, other: VersionsSeen, transit: Duration) {
         let before = |ms: u32| now.checked_sub(Duration::from_millis(u64::from(ms)));
@@ -166,16 +207,32 @@
             // What was listed between its list and the first one of this VM is unknown.
             return;
         }
+        let complete = match other.complete_ms {
+            None => Complete::Always,
+            Some(ms) => Complete::Since(before(ms).map_or(own, |t| t.min(own))),
+        };
+        self.add(now, other);
+        self.complete = complete;
+    }
+
+    /// Takes over what another VM has seen, with the list that it had then.
+    pub fn adopt(&mut self, now: Instant, other: VersionsSeen) {
+        let ago = |ms: u32| Duration::from_millis(u64::from(ms));
+        self.complete = match other.complete_ms {
+            None => Complete::Always,
+            Some(ms) => Complete::Since(now.checked_sub(ago(ms)).unwrap_or(now)),
+        };
+        self.add(now, other);
+    }
+
+    fn add(&mut self, now: Instant, other: VersionsSeen) {
         for (service, version, ago) in other.seen {
-            let at = before(ago).unwrap_or(now);
+            let ago = Duration::from_millis(u64::from(ago));
+            let at = now.checked_sub(ago).unwrap_or(now);
             let known = self.seen.entry(service).or_default();
             let row = known.entry(version).or_insert(at);
             *row = at.max(*row);
         }
-        self.complete = match other.complete_ms {
-            None => Complete::Always,
-            Some(ms) => Complete::Since(before(ms).map_or(own, |t| t.min(own))),
-        };
     }
 }
 
--- a/crates/limehollow/tests/version_history.rs
+++ b/crates/limehollow/tests/version_history.rs
@@ -118,3 +118,57 @@
     assert!(!new.is_complete(later));
     assert_eq!(VersionHistory::default().to_seen(now, Duration::ZERO), None);
 }
+
+#[test]
+fn version_is_proven_at_once_if_the_earlier_ones_were_stored() {
+    let now = Instant::now();
+    let mut h = VersionHistory::default();
+    h.add_earlier(now, [(drafter(), v("v1"))]);
+    assert_eq!(
+        h.only_version(now, &drafter()),
+        None,
+        "no list has been read"
+    );
+    h.record(now, &drafter(), Some(&v("v1")));
+    assert_eq!(h.only_version(now, &drafter()), Some(v("v1")));
+    // Also if the list comes first.
+    let mut h = VersionHistory::default();
+    h.record(now, &drafter(), Some(&v("v1.1")));
+    h.add_earlier(now, [(drafter(), v("v1"))]);
+    assert_eq!(h.only_version(now, &drafter()), None, "there were two");
+    let later = now + LONGEST_STREAM + Duration::from_millis(1);
+    h.record(later, &drafter(), Some(&v("v1.1")));
+    assert_eq!(h.only_version(later, &drafter()), Some(v("v1.1")));
+}
+
+#[test]
+fn listed_versions_are_those_at_which_a_stream_may_have_begun() {
+    let now = Instant::now();
+    let mut h = VersionHistory::new(true);
+    h.record(now, &drafter(), Some(&v("v1")));
+    h.record(now, &drafter(), None);
+    let last = now + LONGEST_STREAM;
+    h.record(last, &drafter(), Some(&v("v1.1")));
+    assert_eq!(h.listed(last).len(), 2);
+    let later = last + Duration::from_millis(1);
+    assert_eq!(h.listed(later), [(drafter(), v("v1.1"))].into());
+}
+
+#[test]
+fn history_comes_with_the_list_of_another_vm() {
+    let start = Instant::now();
+    let mut old = VersionHistory::new(true);
+    old.record(start, &drafter(), Some(&v("v1")));
+    let now = start + Duration::from_secs(5);
+    let mut new = VersionHistory::default();
+    new.record(now, &drafter(), Some(&v("v1")));
+    assert!(new.is_young(now));
+    assert!(!new.is_young(now + Duration::from_secs(2)));
+    // However old the list is, it is the one that the new VM has taken over.
+    let seen = old
+        .to_seen(now, Duration::from_secs(3))
+        .expect("it has a list");
+    new.adopt(now, seen);
+    assert!(!new.is_young(now));
+    assert_eq!(new.only_version(now, &drafter()), Some(v("v1")));
+}
