--- a/crates/limehollow/src/fingerprint.rs
+++ b/crates/limehollow/src/fingerprint.rs
@@ -91,7 +91,8 @@
     }
 }
 
-fn first_bytes<const N: usize>(h: &blake3::Hasher) -> [u8; N] {
+/// Returns the first bytes of a hash.
+pub(crate) fn first_bytes<const N: usize>(h: &blake3::Hasher) -> [u8; N] {
     let mut out = [0; N];
     h.finalize_xof().fill(&mut out);
     out
--- a/crates/limehollow/src/stream_origin.rs
+++ b/crates/limehollow/src/stream_origin.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(origins.get(now, stream), Known::Began { origin, recorded: now });
 //! ```
 
+use crate::fingerprint::first_bytes;
 use crate::id::{ServiceName, SoftwareVersion};
 use crate::peers::{Owner, Peers};
 use serde::{Deserialize, Serialize};
@@ -54,9 +55,7 @@
         h.update(&(workspace.len() as u64).to_le_bytes());
         h.update(workspace.as_bytes());
         h.update(request.as_bytes());
-        let mut out = [0; TAG_LEN];
-        h.finalize_xof().fill(&mut out);
-        Self(out)
+        Self(first_bytes(&h))
     }
 
     /// Returns the tag's bytes, by which its owners are chosen.
