--- a/crates/limehollow-node/src/resumption.rs
+++ b/crates/limehollow-node/src/resumption.rs
@@ -17,7 +17,7 @@
 use limehollow::version_history::VersionsSeen;
 use limehollow_wire::gossip::{OriginReply, QueryBody, Reply, millis as wire_millis};
 use rand::seq::IndexedRandom;
-use smol_str::{SmolStr, format_smolstr};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,20 +32,38 @@
 const PROOF_LIST_AGE: Duration = Duration::from_millis(1000);
 /// How often another VM is asked for the versions that it has seen.
 const HISTORY_EVERY: Duration = Duration::from_millis(500);
-const THIS_VM: &str = "this VM";
-/// Who knows a stream's version if the service has had no other.
-const ONLY_VERSION: &str = "the list";
 /// How often the owners of the streams that run on this VM are determined anew.
 const OWNERS_CHECKED_EVERY: Duration = Duration::from_millis(1000);
 
+/// How it is known what began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownBy {
+    /// This VM remembers it.
+    ThisVm,
+    /// The VM at this address remembers it.
+    OtherVm(SocketAddr),
+    /// The list proves it: the service has had no other version.
+    OnlyVersion,
+}
+
+impl fmt::Display for KnownBy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ThisVm => f.write_str("this VM"),
+            Self::OtherVm(vm) => write!(f, "{vm}"),
+            Self::OnlyVersion => f.write_str("the list"),
+        }
+    }
+}
+
 /// What began a stream, and how this VM knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Found {
     /// What began the stream.
     pub origin: StreamOrigin,
-    /// Who knew it.
-    pub by: SmolStr,
-    /// The time since it was recorded there.
+    /// How it is known.
+    pub by: KnownBy,
+    /// The time since it was recorded there, or the age of the list.
     pub age: Duration,
 }
 
@@ -82,7 +100,7 @@
         Known::Began { origin, recorded } => {
             return Ok(Found {
                 origin,
-                by: SmolStr::new_static(THIS_VM),
+                by: KnownBy::ThisVm,
                 age: now.saturating_duration_since(recorded),
             });
         }
@@ -146,7 +164,7 @@
             Some(Reply::StreamOrigin(OriginReply::Began(origin, age_ms))) => {
                 return Ok(Found {
                     origin,
-                    by: format_smolstr!("{vm}"),
+                    by: KnownBy::OtherVm(vm),
                     age: Duration::from_millis(u64::from(age_ms)),
                 });
             }
@@ -184,7 +202,7 @@
             service: share.service.clone(),
             software,
         },
-        by: SmolStr::new_static(ONLY_VERSION),
+        by: KnownBy::OnlyVersion,
         age: list_age,
     })
 }
@@ -357,9 +375,11 @@
     P: Protocol,
 {
     let what = match found {
-        Ok(f) if f.by == THIS_VM => "known here",
-        Ok(f) if f.by == ONLY_VERSION => "the only version",
-        Ok(_) => "known to another VM",
+        Ok(Found { by, .. }) => match by {
+            KnownBy::ThisVm => "known here",
+            KnownBy::OtherVm(_) => "known to another VM",
+            KnownBy::OnlyVersion => "the only version",
+        },
         Err(NotFound::Nobody) => "known to nobody",
         Err(NotFound::Unanswered) => "no answer",
         Err(NotFound::Conflicting) => "conflicting",
