--- a/crates/limehollow/src/rebalance/models.rs
+++ b/crates/limehollow/src/rebalance/models.rs
@@ -151,24 +151,33 @@
             if !self.may_move(p, load, f64::INFINITY) {
                 continue;
             }
-            let Some(evict) = self.make_room(p, load, 1.0) else {
+            let Some(mut m) = self.move_beside((at, p), load, 1.0) else {
                 continue;
             };
-            let mut worth = self.gain(at, load, &evict);
             if !p.has_copy(load) {
-                worth -= COLD_COST;
+                m.worth -= COLD_COST;
             }
-            let rated = RatedMove {
-                worth,
-                at,
-                load,
-                evict,
-            };
-            best = better(best, Some(rated));
+            best = better(best, Some(m));
         }
         best
     }
 
+    /// Returns a move that unloads only models with more than `left` replicas, rated by the load of the endpoints alone.
+    fn move_beside(
+        &self,
+        (at, p): (EndpointIx, &EndpointState),
+        load: ModelIx,
+        left: f64,
+    ) -> Option<RatedMove> {
+        let evict = self.make_room(p, load, left)?;
+        Some(RatedMove {
+            worth: self.gain(at, load, &evict),
+            at,
+            load,
+            evict,
+        })
+    }
+
     /// Returns `true` if a model is requested and has no replica, or if an endpoint that holds it is loaded
     /// above [`HIGH_LOAD`].
     fn is_short(&self, m: ModelIx) -> bool {
@@ -260,30 +269,23 @@
                 continue;
             }
             // Only models that keep two replicas may be unloaded.
-            let Some(evict) = self.make_room(p, load, 2.0) else {
+            let Some(mut m) = self.move_beside((at, p), load, 2.0) else {
                 continue;
             };
-            let mut worth = self.gain(at, load, &evict);
-            if worth < -SPARE_COST {
+            if m.worth < -SPARE_COST {
                 continue;
             }
             if zones.contains(&&p.zone) {
-                worth -= SPARE_COST;
+                m.worth -= SPARE_COST;
             }
             // The streams of the first replica couldn't go on there.
             if !versions.contains(&&p.software) {
-                worth -= SPARE_COST;
+                m.worth -= SPARE_COST;
             }
             if !p.has_copy(load) {
-                worth -= COLD_COST;
+                m.worth -= COLD_COST;
             }
-            let rated = RatedMove {
-                worth,
-                at,
-                load,
-                evict,
-            };
-            best = better(best, Some(rated));
+            best = better(best, Some(m));
         }
         best
     }
