Tests of cut-off VMs wait until a way is as it was set, instead of for 100 ms

Trace: the rig told its paths to refuse and waited 100 ms. A path that is scheduled later lets a request through, whose stream never ends, so that the test waits 5 s for it. Change: each path says which way is in force, and set_way waits for it. Not shown: the failure itself made to happen again.

--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -19,8 +19,8 @@
 
 /// The length of the queue of new connections of a way.
 const QUEUE: u32 = 1;
-/// The time after which a way is as it was set.
-const WAY_CHANGES_WITHIN: Duration = Duration::from_millis(100);
+/// How long a connection waits for its answer until the queue counts as full.
+const QUEUED_WITHIN: Duration = Duration::from_millis(50);
 
 /// What happens to the connections that a VM opens to endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,7 +98,10 @@
         for path in &self.ways[vm] {
             path.way.send_replace(way);
         }
-        sleep(WAY_CHANGES_WITHIN).await;
+        for path in &self.ways[vm] {
+            let mut in_force = path.in_force.clone();
+            in_force.wait_for(|w| *w == way).await.expect("it runs");
+        }
     }
 
     /// Sends a request to a VM. Returns the answer, and how long it took.
@@ -198,6 +201,8 @@
 struct Path {
     address: SocketAddr,
     way: watch::Sender<Way>,
+    /// What happens to connections now.
+    in_force: watch::Receiver<Way>,
 }
 
 impl Path {
@@ -205,8 +210,13 @@
         let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
         let address = listener.local_addr().expect("it is bound");
         let (tx, way) = watch::channel(Way::Open);
-        tokio::spawn(run_path(listener, target, way));
-        Self { address, way: tx }
+        let (in_force_tx, in_force) = watch::channel(Way::Open);
+        tokio::spawn(run_path(listener, target, way, in_force_tx));
+        Self {
+            address,
+            way: tx,
+            in_force,
+        }
     }
 }
 
@@ -218,26 +228,36 @@
     socket.listen(QUEUE).expect("it listens")
 }
 
-async fn run_path(mut listener: TcpListener, target: SocketAddr, mut way: watch::Receiver<Way>) {
+async fn run_path(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    mut way: watch::Receiver<Way>,
+    in_force: watch::Sender<Way>,
+) {
     let address = listener.local_addr().expect("it is bound");
     loop {
         let now = *way.borrow_and_update();
         match now {
-            Way::Open => tokio::select! {
-                accepted = listener.accept() => {
-                    let (from, _) = accepted.expect("it accepts");
-                    tokio::spawn(forward(from, target, way.clone()));
+            Way::Open => {
+                in_force.send_replace(now);
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (from, _) = accepted.expect("it accepts");
+                        tokio::spawn(forward(from, target, way.clone()));
+                    }
+                    ended = way.changed() => if ended.is_err() { return },
                 }
-                ended = way.changed() => if ended.is_err() { return },
-            },
+            }
             Way::Hangs => {
                 let _queued = fill(address).await;
+                in_force.send_replace(now);
                 if way.changed().await.is_err() {
                     return;
                 }
             }
             Way::Refuses => {
                 drop(listener);
+                in_force.send_replace(now);
                 if way.changed().await.is_err() {
                     return;
                 }
@@ -250,8 +270,7 @@
 /// Opens connections until there is no answer to one more.
 async fn fill(address: SocketAddr) -> Vec<TcpStream> {
     let mut queued = Vec::new();
-    let wait = WAY_CHANGES_WITHIN / 2;
-    while let Ok(s) = timeout(wait, TcpStream::connect(address)).await {
+    while let Ok(s) = timeout(QUEUED_WITHIN, TcpStream::connect(address)).await {
         queued.push(s.expect("it is queued"));
     }
     queued
