A test protocol's header and examples without names of the platform and of a deployment

Cause: the rigs' header for the request that began a stream was named like the platform's, and examples and tests of stream_origin and version_history used a service of a deployment. Change: renamed (x-takes-up, chat), nothing else; all assertions as they were.

--- a/crates/limehollow-node/tests/no_endpoint_in_reach.rs
+++ b/crates/limehollow-node/tests/no_endpoint_in_reach.rs
@@ -132,7 +132,7 @@
         let begun = ask_for_stream(site.vms[n % 6].address, &first, "").await;
         assert!(begun.has_event(), "{first}: {}", begun.text);
         open.push(begun);
-        let more = format!("x-last-event: 1\r\nx-resumes: {first}\r\n");
+        let more = format!("x-last-event: 1\r\nx-takes-up: {first}\r\n");
         let taken = ask_for_stream(site.vms[0].address, &again, &more).await;
         assert!(taken.has_event(), "{again}: {}", taken.text);
         open.push(taken);
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -82,7 +82,7 @@
 
     fn request_header(&self, name: &HeaderName) -> HeaderPolicy {
         match name.as_str() {
-            "x-id" | "x-resumes" | "x-last-event" | "host" => HeaderPolicy::Required,
+            "x-id" | "x-takes-up" | "x-last-event" | "host" => HeaderPolicy::Required,
             "x-instance" | "x-reserve" | "x-workspace" => HeaderPolicy::Reserved,
             "x-key" => HeaderPolicy::Credential,
             _ => HeaderPolicy::Forward,
@@ -167,7 +167,7 @@
             .get(name)
             .map(|v: &HeaderValue| v.to_str().expect("text"))
     };
-    let first_request = text("x-resumes").map(SmolStr::new);
+    let first_request = text("x-takes-up").map(SmolStr::new);
     let is_taken_up = first_request.is_some() || text("x-last-event").is_some();
     is_taken_up.then_some(Resumption { first_request })
 }
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -241,7 +241,7 @@
 
     /// Takes up at a VM the stream that request `first` began.
     pub async fn take_up(&self, vm: usize, id: &str, first: &str) -> Begun {
-        let more = format!("x-last-event: 1\r\nx-resumes: {first}\r\n");
+        let more = format!("x-last-event: 1\r\nx-takes-up: {first}\r\n");
         ask_for_stream(self.vms[vm].address, id, &more).await
     }
 
--- a/crates/limehollow-node/tests/stream_origins.rs
+++ b/crates/limehollow-node/tests/stream_origins.rs
@@ -31,7 +31,7 @@
     fn origin(self) -> StreamOrigin {
         let version = ["v1", "v1.1"][self.number % 2];
         StreamOrigin {
-            service: "drafter".into(),
+            service: "chat".into(),
             software: SoftwareVersion::from(version),
         }
     }
--- a/crates/limehollow/src/stream_origin.rs
+++ b/crates/limehollow/src/stream_origin.rs
@@ -12,7 +12,7 @@
 //!
 //! let now = Instant::now();
 //! let stream = StreamTag::of(None, "a request");
-//! let origin = StreamOrigin { service: "drafter".into(), software: "v1".into() };
+//! let origin = StreamOrigin { service: "chat".into(), software: "v1".into() };
 //! let mut origins = StreamOrigins::default();
 //! assert_eq!(origins.get(now, stream), Known::Nothing);
 //! origins.record(now, stream, origin.clone(), now + Duration::from_secs(25));
--- a/crates/limehollow/src/version_history.rs
+++ b/crates/limehollow/src/version_history.rs
@@ -10,10 +10,10 @@
 //!
 //! let now = Instant::now();
 //! let mut history = VersionHistory::default();
-//! history.record(now, &"drafter".into(), Some(&"v1".into()));
-//! assert_eq!(history.only_version(now, &"drafter".into()), None);
+//! history.record(now, &"chat".into(), Some(&"v1".into()));
+//! assert_eq!(history.only_version(now, &"chat".into()), None);
 //! let later = now + LONGEST_STREAM;
-//! assert_eq!(history.only_version(later, &"drafter".into()), Some("v1".into()));
+//! assert_eq!(history.only_version(later, &"chat".into()), Some("v1".into()));
 //! ```
 
 use crate::id::{ServiceName, SoftwareVersion};
--- a/crates/limehollow/tests/stream_origin.rs
+++ b/crates/limehollow/tests/stream_origin.rs
@@ -14,7 +14,7 @@
 
 fn origin(software: &str) -> StreamOrigin {
     StreamOrigin {
-        service: "drafter".into(),
+        service: "chat".into(),
         software: SoftwareVersion::from(software),
     }
 }
