Measure how late a VM's own tasks get their turn, and log what it believes of the endpoint by which it refuses

The lines of the record can't tell apart how long the VM's own tasks wait, what it believes of endpoints, and how long connections wait to be read. A probe measures the delay while the VM has something to do (own_delay); lines of requests name it, a refusal names the requests, slowness and time that the VM believes of the best endpoint; connections and the time until their first request is read are counted. No decision changes.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::Protocol;
 use crate::logging::may_log;
+use crate::metrics::Metrics;
 use crate::relay::RelayError;
 use crate::request;
 use crate::site::Site;
@@ -18,13 +19,13 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The idle timeout of a caller's connection while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -64,10 +65,13 @@
             () = &mut stopped => break,
             accepted = listener.accept(), if connections.len() < most => match accepted {
                 Ok((stream, from)) => {
+                    site.recent_work.record();
+                    Metrics::count(&site.metrics.caller_connections, "accepted");
                     let (site, pressure) = (Arc::clone(&site), Arc::clone(&pressure));
                     connections.spawn(connection(site, pressure, stream, from.ip(), closing.clone()));
                 }
                 Err(e) => {
+                    Metrics::count(&site.metrics.caller_connections, "failed");
                     tracing::warn!(error = %e, "a caller's connection could not be accepted");
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -135,10 +139,12 @@
     let head = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
+    let accepted = Arc::new(Mutex::new(Some(site.now())));
     let is_unframed = Arc::new(AtomicBool::new(false));
     let unframed = Arc::clone(&is_unframed);
     let service = service_fn(move |req: Request<Incoming>| {
         let (site, pressure) = (Arc::clone(&site), Arc::clone(&pressure));
+        record_first_read(&site, &accepted);
         unframed.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
         async move {
             let mut res = request::handle(site, from, req).await?;
@@ -172,6 +178,21 @@
     }
 }
 
+/// Records how long the first request on a connection took to be read.
+fn record_first_read<P>(site: &Site<P>, accepted: &Mutex<Option<Instant>>)
+where
+    P: Protocol,
+{
+    let accepted = accepted
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .take();
+    if let Some(t) = accepted {
+        let took = site.now().saturating_duration_since(t);
+        site.metrics.first_read.observe(took.as_secs_f64());
+    }
+}
+
 /// Returns `true` if a caller's connection ended because the answer on it was broken off.
 fn is_broken_answer(e: &hyper::Error) -> bool {
     e.source().is_some_and(<dyn Error>::is::<RelayError>)
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::limit_grant::{self, EndpointsAtLimit};
 use crate::logging::may_log;
 use crate::metrics::Metrics;
+use crate::own_delay;
 use crate::pass_on::Passage;
 use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
 use crate::retry_delay::{
@@ -328,6 +329,7 @@
         by: ChosenBy,
     ) -> Result<Chosen, (Reason, Duration)> {
         if expected_ms > self.objective_ms() * MAX_EXPECTED_OBJECTIVES {
+            self.log_busy(key, expected_ms);
             return Err((
                 Reason::Busy,
                 until_less_busy(expected_ms, self.objective_ms()),
@@ -611,9 +613,34 @@
         Some(freshness.age(self.site.now()))
     }
 
+    /// Logs what this VM believes of the best endpoint, by which it refuses the request.
+    fn log_busy(&self, key: EndpointKey, expected_ms: f64) {
+        if may_log() {
+            let now = self.site.now();
+            let view = self.site.view();
+            let (own, others) = view.balance.known_requests(key);
+            let held = view.balance.held(&self.job.service);
+            tracing::info!(
+                id = %self.meta.id,
+                endpoint = view.roster.get(key).map(|e| e.instance.to_string()),
+                expected_ms = expected_ms.round(),
+                own_requests = own,
+                others_requests = others,
+                slowness = view.balance.known_slowness(now, key),
+                held_ms = held.map(millis),
+                own_delay_ms = own_delay::current_ms(&view.balance.own_delay, now),
+                "the best endpoint is believed to be busy"
+            );
+        }
+    }
+
     fn log_sent(&self, c: &Chosen) {
         if may_log() {
             let model = self.job.model.as_ref();
+            let own_delay_ms = {
+                let view = self.site.view();
+                own_delay::current_ms(&view.balance.own_delay, self.site.now())
+            };
             tracing::info!(
                 id = %self.meta.id,
                 request = %self.causes.request(),
@@ -633,6 +660,7 @@
                 tries = self.reached + self.unreached,
                 waited_ms = millis(self.waited()),
                 list_age_ms = self.list_age().map(millis),
+                own_delay_ms,
                 "sent"
             );
         }
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -17,6 +17,7 @@
 //!   [`limit_grant`] is a request's share of an endpoint's rate limit.
 //! * [`slots`] has one VM grant the slots of brittle endpoints.
 //! * `retry_delay` says when the caller of a refused request is told to come back.
+//! * [`own_delay`] measures how late this VM's tasks get their turn.
 //! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
 //! * `version_store` keeps the listed versions of the endpoints' software in the platform's store.
 //! * [`resumption`] finds out which version of a service's software began a stream that is taken up.
@@ -61,6 +62,7 @@
 pub mod operator;
 mod order_task;
 pub mod outbox;
+pub mod own_delay;
 pub mod pass_on;
 pub mod peer_state;
 pub mod pool;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -79,6 +79,12 @@
     pub connections_opened: Counter,
     /// Time from a request's arrival to the first byte of its answer, in seconds.
     pub first_byte: Histogram,
+    /// How late a task of this VM got its turn, in seconds.
+    pub own_delay: Histogram,
+    /// Time from accepting a caller's connection to its first request, in seconds.
+    pub first_read: Histogram,
+    /// Callers' connections, by what became of them at the start.
+    pub caller_connections: Family<EventLabels, Counter>,
     /// Orders by outcome.
     pub orders: Family<EventLabels, Counter>,
     /// Calls to the platform's store by call and outcome.
@@ -148,6 +154,9 @@
             endpoint_rejections: Counter::default(),
             connections_opened: Counter::default(),
             first_byte: Histogram::new(BOUNDS),
+            own_delay: Histogram::new(BOUNDS),
+            first_read: Histogram::new(BOUNDS),
+            caller_connections: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
             datagrams: Family::default(),
@@ -189,6 +198,25 @@
         self.over_limit.get_or_create(&by).inc();
     }
 
+    /// Registers the metrics of this VM's own processor time and of callers' connections.
+    fn register_own(&self, r: &mut Registry) {
+        r.register(
+            "own_delay_seconds",
+            "How late a task of this VM got its turn",
+            self.own_delay.clone(),
+        );
+        r.register(
+            "first_read_seconds",
+            "Time from accepting a caller's connection to its first request",
+            self.first_read.clone(),
+        );
+        r.register(
+            "caller_connections",
+            "Callers' connections",
+            self.caller_connections.clone(),
+        );
+    }
+
     /// Registers the metrics of calls to the store and of datagrams between VMs.
     fn register_traffic(&self, r: &mut Registry) {
         r.register(
@@ -303,6 +331,7 @@
             "Time from arrival to the first byte of the answer",
             self.first_byte.clone(),
         );
+        self.register_own(&mut r);
         r.register("orders", "Orders by outcome", self.orders.clone());
         r.register(
             "reaches_endpoints",
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -132,6 +132,7 @@
             b.push(part);
         }
         self.record_first_result();
+        self.site.recent_work.record();
         if let Some(stream) = &mut self.stream {
             stream.begin(&self.site);
         }
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -49,6 +49,7 @@
         at: site.now(),
         is_taken_over: false,
     };
+    site.recent_work.record();
     let (head, body) = req.into_parts();
     let is_stopping = site.is_stopping();
     let mut res = answer(site, arrival, head, body).await;
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -6,8 +6,8 @@
 use crate::settings::NodeSettings;
 use crate::site::Site;
 use crate::{
-    caller, controller, follow, gossip, keys, limits, operator, peer_state, quarantine_sync,
-    resumption, start, traffic,
+    caller, controller, follow, gossip, keys, limits, operator, own_delay, peer_state,
+    quarantine_sync, resumption, start, traffic,
 };
 use limehollow_edge::admin::{self, Admin, DumpRequest, Readiness};
 use limehollow_edge::error::{ListenSnafu, Result};
@@ -90,6 +90,7 @@
     ));
     tokio::spawn(gossip::sweep(Arc::clone(&site)));
     tokio::spawn(traffic::log_totals(Arc::clone(&site)));
+    tokio::spawn(own_delay::measure(Arc::clone(&site)));
     tokio::spawn(controller::run(
         Arc::clone(&site),
         store,
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -6,6 +6,7 @@
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
 use crate::metrics::Metrics;
+use crate::own_delay::RecentWork;
 use crate::pool::Pool;
 use crate::query::PendingQueries;
 use crate::resumption;
@@ -54,6 +55,8 @@
     pub control_pool: Pool,
     /// Counters, gauges and histograms.
     pub metrics: Metrics,
+    /// Whether this VM does something for callers, so that its own delay is measured.
+    pub recent_work: RecentWork,
     /// Notified when an endpoint or its holdings have changed.
     pub endpoints_changed: Notify,
     /// Notified when an endpoint has processed a prompt or a request has ended.
@@ -118,6 +121,7 @@
             control_pool: Pool::new(Arc::clone(&clock)),
             clock,
             metrics: Metrics::default(),
+            recent_work: RecentWork::default(),
             endpoints_changed: Notify::new(),
             urgent_update: Notify::new(),
             load_requested: Notify::new(),
--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -11,6 +11,7 @@
 use crate::id::{EndpointKey, ServiceName, VmName, ZoneName};
 use crate::job::{Job, RANKS};
 use crate::load::AttemptOutcome;
+use crate::own_delay::OwnDelay;
 use crate::pace::Pace;
 use crate::roster::{Endpoint, Roster, holds};
 use crate::verdict::Failure;
@@ -273,6 +274,8 @@
     held_ms: BTreeMap<ServiceName, f64>,
     /// The rate limits and backoffs that endpoints requested.
     pub backpressure: Backpressure,
+    /// How late this gateway's own tasks get their turn.
+    pub own_delay: OwnDelay,
 }
 
 /// Queries.
@@ -288,6 +291,7 @@
             service_times: BTreeMap::new(),
             held_ms: BTreeMap::new(),
             backpressure: Backpressure::default(),
+            own_delay: OwnDelay::default(),
         }
     }
 
@@ -414,6 +418,12 @@
         row.map_or((0.0, 0.0), |r| (r.own.requests, r.others.requests))
     }
 
+    /// Returns the factor by which first results from an endpoint are expected to take longer than usual.
+    #[must_use]
+    pub fn known_slowness(&self, now: Instant, key: EndpointKey) -> f64 {
+        self.rows.get(key).map_or(1.0, |r| r.slowness(now))
+    }
+
     /// Returns the number of requests of all gateways at an endpoint.
     fn requests(&self, key: EndpointKey) -> f32 {
         let row = self.rows.get(key);
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -20,6 +20,7 @@
 //!   confirmation, and enforce the quotas of workspaces (`docs/design/workspaces.md`).
 //! * [`backpressure`] tracks the limits and pauses that endpoints ask for (`docs/design/backpressure.md`), and
 //!   [`slot_ledger`] grants the slots of brittle endpoints, [`backlog`] says when a refused caller's turn comes (`docs/design/brittle.md`).
+//! * [`own_delay`] measures how late this VM's own tasks get their turn (`docs/design/own-delay.md`).
 //! * [`own_reach`] decides whether it is this VM that reaches no endpoint (`docs/design/cut-off-vms.md`).
 //! * [`start_tree`] selects the VM from which a starting VM fetches the shared state (`docs/design/fleet.md`).
 //! * [`send_budget`] limits the messages between VMs (`docs/design/overload.md`).
@@ -74,6 +75,7 @@
 pub mod membership;
 pub mod order;
 pub mod order_book;
+pub mod own_delay;
 pub mod own_reach;
 mod pace;
 pub mod peers;
