A VM's own delay isn't taken for that of endpoints

What callers saw: a VM short of processor time refused requests as "the endpoints are busy" after 0 ms while the endpoints stood idle. Cause: the time to a first result and the time for which a slot is held are counted from send to read by this VM, and an expiry is held against the endpoint; with 34 to 97 ms of own delay at each turn, slots held for 0.32 s were believed held for 1.1 to 2.2 s, and endpoints 16 times as slow. Class: a VM's own state is taken for that of what it measures. Change: the balance knows by how much the VM's tasks have been late (OwnDelay::late) and leaves that out of what it measures; if the VM caused more than half of a measured time, nothing is learnt of it, and an expiry is held against nobody.

--- a/crates/limehollow/src/balance.rs
+++ b/crates/limehollow/src/balance.rs
@@ -48,6 +48,9 @@
 /// The time constant with which a measured slowdown decays while nothing is sent to the endpoint.
 const SLOW_MEMORY_S: f64 = 4.0;
 const MAX_SLOWNESS: f64 = 20.0;
+/// The largest part of a measured time that this gateway itself may have caused: what is left of a larger one says little
+/// about the endpoint.
+const MAX_OWN_PART: f64 = 0.5;
 /// How long an unreachable endpoint is reported to the other VMs of the zone: long enough for several messages.
 const UNREACHABLE_REPORT_TIME: Duration = Duration::from_millis(400);
 /// How long a message from another gateway is counted.
@@ -169,6 +172,8 @@
 pub struct Sent {
     key: EndpointKey,
     at: Instant,
+    /// The time by which this gateway's tasks had been late until then.
+    late: Duration,
     level: usize,
     tokens: f32,
     work_ms: f64,
@@ -198,6 +203,14 @@
     }
 }
 
+/// The time that a request has taken at an endpoint and on the way.
+#[derive(Clone, Copy, Debug)]
+struct Took {
+    time: Duration,
+    /// Whether this gateway's own part was small enough to tell the rest.
+    is_reliable: bool,
+}
+
 /// The result of choosing an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Choice {
@@ -541,6 +554,7 @@
         Sent {
             key,
             at: now,
+            late: self.own_delay.late(now),
             level,
             tokens,
             work_ms,
@@ -579,11 +593,11 @@
         if sent.first.is_some() {
             return;
         }
-        let took = now.duration_since(sent.at);
-        sent.first = Some(took);
+        sent.first = Some(now.duration_since(sent.at));
         self.finish_prompt(sent);
-        let took_ms = took.as_secs_f64() * 1000.0;
-        if let (true, Some(model)) = (sent.alone, &sent.job_model) {
+        let took = self.took_elsewhere(now, sent);
+        let took_ms = took.time.as_secs_f64() * 1000.0;
+        if let (true, Some(model)) = (sent.alone && took.is_reliable, &sent.job_model) {
             let pace = self.service_times.entry(model.clone()).or_default();
             pace.record_first_result(sent.unread, took_ms);
         }
@@ -601,6 +615,16 @@
         }
     }
 
+    /// Returns how long a request has taken so far, without the time for which this gateway's own tasks were late.
+    fn took_elsewhere(&self, now: Instant, sent: &Sent) -> Took {
+        let all = now.duration_since(sent.at);
+        let own = self.own_delay.late(now).saturating_sub(sent.late);
+        Took {
+            time: all.saturating_sub(own),
+            is_reliable: own <= all.mul_f64(MAX_OWN_PART),
+        }
+    }
+
     /// Removes a request's prompt from the outstanding work.
     fn finish_prompt(&mut self, sent: &mut Sent) {
         if let Some(row) = self.rows.get_mut(sent.key) {
@@ -618,8 +642,9 @@
         if sent.trial {
             self.backpressure.end_trial(now, sent.key, false);
         }
-        if matches!(ending, AttemptOutcome::Completed { .. }) {
-            let held = now.duration_since(sent.at).as_secs_f64() * 1000.0;
+        let took = self.took_elsewhere(now, &sent);
+        if matches!(ending, AttemptOutcome::Completed { .. }) && took.is_reliable {
+            let held = took.time.as_secs_f64() * 1000.0;
             let v = self.held_ms.entry(sent.service.clone()).or_insert(held);
             *v += (held - *v) * HELD_SMOOTHING;
             if let Some(model) = &sent.job_model {
@@ -638,6 +663,8 @@
                 row.health.succeed();
             }
             AttemptOutcome::Cancelled => {}
+            // The time passed while this gateway didn't get its turn.
+            AttemptOutcome::Failed(Failure::Deadline) if !took.is_reliable => {}
             AttemptOutcome::Failed(Failure::Refused) => {
                 row.health.answer(now);
                 row.refused_at = Some(now);
