A VM closes new connections unread while load makes its tasks late

What callers saw: while the load balancer sends most connections to one VM, requests there are refused, come late or run into their deadlines, and all other VMs are idle. Cause: the VM accepts every connection and reads every request, however late it is with what it has. Class: no bound of its own for what a VM takes in. Change: Intake closes a share of new connections with nothing read, which rises with the mean delay of the VM's own tasks (25 to 75 ms), grows what it takes by half a second at most meanwhile, and takes one each 250 ms in any case; a caller's next try meets another VM. What is read is served; from 75 ms on kept connections are closed with their answers. Only delay counts during which the thread had work: a processor that is shared in turns, a quota or a pause is no load.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use limehollow::intake::{CLOSES_FROM, Intake};
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::error::Error;
@@ -52,6 +53,7 @@
     let (closing_tx, closing) = watch::channel(false);
     let mut connections = JoinSet::new();
     let pressure = Arc::new(ConnectionPressure::default());
+    let mut intake = Intake::new(site.now());
     let stopped = async move {
         // The sender lives as long as the process, so the wait can't fail.
         drop(stop.wait_for(|s| *s).await);
@@ -66,7 +68,9 @@
             accepted = listener.accept(), if connections.len() < most => match accepted {
                 Ok((stream, from)) => {
                     site.recent_work.record();
-                    Metrics::count(&site.metrics.caller_connections, "accepted");
+                    if !takes(&site, &mut intake) {
+                        continue;
+                    }
                     let (site, pressure) = (Arc::clone(&site), Arc::clone(&pressure));
                     connections.spawn(connection(site, pressure, stream, from.ip(), closing.clone()));
                 }
@@ -89,6 +93,17 @@
     tracing::info!(left = connections.len(), "callers served");
 }
 
+/// Decides whether a new connection is served; otherwise it is to be closed with nothing read from it.
+fn takes<P>(site: &Site<P>, intake: &mut Intake) -> bool
+where
+    P: Protocol,
+{
+    let takes = intake.accepts(site.now(), &site.view().balance.own_delay);
+    let what = if takes { "accepted" } else { "closed unread" };
+    Metrics::count(&site.metrics.caller_connections, what);
+    takes
+}
+
 /// Whether so many connections of callers are open that each is closed after its answer instead of being kept idle.
 #[derive(Debug, Default)]
 struct ConnectionPressure {
@@ -147,8 +162,8 @@
         record_first_read(&site, &accepted);
         unframed.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
         async move {
-            let mut res = request::handle(site, from, req).await?;
-            if pressure.is_high() {
+            let mut res = request::handle(Arc::clone(&site), from, req).await?;
+            if pressure.is_high() || is_late(&site) {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert(header::CONNECTION, close);
             }
@@ -178,6 +193,14 @@
     }
 }
 
+/// Returns `true` if this VM takes hardly any new connections, so that callers with an open one should go elsewhere too.
+fn is_late<P>(site: &Site<P>) -> bool
+where
+    P: Protocol,
+{
+    site.view().balance.own_delay.standing() >= CLOSES_FROM
+}
+
 /// Records how long the first request on a connection took to be read.
 fn record_first_read<P>(site: &Site<P>, accepted: &Mutex<Option<Instant>>)
 where
--- a/crates/limehollow-node/src/own_delay.rs
+++ b/crates/limehollow-node/src/own_delay.rs
@@ -6,6 +6,8 @@
 use limehollow::own_delay::{OwnDelay, PROBE_INTERVAL, TOLERATED};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -40,12 +42,13 @@
     let mut late_since = None;
     loop {
         site.recent_work.began.notified().await;
+        let mut busy = BusyTime::read();
         let mut left = TURNS_AFTER_WORK;
         while left > 0 {
             let due = site.now() + PROBE_INTERVAL;
             site.view().balance.own_delay.wait_until(due);
             site.clock.sleep_until(due).await;
-            record_turn(&site, &mut late_since);
+            record_turn(&site, busy.advance(), &mut late_since);
             left = if site.recent_work.take() {
                 TURNS_AFTER_WORK
             } else {
@@ -56,13 +59,37 @@
     }
 }
 
-fn record_turn<P>(site: &Site<P>, late_since: &mut Option<Instant>)
+/// The time for which the thread of this VM's tasks has had work.
+struct BusyTime {
+    at: std::time::Instant,
+    busy: Duration,
+}
+
+impl BusyTime {
+    fn read() -> Self {
+        Self {
+            at: std::time::Instant::now(),
+            // All tasks run on one thread.
+            busy: Handle::current().metrics().worker_total_busy_duration(0),
+        }
+    }
+
+    /// Returns the share of the time since the last call for which the thread has had work.
+    fn advance(&mut self) -> f64 {
+        let before = std::mem::replace(self, Self::read());
+        let time = self.at.duration_since(before.at).as_secs_f64();
+        let busy = self.busy.saturating_sub(before.busy).as_secs_f64();
+        if time > 0.0 { busy / time } else { 0.0 }
+    }
+}
+
+fn record_turn<P>(site: &Site<P>, busy_share: f64, late_since: &mut Option<Instant>)
 where
     P: Protocol,
 {
     let now = site.now();
     let mut view = site.view();
-    let delay = view.balance.own_delay.record_turn(now);
+    let delay = view.balance.own_delay.record_turn(now, busy_share);
     let standing = view.balance.own_delay.standing();
     drop(view);
     site.metrics.own_delay.observe(delay.as_secs_f64());
@@ -70,9 +97,13 @@
         None if standing > TOLERATED => {
             *late_since = Some(now);
             let ms = millis(standing);
-            tracing::warn!(own_delay_ms = ms, "tasks of this VM wait for the processor");
+            tracing::warn!(
+                own_delay_ms = ms,
+                busy_share,
+                "tasks of this VM wait for the processor"
+            );
         }
-        Some(since) if standing.is_zero() || delay <= TOLERATED => {
+        Some(since) if standing.is_zero() => {
             *late_since = None;
             let lasted_ms = millis(now.saturating_duration_since(since));
             tracing::info!(
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -20,7 +20,8 @@
 //!   confirmation, and enforce the quotas of workspaces (`docs/design/workspaces.md`).
 //! * [`backpressure`] tracks the limits and pauses that endpoints ask for (`docs/design/backpressure.md`), and
 //!   [`slot_ledger`] grants the slots of brittle endpoints, [`backlog`] says when a refused caller's turn comes (`docs/design/brittle.md`).
-//! * [`own_delay`] measures how late this VM's own tasks get their turn (`docs/design/own-delay.md`).
+//! * [`own_delay`] measures how late this VM's own tasks get their turn, and [`intake`] decides by it which connections the VM
+//!   takes (`docs/design/own-delay.md`).
 //! * [`own_reach`] decides whether it is this VM that reaches no endpoint (`docs/design/cut-off-vms.md`).
 //! * [`start_tree`] selects the VM from which a starting VM fetches the shared state (`docs/design/fleet.md`).
 //! * [`send_budget`] limits the messages between VMs (`docs/design/overload.md`).
@@ -64,6 +65,7 @@
 mod health;
 pub mod id;
 pub mod instance;
+pub mod intake;
 pub mod intent;
 pub mod job;
 pub mod late_loads;
--- a/crates/limehollow/tests/own_delay.rs
+++ b/crates/limehollow/tests/own_delay.rs
@@ -37,7 +37,7 @@
                 return;
             }
             let turn = self.due + self.delay;
-            d.record_turn(turn);
+            d.record_turn(turn, 1.0);
             self.due = turn + PROBE_INTERVAL;
         }
     }
@@ -148,7 +148,7 @@
             b.own_delay.wait_until(now + PROBE_INTERVAL);
             let sent = b.start(now, (keys[0], e), &job(model("big-0"), 100, 0), 30.0);
             now += PROBE_INTERVAL + delay;
-            b.own_delay.record_turn(now);
+            b.own_delay.record_turn(now, 1.0);
             b.finish(now, sent, AttemptOutcome::Failed(Failure::Deadline));
         }
         b.is_ejected(now, keys[0])
@@ -167,7 +167,7 @@
     let mut turn = |d: &mut OwnDelay, late: u64| {
         d.wait_until(now + PROBE_INTERVAL);
         now += PROBE_INTERVAL + ms(late);
-        d.record_turn(now);
+        d.record_turn(now, 1.0);
         d.standing()
     };
     assert_eq!(turn(&mut d, 3_000), Duration::ZERO, "one pause");
@@ -179,6 +179,21 @@
     assert_eq!(standing[3..], [ms(60), ms(65)]);
 }
 
+/// Guards against a VM that takes the gaps in which another one has the processor for load, and closes connections.
+#[test]
+fn standing_leaves_out_gaps_in_which_the_thread_had_no_work() {
+    let mut d = OwnDelay::default();
+    let mut now = Instant::now();
+    for _ in 0..10 {
+        d.wait_until(now + PROBE_INTERVAL);
+        now += PROBE_INTERVAL + ms(63);
+        d.record_turn(now, 0.1);
+        assert_eq!(d.standing(), Duration::ZERO);
+        assert_eq!(d.mean(), Duration::ZERO);
+        assert_eq!(d.current(now), ms(63), "answers are read late all the same");
+    }
+}
+
 #[test]
 fn late_grows_while_the_probe_waits_for_its_turn() {
     let start = Instant::now();
@@ -191,7 +206,7 @@
     d.wait_until(start);
     assert_eq!(d.late(start + TOLERATED), Duration::ZERO);
     assert_eq!(d.late(start + TOLERATED + ms(300)), ms(300));
-    d.record_turn(start + TOLERATED + ms(400));
+    d.record_turn(start + TOLERATED + ms(400), 1.0);
     assert_eq!(d.late(start + ms(9_000)), ms(400));
     d.rest();
     assert_eq!(d.current(start + ms(9_000)), Duration::ZERO);
