--- a/crates/limehollow/tests/intake.rs
+++ b/crates/limehollow/tests/intake.rs
@@ -318,3 +318,31 @@
     assert_eq!(taken, 100);
     assert!(!intake.closes());
 }
+
+/// Plays a zone at half of what its VMs bear, nine of ten connections to one of them. A caller whose connection is closed tries
+/// one of the others. Returns the share of the requests that are served in time at the first try that is read.
+fn crowded_zone(vms: u32, share: Share) -> f64 {
+    let others = f64::from(vms - 1);
+    let all = 0.5 * f64::from(vms) * bears(share);
+    let one = Machine::new(share, true).play(all * 0.9, TIME);
+    let per_s = |n: u32| f64::from(n) / TIME.as_secs_f64();
+    let to_another = (all * 0.1 + per_s(one.closed)) / others;
+    let another = Machine::new(share, true).play(to_another, TIME);
+    println!("{vms} VMs, {share:?}: {one:?}, others {another:?}");
+    let in_time = |s: Seen| f64::from(s.in_time) / f64::from((s.in_time + s.late).max(1));
+    // Who is closed twice isn't counted as served.
+    let read_elsewhere = f64::from(another.taken) / f64::from(another.came.max(1));
+    let (here, there) = (per_s(one.taken), others * to_another);
+    (here * in_time(one) + there * read_elsewhere * in_time(another)) / (here + there)
+}
+
+/// Guards against a zone that serves less than three quarters of what it did before while one of its VMs gets most connections.
+#[test]
+fn crowded_zone_serves_as_before() {
+    for vms in [2, 6, 25, 100] {
+        for share in SHARES {
+            let served = crowded_zone(vms, share);
+            assert!(served >= 0.75, "{vms} VMs, {share:?}: {served:.2}");
+        }
+    }
+}
