--- a/crates/limehollow-node/src/own_delay.rs
+++ b/crates/limehollow-node/src/own_delay.rs
@@ -42,13 +42,13 @@
     let mut late_since = None;
     loop {
         site.recent_work.began.notified().await;
-        let mut busy = BusyTime::read();
+        let mut busy = BusyTime::read(site.now());
         let mut left = TURNS_AFTER_WORK;
         while left > 0 {
             let due = site.now() + PROBE_INTERVAL;
             site.view().balance.own_delay.wait_until(due);
             site.clock.sleep_until(due).await;
-            record_turn(&site, busy.advance(), &mut late_since);
+            record_turn(&site, busy.advance(site.now()), &mut late_since);
             left = if site.recent_work.take() {
                 TURNS_AFTER_WORK
             } else {
@@ -61,22 +61,22 @@
 
 /// The time for which the thread of this VM's tasks has had work.
 struct BusyTime {
-    at: std::time::Instant,
+    at: Instant,
     busy: Duration,
 }
 
 impl BusyTime {
-    fn read() -> Self {
+    fn read(now: Instant) -> Self {
         Self {
-            at: std::time::Instant::now(),
+            at: now,
             // All tasks run on one thread.
             busy: Handle::current().metrics().worker_total_busy_duration(0),
         }
     }
 
     /// Returns the share of the time since the last call for which the thread has had work.
-    fn advance(&mut self) -> f64 {
-        let before = std::mem::replace(self, Self::read());
+    fn advance(&mut self, now: Instant) -> f64 {
+        let before = std::mem::replace(self, Self::read(now));
         let time = self.at.duration_since(before.at).as_secs_f64();
         let busy = self.busy.saturating_sub(before.busy).as_secs_f64();
         if time > 0.0 { busy / time } else { 0.0 }
