--- a/crates/limehollow/src/intake.rs
+++ b/crates/limehollow/src/intake.rs
@@ -126,6 +126,6 @@
 /// Returns the share of the connections that is taken at a delay.
 fn share_taken(delay: Duration) -> f64 {
     let over = delay.saturating_sub(TAKES_ALL_UP_TO).as_secs_f64();
-    let range = (CLOSES_FROM - TAKES_ALL_UP_TO).as_secs_f64();
+    let range = CLOSES_FROM.saturating_sub(TAKES_ALL_UP_TO).as_secs_f64();
     (1.0 - over / range).max(0.0)
 }
--- a/crates/limehollow/tests/own_delay.rs
+++ b/crates/limehollow/tests/own_delay.rs
@@ -62,8 +62,8 @@
     for n in 0..per_s * 5 {
         steps.insert((start + every * n, n as usize), Step::Send);
     }
-    let mut n = steps.len();
-    let j = job(model("big-0"), 1000, 0);
+    let mut made = steps.len();
+    let wanted = job(model("big-0"), 1000, 0);
     let bounds = Bounds {
         kv_tokens: None,
         reading_ms: f64::INFINITY,
@@ -74,14 +74,14 @@
         probe.run(&mut b.own_delay, now);
         let (after, next) = match step {
             Step::Send => {
-                let Choice::To(key, expected) = b.choose(now, r, bounds, &j, &[]) else {
+                let Choice::To(key, expected) = b.choose(now, r, bounds, &wanted, &[]) else {
                     panic!("an endpoint holds the model");
                 };
                 assert!(slots.contains(&key));
                 let e = r.get(key).expect("it is listed");
                 (
                     FIRST + delay,
-                    Step::First(b.start(now, (key, e), &j, expected)),
+                    Step::First(b.start(now, (key, e), &wanted, expected)),
                 )
             }
             Step::First(mut sent) => {
@@ -94,10 +94,10 @@
                 continue;
             }
         };
-        n += 1;
-        steps.insert((now + after, n), next);
+        made += 1;
+        steps.insert((now + after, made), next);
     }
-    let Choice::To(_, expected) = b.choose(now, r, bounds, &j, &[]) else {
+    let Choice::To(_, expected) = b.choose(now, r, bounds, &wanted, &[]) else {
         panic!("an endpoint holds the model");
     };
     if let Some(held) = b.held(&site::llm()) {
