--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -20,8 +20,8 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -154,12 +154,15 @@
     let head = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
-    let accepted = Arc::new(Mutex::new(Some(site.now())));
+    let accepted = site.now();
+    let has_read = AtomicBool::new(false);
     let is_unframed = Arc::new(AtomicBool::new(false));
     let unframed = Arc::clone(&is_unframed);
     let service = service_fn(move |req: Request<Incoming>| {
         let (site, pressure) = (Arc::clone(&site), Arc::clone(&pressure));
-        record_first_read(&site, &accepted);
+        if !has_read.swap(true, Ordering::Relaxed) {
+            record_first_read(&site, accepted);
+        }
         unframed.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
         async move {
             let mut res = request::handle(Arc::clone(&site), from, req).await?;
@@ -202,18 +205,12 @@
 }
 
 /// Records how long the first request on a connection took to be read.
-fn record_first_read<P>(site: &Site<P>, accepted: &Mutex<Option<Instant>>)
+fn record_first_read<P>(site: &Site<P>, accepted: Instant)
 where
     P: Protocol,
 {
-    let accepted = accepted
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .take();
-    if let Some(t) = accepted {
-        let took = site.now().saturating_duration_since(t);
-        site.metrics.first_read.observe(took.as_secs_f64());
-    }
+    let took = site.now().saturating_duration_since(accepted);
+    site.metrics.first_read.observe(took.as_secs_f64());
 }
 
 /// Returns `true` if a caller's connection ended because the answer on it was broken off.
