A coordinator of slots grants nothing before it can know what the one before it did

Each endpoint that fell now prints what it rejected: two grants of two ledgers within 200 ms, one ledger with some 1,000 grants, one with 15 to 60.

Cause: while two of three messages are lost, a VM that misses the coordinator's for 0.8 to 1 s takes itself for the first. "Endpoints that bear one rejection get grants from the first only" was judged by its own view at that instant; it is in no other VM's reports, so its empty ledger believes all endpoints free. The same holds for a coordinator that restarts: its rejections of the last second are forgotten. Class: a role's new holder acts before what the former one did has expired.

Change: a ledger grants nothing for 1.25 s, as long as rejections count, after it was created; an endpoint that bears one rejection is granted only by a VM that has been first for 1.25 s, computed from when the VMs before it were last heard of.

--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -229,7 +229,7 @@
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::new(settings.first_start),
             versions_kept: None,
-            slot_ledger: SlotLedger::new(rand::random()),
+            slot_ledger: SlotLedger::new(now, rand::random()),
             slot_holdings: SlotHoldings::new(SmolStr::new(settings.name.as_str()), rand::random()),
             slot_backlogs: BTreeMap::new(),
             brittle: (now, BrittleServices::new()),
--- a/crates/limehollow-node/src/slots.rs
+++ b/crates/limehollow-node/src/slots.rs
@@ -15,7 +15,9 @@
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::job::Job;
 use limehollow::roster::{Endpoint, holds};
-use limehollow::slot_ledger::{Capacity, GrantId, Held, REPORT_EVERY, SlotReport, Usage};
+use limehollow::slot_ledger::{
+    Capacity, GrantId, Held, REJECTION_WINDOW, REPORT_EVERY, SlotReport, Usage,
+};
 use limehollow_wire::gossip::{Assignment, QueryBody, Reply, SlotUsage, Slots, millis};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -204,10 +206,10 @@
     let Some(bears) = view.brittle(now, &job.service) else {
         return Vec::new();
     };
-    let is_first = matches!(
-        view.peers.coordinators(now, job.service.as_str()).first(),
-        Some(None)
-    );
+    // As long as a rejection counts, so that none is left from the grants of the one before.
+    let is_only = view
+        .peers
+        .has_coordinated_for(now, job.service.as_str(), REJECTION_WINDOW);
     let kv_tokens = catalog.engine(&job.service).map(|e| e.kv_tokens);
     let has_model = |e: &Endpoint| {
         let model = job.model.as_ref();
@@ -218,7 +220,7 @@
     let with_capacity = usable.map(|(key, e)| {
         let own = view.balance.backpressure.bears(now, key);
         let bears = own.unwrap_or(bears);
-        let may_grant = is_first || bears >= BEARS_TWO_COORDINATORS;
+        let may_grant = is_only || bears >= BEARS_TWO_COORDINATORS;
         let capacity = Capacity {
             slots: if may_grant { e.slots } else { 0 },
             kv_tokens,
--- a/crates/limehollow-node/tests/brittle_endpoints.rs
+++ b/crates/limehollow-node/tests/brittle_endpoints.rs
@@ -43,19 +43,27 @@
 /// The time from a request's arrival at an endpoint to the head of its answer.
 const FIRST_RESULT: Duration = Duration::from_millis(30);
 
+/// A request that an endpoint rejected.
+#[derive(Clone, Copy, Debug)]
+struct Rejected {
+    at: Instant,
+    vm: usize,
+    grant: Option<GrantId>,
+}
+
 /// A simulated endpoint.
 #[derive(Debug, Default)]
 struct Endpoint {
     inside: usize,
-    rejected: VecDeque<Instant>,
+    rejected: VecDeque<Rejected>,
     rejections: usize,
     falls: usize,
     completed: usize,
 }
 
 impl Endpoint {
-    /// Takes a request in or rejects it.
-    fn arrive(&mut self, may_wait: usize, bears: Option<usize>) -> bool {
+    /// Takes a request in or rejects it. `by` is what a rejection is recorded as.
+    fn arrive(&mut self, may_wait: usize, bears: Option<usize>, by: Rejected) -> bool {
         if self.inside < SLOTS + may_wait {
             self.inside += 1;
             return true;
@@ -63,11 +71,12 @@
         let Some(bears) = bears else {
             return false;
         };
-        let now = Instant::now();
         self.rejections += 1;
-        self.rejected.push_back(now);
-        self.rejected.retain(|t| now - *t < Duration::from_secs(1));
+        self.rejected.push_back(by);
+        self.rejected
+            .retain(|r| by.at - r.at < Duration::from_secs(1));
         if self.rejected.len() > bears {
+            println!("falls under {:?}", self.rejected);
             self.falls += 1;
             self.rejected.clear();
         }
@@ -308,7 +317,12 @@
         let is_told = since.is_some_and(|t| t.elapsed() >= TOLD_FOR);
         let bears_now = is_told.then_some(bears);
         let said = since.map_or(RateSignal::Unnamed, |_| RateSignal::Named(bears as f64));
-        (e.arrive(may_wait, bears_now), said)
+        let by = Rejected {
+            at: Instant::now(),
+            vm,
+            grant: slot,
+        };
+        (e.arrive(may_wait, bears_now, by), said)
     };
     let signals = Signals {
         brittle,
@@ -451,6 +465,14 @@
     }
 }
 
+/// Here each rejection under the grant of a second coordinator is a fall.
+#[tokio::test(start_paused = true)]
+async fn brittle_endpoints_that_bear_one_rejection_in_trouble() {
+    for seed in 10..20 {
+        trouble(seed, 8, 1, false).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn brittle_endpoints_in_trouble_at_71_vms() {
     trouble(100, 71, 3, false).await;
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -322,6 +322,14 @@
         all.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns `true` if this VM comes first as coordinator of `name`, and has for at least `time`: the VMs before it have
+    /// been silent for as long as it takes not to count any more, and for `time` beyond that.
+    #[must_use]
+    pub fn has_coordinated_for(&self, now: Instant, name: &str, time: Duration) -> bool {
+        let is_first = |t| matches!(self.coordinators(t, name).first(), Some(None));
+        is_first(now) && now.checked_sub(time).is_none_or(is_first)
+    }
+
     /// Returns the VMs of the own zone that report that they reach no endpoint.
     pub fn cut_off_in_zone(&self, now: Instant) -> impl Iterator<Item = &SmolStr> {
         let cut_off = self
--- a/crates/limehollow/src/slot_ledger.rs
+++ b/crates/limehollow/src/slot_ledger.rs
@@ -11,14 +11,15 @@
 //!
 //! ```
 //! use limehollow::id::EndpointKey;
-//! use limehollow::slot_ledger::{Capacity, SlotLedger};
+//! use limehollow::slot_ledger::{Capacity, REJECTION_WINDOW, SlotLedger};
 //! use slotmap::SlotMap;
 //! use tokio::time::Instant;
 //!
 //! let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
 //! let (now, key) = (Instant::now(), keys.insert(()));
 //! let capacity = Capacity { slots: 1, kv_tokens: None, bears: 4.0 };
-//! let mut ledger = SlotLedger::new(7);
+//! let mut ledger = SlotLedger::new(now, 7);
+//! let now = now + REJECTION_WINDOW;
 //! assert!(ledger.grant(now, &"vm-1".into(), key, capacity, 100).is_some());
 //! assert!(ledger.grant(now, &"vm-2".into(), key, capacity, 100).is_none());
 //! ```
@@ -33,7 +34,7 @@
 use tokio::time::Instant;
 
 /// The time for which a rejection counts: a second, and the time until the coordinator learns of it.
-const REJECTION_WINDOW: Duration = Duration::from_millis(1250);
+pub const REJECTION_WINDOW: Duration = Duration::from_millis(1250);
 /// The time for which a grant counts as a possible rejection if nothing is heard of it. A grant isn't used after a quarter
 /// of a second, so its rejection is older than a second by then.
 const UNSETTLED_FOR: Duration = Duration::from_millis(1500);
@@ -241,6 +242,7 @@
 #[derive(Debug)]
 pub struct SlotLedger {
     id: u64,
+    created: Instant,
     last: u64,
     vms: BTreeMap<SmolStr, VmRow>,
     /// The sums over `vms`.
@@ -252,9 +254,10 @@
 impl SlotLedger {
     /// Creates an empty ledger. `id` tells it from the ledgers of other VMs and of other starts of this one.
     #[must_use]
-    pub fn new(id: u64) -> Self {
+    pub fn new(now: Instant, id: u64) -> Self {
         Self {
             id,
+            created: now,
             last: 0,
             vms: BTreeMap::new(),
             rows: SecondaryMap::new(),
@@ -263,8 +266,13 @@
     }
 
     /// Returns `true` if a request with this many tokens may be sent to an endpoint.
+    ///
+    /// A new ledger has room nowhere: it doesn't know what was rejected under the grants of the ledger before it.
     #[must_use]
     pub fn has_room(&self, now: Instant, key: EndpointKey, c: Capacity, tokens: u32) -> bool {
+        if now.saturating_duration_since(self.created) < REJECTION_WINDOW {
+            return false;
+        }
         let Some(row) = self.rows.get(key) else {
             return c.slots > 0;
         };
--- a/crates/limehollow/tests/peers.rs
+++ b/crates/limehollow/tests/peers.rs
@@ -302,3 +302,21 @@
     assert_eq!(here.count(), 20);
     assert!(all.contains(&address(4)), "22 of 93 would get too much");
 }
+
+#[tokio::test(start_paused = true)]
+async fn coordinator_of_late_is_told_from_one_that_has_been_for_long() {
+    let mut p = peers();
+    let time = Duration::from_millis(1250);
+    advance(Duration::from_secs(5)).await;
+    p.receive(Instant::now(), "vm-1", START, 1);
+    assert!(!p.has_coordinated_for(Instant::now(), "chat", time));
+    // vm-1 counts as silent, but has been for a moment only.
+    advance(PEER_TIMEOUT + time - Duration::from_millis(1)).await;
+    let now = Instant::now();
+    assert!(p.has_coordinated_for(now, "chat", Duration::ZERO));
+    assert!(!p.has_coordinated_for(now, "chat", time));
+    advance(Duration::from_millis(1)).await;
+    assert!(p.has_coordinated_for(Instant::now(), "chat", time));
+    p.receive(Instant::now(), "vm-1", START, 2);
+    assert!(!p.has_coordinated_for(Instant::now(), "chat", Duration::ZERO));
+}
--- a/crates/limehollow/tests/slot_ledger.rs
+++ b/crates/limehollow/tests/slot_ledger.rs
@@ -2,7 +2,7 @@
 
 use limehollow::id::EndpointKey;
 use limehollow::slot_ledger::{
-    Capacity, GrantId, Held, SETTLED_AFTER, SlotHoldings, SlotLedger, SlotReport,
+    Capacity, GrantId, Held, REJECTION_WINDOW, SETTLED_AFTER, SlotHoldings, SlotLedger, SlotReport,
 };
 use slotmap::SlotMap;
 use smol_str::SmolStr;
@@ -36,10 +36,11 @@
     fn new() -> Self {
         let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
         let vm = SmolStr::new_static("vm-1");
+        let created = Instant::now();
         Self {
-            t: Instant::now(),
+            t: created + REJECTION_WINDOW,
             key: keys.insert(()),
-            ledger: SlotLedger::new(7),
+            ledger: SlotLedger::new(created, 7),
             holdings: SlotHoldings::new(vm.clone(), 1),
             vm,
         }
@@ -135,6 +136,18 @@
     assert!(p.has_room(c));
 }
 
+#[test]
+fn new_ledger_grants_nothing_while_rejections_of_the_one_before_count() {
+    let mut p = Pair::new();
+    let c = capacity(64, 100.0);
+    p.ledger = SlotLedger::new(p.t, 8);
+    assert!(!p.has_room(c));
+    p.t += ms(1249);
+    assert!(p.grant(c).is_none());
+    p.t += ms(1);
+    assert!(p.grant(c).is_some());
+}
+
 #[test]
 fn grant_that_is_never_heard_of_expires() {
     let mut p = Pair::new();
