VMs of a large zone agree on the coordinator while nothing is wrong

With zones of a hundred VMs the VMs held two or three for the coordinator of the service, in calm, for about a third of the time: two ledgers granted beside each other, up to 13 rejections in 2 s closed endpoints for 1.25 s each.

Cause: a summary of another zone is relayed inside a zone each 10 ms times the neighbours, up to 1 s, by the next one that arrives: each 1.0 to 1.26 s with 100 VMs. Its leader was left out as coordinator after 0.8 s, a time written for summaries each 240 ms. Class: a timeout that doesn't know the interval of what it waits for. It decides on all that is coordinated: endpoints of models, limits, quotas, slots, trials; the sites with zones of 57 VMs or more.

Change: the intervals move from the sender to the core, `send_interval`, and `Peers::coordinators` leaves a leader out when two summaries are missing, 0.8 s at the earliest. Who gets the messages to another zone keeps the 0.8 s: leaders hear each other directly.

Measured: coordinators.rs, 300 VMs, failed before ("search": two), passes now, 9, 71 and 180 too. Price: when a whole zone of 100 VMs is lost its coordinator is replaced after 2.5 s rather than 0.8; who asks it tries the next one as before.

--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -5,12 +5,12 @@
 //! quarantined requests are also stored in the platform's store, in case all VMs restart at once.
 
 use crate::edge::{PeerStates, Protocol, Store};
-use crate::sender::interval;
 use crate::site::Site;
 use limehollow::balance::MESSAGE_LIFE;
 use limehollow::crash_record::CrashRecord;
 use limehollow::fingerprint::Fingerprint;
 use limehollow::quarantine::Quarantine;
+use limehollow::send_interval;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,7 +61,7 @@
     P: Protocol,
 {
     let neighbours = site.view().peers.neighbours().len();
-    let delay = interval(neighbours)
+    let delay = send_interval::of_messages(neighbours)
         .mul_f64(FETCH_DELAY_MESSAGES)
         .min(MAX_FETCH_DELAY);
     loop {
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -3,12 +3,13 @@
 use crate::edge::Protocol;
 use crate::endpoint_signals;
 use crate::quarantine_sync::ReportedDigest;
-use crate::sender::{Outgoing, summary_interval};
+use crate::sender::Outgoing;
 use crate::site::Site;
 use limehollow::balance::Taken;
 use limehollow::candidacy::Notice;
 use limehollow::id::{EndpointKey, VmName, ZoneName};
 use limehollow::instance::Instance;
+use limehollow::send_interval;
 use limehollow_wire::gossip::{LeaseNotice, Message, Scope};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -79,7 +80,7 @@
     }
     let now = site.now();
     let mut view = site.view();
-    let interval = summary_interval(view.peers.neighbours().len());
+    let interval = send_interval::of_summaries(view.peers.neighbours().len());
     let last = view.relayed_at.get(&(w.zone.clone(), w.part));
     if last.is_some_and(|t| now.duration_since(*t) < interval) {
         return false;
--- a/crates/limehollow/src/lib.rs
+++ b/crates/limehollow/src/lib.rs
@@ -24,7 +24,7 @@
 //!   takes (`docs/design/own-delay.md`).
 //! * [`own_reach`] decides whether it is this VM that reaches no endpoint (`docs/design/cut-off-vms.md`).
 //! * [`start_tree`] selects the VM from which a starting VM fetches the shared state (`docs/design/fleet.md`).
-//! * [`send_budget`] limits the messages between VMs (`docs/design/overload.md`).
+//! * [`send_budget`] and [`send_interval`] limit the messages between VMs (`docs/design/overload.md`).
 //! * [`log_position`] is a reader's position in the platform's store, which may be restored from a copy
 //!   (`docs/design/store-eras.md`).
 //! * [`catalog`], [`instance`], [`roster`], [`job`], [`balance`], [`retry_window`], [`arrivals`], [`candidacy`],
@@ -94,6 +94,7 @@
 pub mod roster;
 pub mod routing;
 pub mod send_budget;
+pub mod send_interval;
 pub mod slot_ledger;
 pub mod start_tree;
 pub mod stream_origin;
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -8,6 +8,7 @@
 mod owners;
 
 use crate::id::ZoneName;
+use crate::send_interval;
 use smol_str::SmolStr;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -44,9 +45,12 @@
 /// The time without a zone summary after which a zone counts as silent.
 const ZONE_TIMEOUT: Duration = Duration::from_millis(2000);
 
-/// The time without a zone summary after which the leader of another zone is no coordinator any more, nor the only
-/// recipient of messages to that zone: three summaries of a large zone.
-const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(800);
+/// The time without a zone summary after which the leader of another zone isn't the only recipient of messages to that
+/// zone any more, and at the earliest no coordinator: three summaries, as the leaders of zones receive them.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(800);
+/// The number of summaries of another zone that may be missing before its leader is no coordinator any more: one may be
+/// lost.
+const SUMMARIES_MISSED: u32 = 2;
 
 /// The number of VMs whose requests one VM takes over within its zone, its own included: it has about this much room on
 /// a calm day.
@@ -309,10 +313,13 @@
     /// Returns the VMs that may coordinate `name` for the whole site, the preferred one first: the leaders of the live
     /// zones, in an order that depends on the name. `None` stands for this VM.
     ///
-    /// VMs may disagree on the order for a second; what is coordinated this way has to tolerate two coordinators.
+    /// VMs may disagree on the order for a second or two; what is coordinated this way has to tolerate two coordinators.
     #[must_use]
     pub fn coordinators(&self, now: Instant, name: &str) -> Vec<Option<SocketAddr>> {
-        let is_live = |z: &&OtherZone| now.duration_since(z.last_seen) < COORDINATOR_TIMEOUT;
+        let neighbours = self.rows.values().filter(|p| p.zone == self.zone).count();
+        let between = send_interval::longest_between_summaries(neighbours);
+        let timeout = LEADER_TIMEOUT.max(between * SUMMARIES_MISSED);
+        let is_live = |z: &&OtherZone| now.duration_since(z.last_seen) < timeout;
         let others = self.zones.iter().filter(|(_, z)| is_live(z));
         let others = others.filter_map(|(zone, z)| Some((zone, Some(self.address(&z.from)?))));
         let own = self.zone_leader(now).map(|vm| self.address(vm));
@@ -529,7 +536,7 @@
             let leader = self.zones.get(zone);
             let last = leader.and_then(|z| vms.iter().find(|(n, _)| **n == z.from));
             out.extend(last.map(|(_, a)| *a));
-            let is_live = |z: &OtherZone| now.duration_since(z.last_seen) < COORDINATOR_TIMEOUT;
+            let is_live = |z: &OtherZone| now.duration_since(z.last_seen) < LEADER_TIMEOUT;
             if last.is_none() || !leader.is_some_and(is_live) {
                 let (_, next) = vms[self.rotation % vms.len()];
                 out.extend((!out.contains(&next)).then_some(next));
