--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -222,10 +222,15 @@
 
 /// Listens with a queue of new connections that is full after a few.
 fn listen(address: SocketAddr) -> TcpListener {
+    bound(address).listen(QUEUE).expect("it listens")
+}
+
+/// Keeps a port without listening, so that connections are refused and no other test gets it.
+fn bound(address: SocketAddr) -> TcpSocket {
     let socket = TcpSocket::new_v4().expect("a socket is free");
     socket.set_reuseaddr(true).expect("it can be set");
     socket.bind(address).expect("the port is free");
-    socket.listen(QUEUE).expect("it listens")
+    socket
 }
 
 async fn run_path(
@@ -257,11 +262,12 @@
             }
             Way::Refuses => {
                 drop(listener);
+                let closed = bound(address);
                 in_force.send_replace(now);
                 if way.changed().await.is_err() {
                     return;
                 }
-                listener = listen(address);
+                listener = closed.listen(QUEUE).expect("it listens");
             }
         }
     }
