--- a/crates/limehollow-node/src/assignment.rs
+++ b/crates/limehollow-node/src/assignment.rs
@@ -33,9 +33,6 @@
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(25);
 /// How long a coordinator that didn't answer isn't queried again.
 const UNRESPONSIVE_FOR: Duration = Duration::from_millis(100);
-/// A request is refused if its first result is expected later than this multiple of the service's shortest objective: a
-/// late answer is worth a tenth to a third of one in time, and after four times the objective callers have left.
-pub(crate) const MAX_EXPECTED_OBJECTIVES: f64 = 2.5;
 /// The maximum number of endpoints that a query may exclude.
 const MAX_EXCLUDED: usize = 64;
 /// The share of the longest allowed pause of a stream that an endpoint may spend reading prompts: its streams wait
@@ -215,13 +212,7 @@
     (all.len() <= MAX_EXCLUDED).then_some(all)
 }
 
-/// Returns `true` if a VM sends a request of which this is expected; else it refuses the request (`Dispatch::admit`).
-pub(crate) fn is_sent(catalog: &Catalog, job: &Job, expected_ms: f64) -> bool {
-    let objective = catalog.shortest_objective(&job.service);
-    objective.is_none_or(|o| expected_ms <= o.as_secs_f64() * 1000.0 * MAX_EXPECTED_OBJECTIVES)
-}
-
-/// Chooses an endpoint for a job, as the model's coordinator, and counts the job there from now on unless it will be refused.
+/// Chooses an endpoint for a job and counts the job there from now on, as the model's coordinator.
 fn assign<P>(site: &Site<P>, catalog: &Catalog, job: &Job, tried: &[EndpointKey]) -> Choice
 where
     P: Protocol,
@@ -229,9 +220,7 @@
     let now = site.now();
     let mut view = site.view();
     let choice = choose_locally(now, &view, catalog, job, tried);
-    if let Choice::To(key, expected_ms) = choice
-        && is_sent(catalog, job, expected_ms)
-    {
+    if let Choice::To(key, _) = choice {
         view.balance.record_assignment(now, key, job);
     }
     choice
--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use crate::answer::{Outgoing, Reason, expired, lost, refuse};
 use crate::answer_body::AnswerBody;
-use crate::assignment::{self, ChosenBy, MAX_EXPECTED_OBJECTIVES};
+use crate::assignment::{self, ChosenBy};
 use crate::attempt::{self, AttemptFailure, EndpointEvidence, LimitGrant, SlotGrant, Target};
 use crate::crash_probe;
 use crate::edge::{Feed, ForwardMeta, HeaderPolicy, Protocol, RequestMeta};
@@ -43,6 +43,9 @@
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
+/// A request is refused if its first result is expected later than this multiple of the service's shortest objective: a
+/// late answer is worth a tenth to a third of one in time, and after four times the objective callers have left.
+const MAX_EXPECTED_OBJECTIVES: f64 = 2.5;
 /// The maximum share of its objective that a request waits for an overloaded endpoint or for an adapter, which loads
 /// within milliseconds: a later start leaves too little of the objective for the result itself. A request doesn't wait
 /// for a model: the fastest load takes longer than this share.
