--- a/crates/limehollow-node/src/limits.rs
+++ b/crates/limehollow-node/src/limits.rs
@@ -196,7 +196,7 @@
 
 /// Returns `true` if this VM is the coordinator of a limit, as far as it knows.
 fn is_coordinator(peers: &Peers, now: Instant, subject: &Subject) -> bool {
-    matches!(peers.coordinators(now, subject.name()).first(), Some(None))
+    peers.is_coordinator(now, subject.name())
 }
 
 /// Begins a round of collections. Returns the limits that this VM coordinates, and the VMs to collect from.
--- a/crates/limehollow-node/src/quarantine_sync.rs
+++ b/crates/limehollow-node/src/quarantine_sync.rs
@@ -60,7 +60,7 @@
 where
     P: Protocol,
 {
-    let neighbours = site.view().peers.neighbours().len();
+    let neighbours = site.view().peers.neighbour_count();
     let delay = send_interval::of_messages(neighbours)
         .mul_f64(FETCH_DELAY_MESSAGES)
         .min(MAX_FETCH_DELAY);
--- a/crates/limehollow-node/src/receiver.rs
+++ b/crates/limehollow-node/src/receiver.rs
@@ -80,7 +80,7 @@
     }
     let now = site.now();
     let mut view = site.view();
-    let interval = send_interval::of_summaries(view.peers.neighbours().len());
+    let interval = send_interval::of_summaries(view.peers.neighbour_count());
     let last = view.relayed_at.get(&(w.zone.clone(), w.part));
     if last.is_some_and(|t| now.duration_since(*t) < interval) {
         return false;
--- a/crates/limehollow-node/src/sender.rs
+++ b/crates/limehollow-node/src/sender.rs
@@ -141,7 +141,7 @@
         let site = Arc::clone(&self.site);
         let mut view = site.view();
         let view = &mut *view;
-        let interval = send_interval::of_messages(view.peers.neighbours().len());
+        let interval = send_interval::of_messages(view.peers.neighbour_count());
         self.due = now + interval.mul_f64(rand::random_range(send_interval::JITTER));
         let told = view.quarantine.take_batch(now);
         let mut own = self.own(now, view, told.own_zone);
--- a/crates/limehollow-node/src/site_view.rs
+++ b/crates/limehollow-node/src/site_view.rs
@@ -565,8 +565,8 @@
 
     /// Begins a trial of a quarantined part of prompts, if one is due and this VM is the one that makes it.
     pub(crate) fn begin_trial(&mut self, now: Instant, part: Fingerprint) -> bool {
-        let coordinators = self.peers.coordinators(now, &part.to_string());
-        matches!(coordinators.first(), Some(None)) && self.quarantine.begin_trial(now, part)
+        let is_coordinator = self.peers.is_coordinator(now, &part.to_string());
+        is_coordinator && self.quarantine.begin_trial(now, part)
     }
 
     /// Merges another VM's record of a request under which endpoints crashed. Returns `true` if it contains
--- a/crates/limehollow-node/tests/goodput.rs
+++ b/crates/limehollow-node/tests/goodput.rs
@@ -6,8 +6,8 @@
 mod rig;
 
 use limehollow::balance::Choice;
-use limehollow::catalog::{CallerLimits, Catalog, EngineSpec, ServiceSpec};
-use limehollow::id::{EndpointKey, ServiceName};
+use limehollow::catalog::Catalog;
+use limehollow::id::EndpointKey;
 use limehollow::job::Job;
 use limehollow::load::AttemptOutcome;
 use limehollow::retry::Repeat;
@@ -18,8 +18,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rig::fleet::Fleet;
+use rig::versions::engine_catalog;
 use rig::{Plain, rule};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -70,30 +71,10 @@
 }
 
 fn model_catalog() -> Catalog {
-    let engine = EngineSpec {
-        slots: 6,
-        kv_tokens: 100_000,
-        megabytes: 1000.0,
-        adapter_places: 0,
-        loads_per_second: 1.0,
-        models: BTreeMap::new(),
-    };
-    let service = ServiceSpec {
-        health_path: "/health".into(),
-        max_connections: 1000,
-        engine: Some(engine),
-        cold: None,
-    };
-    let limits = CallerLimits {
-        head_bytes: 16 << 10,
-        body_bytes: 1000,
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
     let mut r = rule("/a/", Repeat::Never, 1);
     r.objective = OBJECTIVE;
-    let services = BTreeMap::from([(ServiceName::from("portal"), service)]);
-    Catalog::new(1, vec![r], services, limits)
+    let slots = u32::try_from(SLOTS).expect("few");
+    engine_catalog(1, slots, r)
 }
 
 /// Has all VMs know that all endpoints hold the model.
--- a/crates/limehollow-node/tests/rig/fleet.rs
+++ b/crates/limehollow-node/tests/rig/fleet.rs
@@ -174,7 +174,7 @@
     /// Returns the smallest number of other VMs of its zone that a running VM knows.
     pub fn fewest_neighbours(&self) -> usize {
         let running = self.vms.iter().filter(|v| !v.tasks.is_empty());
-        let neighbours = running.map(|v| v.site.view().peers.neighbours().len());
+        let neighbours = running.map(|v| v.site.view().peers.neighbour_count());
         neighbours.min().unwrap_or(0)
     }
 
--- a/crates/limehollow-node/tests/rig/versions.rs
+++ b/crates/limehollow-node/tests/rig/versions.rs
@@ -20,6 +20,8 @@
 
 /// The first event of every stream.
 const EVENT: &str = "id: 1\ndata: a\n\n";
+/// The slots of an endpoint: more than there are streams.
+const ENGINE_SLOTS: u32 = 64;
 /// The longest gap between two reads of the list that counts as none.
 const LIST_GAP: Duration = Duration::from_secs(60);
 /// The time within which an answer's first event, or a refusal, arrives.
@@ -137,7 +139,7 @@
              first_start = {is_first_start}\n"
         );
         let site = Site::new(parse_settings(&own), Plain);
-        site.set_catalog(engine_catalog(1, self.rule.clone()));
+        site.set_catalog(engine_catalog(1, ENGINE_SLOTS, self.rule.clone()));
         site.view()
             .feed_reads
             .record_read(Feed::Endpoints, Instant::now(), LIST_GAP);
@@ -223,7 +225,8 @@
     /// Puts a configuration with another rule in force on all VMs.
     pub fn set_rule(&self, version: u64, rule: &Rule) {
         for vm in &self.vms {
-            vm.site.set_catalog(engine_catalog(version, rule.clone()));
+            vm.site
+                .set_catalog(engine_catalog(version, ENGINE_SLOTS, rule.clone()));
         }
     }
 
@@ -266,10 +269,10 @@
     }
 }
 
-/// Returns a configuration with one rule, whose service runs models.
-fn engine_catalog(version: u64, rule: Rule) -> Catalog {
+/// Returns a configuration with one rule, whose service runs models on endpoints with so many slots.
+pub fn engine_catalog(version: u64, slots: u32, rule: Rule) -> Catalog {
     let engine = EngineSpec {
-        slots: 64,
+        slots,
         kv_tokens: 100_000,
         megabytes: 1000.0,
         adapter_places: 1,
--- a/crates/limehollow/src/intake.rs
+++ b/crates/limehollow/src/intake.rs
@@ -74,7 +74,7 @@
     /// Takes a connection or not, by the delay of the VM's own tasks, and counts it.
     pub fn accepts(&mut self, now: Instant, delay: &OwnDelay) -> bool {
         self.advance(now, delay);
-        let has_room = self.closes_until.is_none() || self.has_room(delay);
+        let has_room = self.closes_until.is_none() || self.has_room();
         let takes = has_room && !self.is_unmeasured(now, delay) || self.is_due(now);
         if takes {
             self.since_turn.1 += 1;
@@ -103,10 +103,12 @@
             self.closes_until = Some(now + CALM_AFTER);
         }
         self.closes_until = self.closes_until.filter(|t| now < *t);
+        if self.closes() {
+            self.by_delay = (self.by_delay + share_taken(delay.mean())).min(BURST);
+        }
     }
 
-    fn has_room(&mut self, delay: &OwnDelay) -> bool {
-        self.by_delay = (self.by_delay + share_taken(delay.mean())).min(BURST);
+    fn has_room(&self) -> bool {
         self.by_delay >= 1.0 && self.by_rate >= 1.0
     }
 
--- a/crates/limehollow/src/peers.rs
+++ b/crates/limehollow/src/peers.rs
@@ -274,6 +274,13 @@
         in_zone.map(|p| p.address).collect()
     }
 
+    /// Returns the number of the other VMs of the own zone, including silent ones.
+    #[must_use]
+    pub fn neighbour_count(&self) -> usize {
+        let in_zone = self.rows.values().filter(|p| p.zone == self.zone);
+        in_zone.count()
+    }
+
     /// Returns the addresses of the other VMs of the own zone that sent a message recently or may be starting.
     #[must_use]
     pub fn responsive_neighbours(&self, now: Instant) -> Vec<SocketAddr> {
@@ -316,8 +323,7 @@
     /// VMs may disagree on the order for a second or two; what is coordinated this way has to tolerate two coordinators.
     #[must_use]
     pub fn coordinators(&self, now: Instant, name: &str) -> Vec<Option<SocketAddr>> {
-        let neighbours = self.rows.values().filter(|p| p.zone == self.zone).count();
-        let between = send_interval::longest_between_summaries(neighbours);
+        let between = send_interval::longest_between_summaries(self.neighbour_count());
         let timeout = LEADER_TIMEOUT.max(between * SUMMARIES_MISSED);
         let is_live = |z: &&OtherZone| now.duration_since(z.last_seen) < timeout;
         let others = self.zones.iter().filter(|(_, z)| is_live(z));
@@ -329,11 +335,17 @@
         all.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns `true` if this VM comes first as coordinator of `name`, as far as it knows.
+    #[must_use]
+    pub fn is_coordinator(&self, now: Instant, name: &str) -> bool {
+        matches!(self.coordinators(now, name).first(), Some(None))
+    }
+
     /// Returns `true` if this VM comes first as coordinator of `name`, and has for at least `time`: the VMs before it have
     /// been silent for as long as it takes not to count any more, and for `time` beyond that.
     #[must_use]
     pub fn has_coordinated_for(&self, now: Instant, name: &str, time: Duration) -> bool {
-        let is_first = |t| matches!(self.coordinators(t, name).first(), Some(None));
+        let is_first = |t| self.is_coordinator(t, name);
         is_first(now) && now.checked_sub(time).is_none_or(is_first)
     }
 
