Review, cases 2 and 3: streams of crashed workers look complete

Case 2 shows: all model workers crash at once; streams that end with their connections reach clients as complete, since the VM reaches none of three workers drawn at random and takes its doubt for a proof.

Case 3 shows: the same after a VM that stood still while a worker crashed and came back at its address: who listens there isn't asked.

--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -2,7 +2,8 @@
 
 Its only argument is a JSON file: `id`, `service`, `zone`, `store`, `record` (where it writes what it runs), `models`,
 `adapters`, `pieces` and `every_ms` (an answer's pieces and the time between two), `piece_bytes`, `framed` (whether
-answers come in chunks; otherwise they end with their connection), `stream` (whether pieces are events).
+answers come in chunks; otherwise they end with their connection), `stream` (whether pieces are events), `on_disk`
+(models of which it has a copy), `port` (where it listens; a free one without it).
 
 SIGUSR1: it is told that it is taken away, and says so in its entry (`remaining_ms`).
 """
@@ -47,7 +48,7 @@
     return json.dumps({
         "stage": "prefill_decode", "models": held(), "busy": state["busy"], "sequence": state["orders"],
         "queued_count": 0, "running_count": state["running"], "kv_used": 0, "kv_total": 118694, "handles": 0,
-        "at_hand": {"in_memory": list(models), "on_disk": list(models)},
+        "at_hand": {"in_memory": list(models), "on_disk": sorted({*models, *how.get("on_disk", [])})},
     }).encode()
 
 
@@ -155,7 +156,7 @@
 
 
 async def main():
-    server = await asyncio.start_server(connection, "127.0.0.1", 0, limit=1 << 24)
+    server = await asyncio.start_server(connection, "127.0.0.1", how.get("port", 0), limit=1 << 24)
     how["address"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
     def leave():
