--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -271,12 +271,16 @@
 
     async def play():
         # What the stand-ins still do when the case is over is of no interest.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        # Told to end, it ends what it started.
+        for s in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(s, asyncio.current_task().cancel)
         return await asyncio.wait_for(case(record, trouble), 110)
 
     try:
         broken = asyncio.run(play())
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+    except (CannotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as e:
         record.line("case", "couldn't run:", repr(e))
         print("couldn't run:", repr(e))
         sys.exit(2)
