Review, case 1: one worker whose answers don't end takes all VMs down

Shows: a model worker answers some requests with 500 and a body without end; each VM keeps it in memory and is killed at its limit of 260 MB, again and again; requests to a sound service lose their answers.

--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -6,10 +6,13 @@
 (models of which it has a copy), `port` (where it listens; a free one without it).
 
 SIGUSR1: it is told that it is taken away, and says so in its entry (`remaining_ms`).
+SIGUSR2: it is in trouble until the next one: it answers some requests (`endless_share`) with 500 and a body in chunks
+without end (`endless_mb_s` each).
 """
 
 import asyncio
 import json
+import random
 import signal
 import sys
 
@@ -18,7 +21,7 @@
 how = json.load(open(sys.argv[1], encoding="utf-8"))
 record = open(how["record"], "a", encoding="utf-8")
 SLOTS = how.get("slots", 48)
-state = {"leaving": None, "beats": 0, "orders": 0, "running": 0, "busy": False}
+state = {"trouble": False, "leaving": None, "beats": 0, "orders": 0, "running": 0, "busy": False}
 models = {m: list(how.get("adapters", {}).get(m, [])) for m in how.get("models", [])}
 
 
@@ -88,6 +91,18 @@
         yield (f"id: {i}\ndata: {text}\n\n" if how.get("stream") else text).encode()
 
 
+async def run_without_end(writer, rid):
+    """Answers with a body that goes on until the caller closes."""
+    wrote(id=rid, what="endless", pieces=0)
+    head = {"Request-Id": rid, "Content-Type": "text/plain", "Transfer-Encoding": "chunked"}
+    writer.write(wire.message("HTTP/1.1 500 Internal Server Error", head))
+    piece = b"\0" * (1 << 20)
+    while True:
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await writer.drain()
+        await asyncio.sleep(1 / how.get("endless_mb_s", 40))
+
+
 async def run(writer, rid):
     """Runs one request and writes its answer piece by piece."""
     n = how.get("pieces", 1)
@@ -144,6 +159,8 @@
                 model, _, adapter = headers.get("model", "").partition("/")
                 if model and (model not in models or (adapter and adapter not in models[model])):
                     plain(421, {"Not-Executed": "1"})
+                elif state["trouble"] and random.random() < how["endless_share"]:
+                    await run_without_end(writer, rid)
                 elif state["running"] >= SLOTS:
                     plain(503, {"Not-Executed": "1"})
                 elif not await run(writer, rid):
@@ -164,6 +181,7 @@
         asyncio.create_task(tell())
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leave)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, lambda: state.update(trouble=not state["trouble"]))
     await tell()
     print(how["address"], flush=True)
     while True:
