Heads of endpoints' answers are bounded by 64 KiB

What callers would see: VMs of 120 MB are killed for their memory while some hundred heads of answers don't end, with all that they have in hand. Not seen in service; found on a path related to that of bodies without end.

Cause: connections to endpoints had the HTTP library's default as the bound of their read buffer, 417,792 bytes. A head that pauses below it is held for the request's time. The same buffers hold a part of each answer that is relayed.

Ruled out: heads that are larger than the buffer and interim heads without end take no memory by themselves (the library drops the connection, or reads on).

Change: `Pool::open` sets the bound to 64 KiB, four times the default of callers' heads.

Heads that pause below 64 KiB end with the request's time, as before.

--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -37,6 +37,10 @@
 /// endpoint closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// The maximum size of a connection's read buffer, in bytes, and so of the head of an answer: several times that of callers'
+/// requests. Hundreds of connections may have it full at once.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
 /// The maximum size of a refusal's body that is drained to reuse its connection, in bytes.
 const MAX_DRAIN_BYTES: usize = 4096;
 
@@ -145,7 +149,9 @@
         };
         let stream = connected.context(IoSnafu)?;
         let stream = ResetOnDrop::new(stream).context(IoSnafu)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream))
             .await
             .context(HttpSnafu)?;
         tokio::spawn(async move {
--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_net;
 mod fleet_store;
 pub mod reach;
+pub mod unending;
 pub mod versions;
 
 use bytes::Bytes;
@@ -196,6 +197,12 @@
     WritesAndWaits(Vec<u8>),
     /// Closes the connection without writing anything.
     Closes,
+    /// Writes `first`, then `again` until the peer closes the connection or so many bytes are written; then it waits.
+    WritesOn {
+        first: Vec<u8>,
+        again: Vec<u8>,
+        most: usize,
+    },
 }
 
 pub fn answer(status: u16, id: &str, more: &str, body: &str) -> Vec<u8> {
@@ -299,10 +306,27 @@
                 return;
             }
             Does::Closes => return,
+            Does::WritesOn { first, again, most } => {
+                if !write_on(&mut stream, &first, &again, most).await {
+                    left.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+            }
         }
     }
 }
 
+/// Returns `false` once the peer has closed the connection.
+async fn write_on(stream: &mut TcpStream, first: &[u8], again: &[u8], most: usize) -> bool {
+    let mut written = first.len();
+    let mut is_open = stream.write_all(first).await.is_ok();
+    while is_open && written + again.len() <= most {
+        is_open = stream.write_all(again).await.is_ok();
+        written += again.len();
+    }
+    is_open
+}
+
 pub fn settings() -> NodeSettings {
     parse_settings(
         "name = \"vm-1\"\navailability_zone = \"a\"\nip = \"127.0.0.1\"\npeer_port = 0\n",
--- /dev/null
+++ b/crates/limehollow-node/tests/unending_heads_memory.rs
@@ -0,0 +1,63 @@
+//! Heads of answers that are large or don't end, and the memory that they take.
+
+mod rig;
+
+use limehollow::retry::Repeat;
+use rig::unending::{Got, ask_and_read_nothing, gateway, plain_rule, read_answer, resident_kb};
+use rig::{Does, Server};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const ANSWERS: usize = 300;
+/// The bytes of a head before it pauses. The HTTP library takes 417,792 by itself.
+const HEAD_BYTES: usize = 390_000;
+/// The memory that a VM of 120 MB has beside what it takes at rest, in kB.
+const MAX_GROWTH_KB: u64 = 90_000;
+/// The time in which endpoints write their heads.
+const WRITTEN_WITHIN: Duration = Duration::from_millis(1500);
+
+/// Returns the beginning of a head with this end of it repeated.
+fn head_without_end(line: &str) -> Does {
+    let begin = "HTTP/1.1 200 x\r\nx-mark: m\r\n";
+    let lines = line.repeat((HEAD_BYTES - begin.len()) / line.len());
+    Does::WritesAndWaits(format!("{begin}{lines}").into_bytes())
+}
+
+/// Guards against a VM going over its memory because many heads of answers don't end.
+#[tokio::test]
+async fn heads_without_end_keep_memory_bounded() {
+    let long_line = format!("x-long: {}", "x".repeat(HEAD_BYTES / 2));
+    for line in [&format!("x-a: {}\r\n", "x".repeat(8000)), &long_line] {
+        let s = Server::start(vec![head_without_end(line)]).await;
+        let g = gateway("", plain_rule(Repeat::Never, 1), &[s.address]).await;
+        let before = resident_kb();
+        let mut callers = Vec::new();
+        for n in 0..ANSWERS {
+            callers.push(ask_and_read_nothing(g.address, &format!("r-{n}")).await);
+        }
+        sleep(WRITTEN_WITHIN).await;
+        let growth = resident_kb().saturating_sub(before);
+        println!("{growth} kB");
+        assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+        for caller in callers {
+            let Got { status, .. } = read_answer(caller).await;
+            assert_eq!(status, 502);
+        }
+    }
+}
+
+/// Guards against a bound that heads of sound answers exceed.
+#[tokio::test]
+async fn head_several_times_the_size_of_callers_heads_arrives() {
+    let lines = format!("x-a: {}\r\n", "x".repeat(4000)).repeat(14);
+    let bytes = format!("HTTP/1.1 200 x\r\nx-mark: m\r\n{lines}content-length: 2\r\n\r\nok");
+    let s = Server::start(vec![Does::Writes(bytes.into_bytes())]).await;
+    let g = gateway("", plain_rule(Repeat::Never, 1), &[s.address]).await;
+    let got = rig::unending::ask(g.address, "1").await;
+    let whole = Got {
+        status: 200,
+        len: 2,
+        is_whole: true,
+    };
+    assert_eq!(got, whole);
+}
