Bodies of endpoints' answers are read within bounds, and passed on as they come beyond them

Cause: `Dispatch::attempt` collected each body that isn't a streamed success whole before anything was passed on, bounded by the request's time alone. At 40 MB/s and 15 s one such answer is more than the memory of a VM.

Played from outside: a 500 or a 200 on a plain route grow, the same bytes as an event of a stream don't.

Change: `AnswerMemory` reads a body within 256 KiB, and 8 MiB for all of a VM; it waits for nothing, and copies, since a piece keeps its whole read buffer. What doesn't fit is passed on by `Relay`, which has a bound in bytes now: `answer_bytes`, a setting, 16 MiB as in limehollow-gateway, and 1 MiB of it for failures (5xx). A longer stated length is given up at once. A failure that may be repeated is tried elsewhere as soon as it doesn't fit. A failure that is relayed counts as one of its endpoint, and records no origin of a stream. `Dispatch::attempt` is split (dispatch/answered.rs).

Price: a repeatable answer above 256 KiB whose endpoint breaks off in its middle isn't tried elsewhere any more; its caller sees it break off.

An endless answer still takes its endpoint's slot and a share of the link until a bound is reached.

--- a/crates/limehollow-node/src/dispatch.rs
+++ b/crates/limehollow-node/src/dispatch.rs
@@ -1,10 +1,10 @@
 //! Dispatches one request: chooses endpoints, retries within the rule's limits, and answers the caller if no endpoint
 //! does.
 
+mod answered;
 mod resumed;
 
 use crate::answer::{Outgoing, Reason, expired, lost, refuse};
-use crate::answer_body::AnswerBody;
 use crate::assignment::{self, ChosenBy};
 use crate::attempt::{self, AttemptFailure, EndpointEvidence, LimitGrant, SlotGrant, Target};
 use crate::crash_probe;
@@ -13,10 +13,9 @@
 use crate::keys::Authorization;
 use crate::limit_grant::{self, EndpointsAtLimit};
 use crate::logging::may_log;
-use crate::metrics::Metrics;
 use crate::own_delay;
 use crate::pass_on::Passage;
-use crate::relay::{EndVerdict, Relay, RunningAttempt, millis};
+use crate::relay::{RunningAttempt, millis};
 use crate::retry_delay::{
     ADAPTER_RETRY, DEFAULT_RETRY_DELAY, MIN_RETRY_DELAY, until_less_busy, until_loaded, with_jitter,
 };
@@ -25,7 +24,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::Full;
 use limehollow::balance::Choice;
 use limehollow::catalog::{Catalog, Rule};
 use limehollow::fingerprint::{CauseKind, Causes, Fingerprint};
@@ -492,58 +491,7 @@
             return Ok(self.expired());
         };
         let answer = sent.inspect_err(|f| self.record_failure(&mut running, &c.to, f))?;
-        let (head, body) = answer.response.into_parts();
-        let streamed = self.rule.stream && head.status.is_success();
-        let answer_body = AnswerBody::new(&self.head.method, &head, streamed);
-        running.begin_body(answer_body, head.status);
-        if streamed {
-            let relay = Relay::new(body, answer.connection, running, self.expiry);
-            return Ok(self.forward(head, Either::Right(Either::Left(relay))));
-        }
-        running.record_first_result();
-        let Ok(collected) = self
-            .site
-            .clock
-            .timeout_at(self.expiry, body.collect())
-            .await
-        else {
-            running.end(AttemptOutcome::Failed(Failure::Deadline), "expired");
-            return Ok(self.expired());
-        };
-        let body = collected.map_err(|e| {
-            let f = AttemptFailure::cut_off(&e);
-            self.record_failure(&mut running, &c.to, &f);
-            f
-        })?;
-        let verdict = running.verify_end().verdict().await;
-        if verdict == EndVerdict::BrokenOff {
-            let f = AttemptFailure::crashed_at_the_end();
-            self.record_failure(&mut running, &c.to, &f);
-            return Err(f);
-        }
-        self.site.pool.put_in_background(answer.connection, None);
-        if head.status.is_server_error() {
-            if verdict == EndVerdict::Complete {
-                running.record_ran_to_end();
-            }
-            running.end(
-                AttemptOutcome::Failed(Failure::ServerError),
-                "the endpoint failed",
-            );
-            let f = AttemptFailure::broken(smol_str::format_smolstr!(
-                "status {}",
-                head.status.as_u16()
-            ));
-            let again =
-                self.rule.repeat == Repeat::Allowed && self.reached + 1 < self.rule.max_attempts;
-            if again && with_budget(self.site, &self.job.service, RepeatWindow::has_budget) {
-                return Err(f);
-            }
-        } else {
-            running.complete(verdict);
-        }
-        Metrics::count(&self.site.metrics.requests, "answered");
-        Ok(self.forward(head, Either::Left(Full::new(body.to_bytes()))))
+        self.answered(c, answer, running).await
     }
 
     fn request(&self, c: &Chosen, now: Instant) -> Request<Full<Bytes>> {
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! * [`caller`] accepts connections, [`request`] serves one request, `dispatch` sends it to endpoints,
 //!   `assignment` chooses the endpoint, [`attempt`] makes one attempt at an endpoint over a connection of
-//!   [`pool`], [`relay`] forwards a streamed answer, and [`header_policy`] decides which headers are
+//!   [`pool`], [`relay`] forwards an answer as it comes, and [`header_policy`] decides which headers are
 //!   forwarded.
 //! * [`keys`] checks callers' keys, [`limits`] the limits of their workspaces, and [`query`] sends queries
 //!   to other VMs.
@@ -21,7 +21,8 @@
 //! * `reach` tells whether this VM reaches endpoints at all, and [`pass_on`] passes requests on while it doesn't.
 //! * `version_store` keeps the listed versions of the endpoints' software in the platform's store.
 //! * [`resumption`] finds out which version of a service's software began a stream that is taken up.
-//! * `answer_body` follows the body of an answer to its end.
+//! * `answer_body` follows the body of an answer to its end, and [`answer_memory`] bounds what is read of it before it is
+//!   passed on.
 //! * `crash_probe` checks whether an endpoint has crashed, and [`quarantine_sync`] spreads the records of
 //!   requests that crash endpoints to all VMs.
 //! * [`start`] fetches the site's state when a VM starts.
@@ -37,6 +38,7 @@
 
 pub mod answer;
 mod answer_body;
+pub mod answer_memory;
 pub mod assignment;
 pub mod attempt;
 pub mod caller;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -91,6 +91,8 @@
     pub repeats: Counter,
     /// Requests that endpoints rejected without running them.
     pub endpoint_rejections: Counter,
+    /// Endpoints' answers that were ended because they were too large.
+    pub answers_too_large: Counter,
     /// Connections opened to endpoints.
     pub connections_opened: Counter,
     /// Time from a request's arrival to the first byte of its answer, in seconds.
@@ -174,6 +176,7 @@
             over_limit: Family::default(),
             repeats: Counter::default(),
             endpoint_rejections: Counter::default(),
+            answers_too_large: Counter::default(),
             connections_opened: Counter::default(),
             first_byte: Histogram::new(BOUNDS),
             own_delay: Histogram::new(BOUNDS),
@@ -319,6 +322,20 @@
         );
     }
 
+    /// Registers the metrics of endpoints' answers.
+    fn register_answers(&self, r: &mut Registry) {
+        r.register(
+            "answer_ends",
+            "Orderly ends of endpoints' answers by framing and position",
+            self.answer_ends.clone(),
+        );
+        r.register(
+            "answers_too_large",
+            "Endpoints' answers that were ended because they were too large",
+            self.answers_too_large.clone(),
+        );
+    }
+
     /// Registers the metrics of streams that are taken up.
     fn register_streams(&self, r: &mut Registry) {
         r.register(
@@ -343,11 +360,7 @@
     pub fn registry(&self) -> Registry {
         let mut r = Registry::with_prefix("limehollow");
         r.register("requests", "Requests by outcome", self.requests.clone());
-        r.register(
-            "answer_ends",
-            "Orderly ends of endpoints' answers by framing and position",
-            self.answer_ends.clone(),
-        );
+        self.register_answers(&mut r);
         r.register("refusals", "Refusals by reason", self.refusals.clone());
         self.register_streams(&mut r);
         r.register(
--- a/crates/limehollow-node/src/relay.rs
+++ b/crates/limehollow-node/src/relay.rs
@@ -1,4 +1,4 @@
-//! Relays a streamed answer to the caller and records the progress of one attempt.
+//! Relays an answer to the caller as it comes and records the progress of one attempt.
 
 use crate::answer_body::AnswerBody;
 use crate::crash_probe::{self, Finding};
@@ -28,7 +28,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Why a streamed answer ends early. The caller's connection is closed, so that the answer doesn't look complete.
+/// Why a relayed answer ends early. The caller's connection is closed, so that the answer doesn't look complete.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum RelayError {
@@ -44,6 +44,12 @@
         /// How far the answer had come.
         progress: &'static str,
     },
+    /// The answer is larger than answers may be.
+    #[snafu(display("the answer has more than {max} bytes"))]
+    TooLarge {
+        /// The bound, in bytes.
+        max: u64,
+    },
     /// The request's deadline has passed.
     #[snafu(display("the request's time has passed"))]
     Expired,
@@ -63,8 +69,8 @@
     causes: Causes,
     /// When the first result arrived.
     first_at: Option<Instant>,
-    /// Whether the endpoint answers with success: a failure may come without a run.
-    succeeds: bool,
+    /// The status of the endpoint's answer.
+    status: Option<StatusCode>,
     /// Whether the run has shown that the parts of its prompt don't crash endpoints.
     is_proven: bool,
     instance: Instance,
@@ -100,7 +106,7 @@
             id,
             causes,
             first_at: None,
-            succeeds: false,
+            status: None,
             is_proven: false,
             instance,
             arrived,
@@ -122,18 +128,24 @@
 
     /// Records that the head of the answer arrived.
     pub(crate) fn begin_body(&mut self, body: AnswerBody, status: StatusCode) {
-        self.succeeds = status.is_success();
+        self.status = Some(status);
         self.body = Some(body);
     }
 
-    /// Records that a part of a streamed answer arrived.
+    /// Returns whether the endpoint answers with success: a failure may come without a run.
+    fn succeeds(&self) -> bool {
+        self.status.is_some_and(|s| s.is_success())
+    }
+
+    /// Records that a part of a relayed answer arrived.
     fn record_part(&mut self, part: &Frame<Bytes>) {
         if let Some(b) = &mut self.body {
             b.push(part);
         }
         self.record_first_result();
         self.site.recent_work.record();
-        if let Some(stream) = &mut self.stream {
+        let begins = self.succeeds();
+        if let Some(stream) = self.stream.as_mut().filter(|_| begins) {
             stream.begin(&self.site);
         }
         let now = self.site.now();
@@ -186,7 +198,7 @@
 
     /// Records that the run outlived its beginning, which shows that the parts of its prompt don't crash endpoints.
     fn prove_parts(&mut self) {
-        let began = self.first_at.filter(|_| self.succeeds && !self.is_proven);
+        let began = self.first_at.filter(|_| self.succeeds() && !self.is_proven);
         let Some(began) = began else {
             return;
         };
@@ -196,6 +208,20 @@
         }
     }
 
+    /// Records that the answer is larger than answers may be.
+    pub(crate) fn record_too_large(&self, max: u64) {
+        self.site.metrics.answers_too_large.inc();
+        if may_log() {
+            tracing::warn!(
+                id = %self.id,
+                endpoint = %self.instance,
+                status = self.status.map(|s| s.as_u16()),
+                max,
+                "an answer is too large"
+            );
+        }
+    }
+
     fn progress(&self) -> Progress {
         self.body
             .as_ref()
@@ -224,11 +250,15 @@
         }
     }
 
-    /// Ends the attempt with a complete answer.
+    /// Ends the attempt with a complete answer, which may be a failure of the endpoint.
     pub(crate) fn complete(&mut self, verdict: EndVerdict) {
         if verdict == EndVerdict::Complete {
             self.record_ran_to_end();
         }
+        if self.status.is_some_and(|s| s.is_server_error()) {
+            let failed = AttemptOutcome::Failed(Failure::ServerError);
+            return self.end(failed, "the endpoint failed");
+        }
         let first = self.sent.as_ref().and_then(Sent::first);
         let first = first.unwrap_or_else(|| self.elapsed());
         self.end(AttemptOutcome::Completed { first }, "whole");
@@ -320,12 +350,18 @@
     }
 }
 
-/// The body of a streamed answer.
+/// The body of an answer that is passed on as it comes.
 pub struct Relay<P>
 where
     P: Protocol,
 {
+    /// What was read of the body before.
+    beginning: Option<Bytes>,
     inner: Incoming,
+    /// The maximum size of the body, in bytes.
+    max: u64,
+    /// How many bytes may still come.
+    left: u64,
     connection: Option<Connection>,
     running: RunningAttempt<P>,
     expiry: Pin<Box<dyn Future<Output = ()> + Send>>,
@@ -337,17 +373,21 @@
 where
     P: Protocol,
 {
-    /// Creates the body of an answer that has to end by `expiry`.
+    /// Creates the body of an answer that has to end by `expiry` and within `max` bytes.
     #[must_use]
     pub fn new(
         inner: Incoming,
         connection: Connection,
         running: RunningAttempt<P>,
         expiry: Instant,
+        max: u64,
     ) -> Self {
         let clock = Arc::clone(&running.site.clock);
         Self {
+            beginning: None,
             inner,
+            max,
+            left: max,
             connection: Some(connection),
             running,
             expiry: Box::pin(async move { clock.sleep_until(expiry).await }),
@@ -355,6 +395,29 @@
         }
     }
 
+    /// Passes on what was read of the body before.
+    #[must_use]
+    pub fn after(mut self, beginning: Bytes) -> Self {
+        self.beginning = Some(beginning).filter(|b| !b.is_empty());
+        self
+    }
+
+    /// Passes a part on, unless the answer is too large with it.
+    fn pass(&mut self, part: Frame<Bytes>) -> Result<Frame<Bytes>, RelayError> {
+        let Some(data) = part.data_ref() else {
+            return Ok(part);
+        };
+        let bytes = u64::try_from(data.len()).unwrap_or(u64::MAX);
+        let Some(left) = self.left.checked_sub(bytes) else {
+            self.running.record_too_large(self.max);
+            self.break_off(Failure::Broken, "too large");
+            return TooLargeSnafu { max: self.max }.fail();
+        };
+        self.left = left;
+        self.running.record_part(&part);
+        Ok(part)
+    }
+
     /// Ends the answer as this verdict says.
     fn end(&mut self, verdict: EndVerdict) -> Option<Result<Frame<Bytes>, RelayError>> {
         match verdict {
@@ -417,13 +480,11 @@
             self.break_off(Failure::Deadline, "expired");
             return Poll::Ready(Some(ExpiredSnafu.fail()));
         }
+        if let Some(beginning) = self.beginning.take() {
+            return Poll::Ready(Some(self.pass(Frame::data(beginning))));
+        }
         match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
-            Some(Ok(frame)) => {
-                if frame.is_data() {
-                    self.running.record_part(&frame);
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
+            Some(Ok(frame)) => Poll::Ready(Some(self.pass(frame))),
             Some(Err(source)) => {
                 self.running.record_cut_off();
                 self.break_off(Failure::Broken, "broken off");
@@ -445,6 +506,16 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        let inner = self.inner.size_hint();
+        let Some(beginning) = &self.beginning else {
+            return inner;
+        };
+        let begun = u64::try_from(beginning.len()).unwrap_or(u64::MAX);
+        let mut hint = SizeHint::new();
+        hint.set_lower(inner.lower().saturating_add(begun));
+        if let Some(upper) = inner.upper() {
+            hint.set_upper(upper.saturating_add(begun));
+        }
+        hint
     }
 }
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of the process; see `docs/settings.md`.
 
 use crate::edge::Feed;
+use http::StatusCode;
 use limehollow::confirmation::KeyBound;
 use limehollow::freshness::ReadPace;
 use limehollow::id::{RegionName, ZoneName};
@@ -24,6 +25,12 @@
 /// some too.
 const CALLERS_SHARE: f64 = 0.6;
 
+/// The least that endpoints' answers must be allowed, in bytes.
+const MIN_ANSWER_BYTES: u64 = 1 << 10;
+
+/// The maximum size of a failure that an endpoint answers with, in bytes: its text isn't worth the link that others need.
+const MAX_FAILURE_BYTES: u64 = 1 << 20;
+
 /// The share of the callers' connections whose requests may wait for their turn.
 const WAITING_SHARE: f64 = 0.25;
 
@@ -98,6 +105,9 @@
     pub descriptors: u32,
     /// The address of the platform's store, as `IP:PORT`.
     pub store_address: String,
+    /// The maximum size of an endpoint's answer, in bytes.
+    #[serde(default = "default_answer_bytes")]
+    pub answer_bytes: u64,
     /// How long the process may take to stop, in ms.
     pub grace_ms: u64,
     /// The least time between orders of two holders of the lease, in ms.
@@ -167,6 +177,11 @@
     4_100
 }
 
+/// As large as answers of `limehollow-gateway` may be.
+fn default_answer_bytes() -> u64 {
+    16 << 20
+}
+
 /// The bound of today's small sites, the tightest of all sites.
 fn default_in_force_ms() -> u64 {
     2_000
@@ -254,6 +269,16 @@
         most
     }
 
+    /// Returns the maximum size of an endpoint's answer with a status, in bytes.
+    #[must_use]
+    pub fn max_answer_bytes(&self, status: StatusCode) -> u64 {
+        if status.is_server_error() {
+            self.answer_bytes.min(MAX_FAILURE_BYTES)
+        } else {
+            self.answer_bytes
+        }
+    }
+
     /// Returns the read intervals of a feed, or `None` if the age of its copy has no bound.
     #[must_use]
     pub fn pace(&self, feed: Feed) -> Option<ReadPace> {
@@ -349,6 +374,11 @@
             check_address("seeds", s)?;
         }
         check_range("descriptors", u64::from(self.descriptors), 64..=1_000_000)?;
+        check_range(
+            "answer_bytes",
+            self.answer_bytes,
+            MIN_ANSWER_BYTES..=1 << 40,
+        )?;
         check_range("grace_ms", self.grace_ms, 1_000..=600_000)?;
         check_range("lease_ms", self.lease_ms, 0..=600_000)?;
         check_range("leaving_ms", self.leaving_ms, 500..=600_000)?;
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -2,6 +2,7 @@
 //!
 //! All tasks run on one thread; no lock is held over an `await`.
 
+use crate::answer_memory::AnswerMemory;
 use crate::clock::Clock;
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
@@ -33,6 +34,12 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
+/// The maximum size of an answer that is read before it is passed on, in bytes. Larger ones can't be replaced by another
+/// endpoint's once they have begun.
+const MAX_READ_FIRST: usize = 256 << 10;
+/// The memory for all answers that are read before they are passed on, in bytes. Small VMs have 120 MB.
+const ALL_READ_FIRST: usize = 8 << 20;
+
 /// The state of one process.
 #[derive(Debug)]
 pub struct Site<P> {
@@ -83,6 +90,8 @@
     pub slots_changed: Notify,
     /// Notified when a stream has begun of which no other VM has been told.
     pub stream_began: Notify,
+    /// The memory for endpoints' answers that are read before they are passed on.
+    pub answer_memory: AnswerMemory,
     /// One permit for each request of another VM that this VM may take over in addition.
     pub taken_over: Arc<Semaphore>,
     max_taken_over: u32,
@@ -122,6 +131,7 @@
             control_pool: Pool::new(Arc::clone(&clock)),
             clock,
             metrics: Metrics::default(),
+            answer_memory: AnswerMemory::new(MAX_READ_FIRST, ALL_READ_FIRST),
             recent_work: RecentWork::default(),
             endpoints_changed: Notify::new(),
             urgent_update: Notify::new(),
