Endpoints' reports are read within bounds

What callers would see: the VM that gives the orders is killed for its memory, with all that it has in hand, and the next one too, while a report of an endpoint doesn't end. Not seen in service; found on a path related to that of answers without end.

Cause: `OrderTask::report` collected the report whole, with its second as the only bound. The VM reads a report before each order; a link of 1,000 Mbit/s brings 125 MB in that time.

Change: `endpoint_report` reads it, within 512 KiB each and 4 MiB together, in a memory of its own so that answers to callers hold up no order. What doesn't fit is no report, and its connection is closed. Its errors have a type.

A report of 400,000 bytes is read whole.

Conclusion: mended; a move whose endpoint gives no report ends as before.

--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -28,8 +28,8 @@
 //! * [`start`] fetches the site's state when a VM starts.
 //! * [`follow`] follows the configuration, the list of endpoints and the list of VMs, [`gossip`] exchanges
 //!   messages between VMs, and [`peer_state`] hands what a VM has read to VMs that can't read the store.
-//! * [`controller`] moves models and adapters while this VM holds the lease, and [`outbox`] holds its
-//!   reports for the other VMs.
+//! * [`controller`] moves models and adapters while this VM holds the lease, [`endpoint_report`] reads what endpoints
+//!   report to it, and [`outbox`] holds its reports for the other VMs.
 //! * [`counting_store`] and [`traffic`] count the calls to the store and the datagrams between VMs.
 //! * [`site`] is the state that these tasks share, [`site_view`] the view of the deployment in it,
 //!   [`clock`] the time, and [`operator`] the routes for operators. [`run`] starts all tasks.
@@ -48,6 +48,7 @@
 mod crash_probe;
 mod dispatch;
 pub mod edge;
+pub mod endpoint_report;
 pub mod endpoint_signals;
 pub mod feed_reads;
 pub mod follow;
--- a/crates/limehollow-node/src/order_task.rs
+++ b/crates/limehollow-node/src/order_task.rs
@@ -8,10 +8,10 @@
 
 use crate::attempt::{self, Target};
 use crate::edge::{Action, Order, OrderReply, Protocol};
+use crate::endpoint_report::{self, CALL_TIMEOUT};
 use crate::lease::{SharedLease, with_lease};
 use crate::metrics::Metrics;
 use crate::site::Site;
-use http_body_util::BodyExt;
 use limehollow::catalog::EngineSpec;
 use limehollow::id::{EndpointKey, ServiceName};
 use limehollow::instance::{Instance, StartCheck};
@@ -29,8 +29,6 @@
 
 /// How often a busy endpoint is asked for its progress.
 const POLL_EVERY: Duration = Duration::from_millis(150);
-/// The timeout of a call to an endpoint.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The timeout of a whole move: the longest load several times over, and the runs before it.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(40);
 /// The time that an adapter takes to load, after the answer to the order.
@@ -397,35 +395,12 @@
     }
 
     async fn report(&self) -> Option<EndpointReport> {
-        let req = self.site.protocol.report_request(&self.to.instance.id);
-        let call = async {
-            let sent =
-                attempt::send(&self.site, &self.site.control_pool, &self.to, req, "", None).await;
-            let answer = sent.map_err(|f| f.why)?;
-            let (head, body) = answer.response.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map_err(|e| SmolStr::from(e.to_string()))?;
-            self.site
-                .control_pool
-                .put_in_background(answer.connection, None);
-            if !head.status.is_success() {
-                return Err(SmolStr::from(format!("status {}", head.status.as_u16())));
-            }
-            let body = body.to_bytes();
-            self.site.protocol.read_report(&body).map_err(SmolStr::from)
-        };
-        match timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(r)) => Some(r),
-            Ok(Err(why)) => {
+        match endpoint_report::read(&self.site, &self.to).await {
+            Ok(r) => Some(r),
+            Err(why) => {
                 tracing::info!(endpoint = %self.to.instance, %why, "no report");
                 None
             }
-            Err(_) => {
-                tracing::info!(endpoint = %self.to.instance, why = "no answer in time", "no report");
-                None
-            }
         }
     }
 
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -39,6 +39,10 @@
 const MAX_READ_FIRST: usize = 256 << 10;
 /// The memory for all answers that are read before they are passed on, in bytes. Small VMs have 120 MB.
 const ALL_READ_FIRST: usize = 8 << 20;
+/// The maximum size of an endpoint's report, in bytes: some hundred times that of one with hundreds of runs and adapters.
+const MAX_REPORT: usize = 512 << 10;
+/// The memory for all reports that are being read, in bytes.
+const ALL_REPORTS: usize = 4 << 20;
 
 /// The state of one process.
 #[derive(Debug)]
@@ -92,6 +96,8 @@
     pub stream_began: Notify,
     /// The memory for endpoints' answers that are read before they are passed on.
     pub answer_memory: AnswerMemory,
+    /// The memory for endpoints' reports. It is separate so that answers to callers hold up no order.
+    pub report_memory: AnswerMemory,
     /// One permit for each request of another VM that this VM may take over in addition.
     pub taken_over: Arc<Semaphore>,
     max_taken_over: u32,
@@ -132,6 +138,7 @@
             clock,
             metrics: Metrics::default(),
             answer_memory: AnswerMemory::new(MAX_READ_FIRST, ALL_READ_FIRST),
+            report_memory: AnswerMemory::new(MAX_REPORT, ALL_REPORTS),
             recent_work: RecentWork::default(),
             endpoints_changed: Notify::new(),
             urgent_update: Notify::new(),
--- a/crates/limehollow-node/tests/rig/unending.rs
+++ b/crates/limehollow-node/tests/rig/unending.rs
@@ -119,8 +119,17 @@
 
 /// Returns the memory of this process in kB.
 pub fn resident_kb() -> u64 {
+    status_kb("VmRSS:")
+}
+
+/// Returns the most memory that this process has had, in kB.
+pub fn peak_resident_kb() -> u64 {
+    status_kb("VmHWM:")
+}
+
+fn status_kb(name: &str) -> u64 {
     let text = std::fs::read_to_string("/proc/self/status").expect("it can be read");
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|l| l.strip_prefix(name));
     let kb = line.and_then(|l| l.trim().strip_suffix(" kB"));
     kb.and_then(|n| n.parse().ok()).expect("it has the size")
 }
--- /dev/null
+++ b/crates/limehollow-node/tests/unending_reports.rs
@@ -0,0 +1,72 @@
+//! Endpoints whose reports don't end, over sockets.
+
+mod rig;
+
+use limehollow::id::EndpointKey;
+use limehollow::retry::Repeat;
+use limehollow_node::attempt::{LimitGrant, Target};
+use limehollow_node::endpoint_report::{self, ReportError};
+use rig::unending::{
+    FRAMINGS, Framing, closed, gateway, peak_resident_kb, plain_rule, resident_kb, whole,
+    without_end,
+};
+use rig::{Gateway, Server};
+use tokio::task::JoinSet;
+
+/// What an endpoint writes at most, so that the tests spare their machine.
+const MOST: usize = 32 << 20;
+const REPORTS: usize = 10;
+/// The memory that a VM of 120 MB has beside what it takes at rest, in kB.
+const MAX_GROWTH_KB: u64 = 90_000;
+
+fn target(g: &Gateway, s: &Server) -> Target {
+    let view = g.site.view();
+    let key: EndpointKey = view.roster.key("i-0").expect("it is listed");
+    Target {
+        key,
+        instance: "i-0".into(),
+        address: s.address,
+        grant: LimitGrant::Exempt,
+        slot: None,
+        causes: None,
+    }
+}
+
+/// Guards against the VM that gives the orders going over its memory because of reports that don't end.
+#[tokio::test(flavor = "multi_thread")]
+async fn reports_without_end_are_given_up() {
+    for framing in FRAMINGS {
+        let s = Server::start(vec![without_end(200, framing, MOST)]).await;
+        let g = gateway("", plain_rule(Repeat::Never, 1), &[s.address]).await;
+        let before = resident_kb();
+        let mut reading = JoinSet::new();
+        for _ in 0..REPORTS {
+            let (site, to) = (g.site.clone(), target(&g, &s));
+            reading.spawn(async move { endpoint_report::read(&site, &to).await });
+        }
+        while let Some(read) = reading.join_next().await {
+            let read = read.expect("it doesn't panic");
+            assert!(
+                matches!(read, Err(ReportError::TooLarge)),
+                "{framing:?}: {read:?}"
+            );
+        }
+        let growth = peak_resident_kb().saturating_sub(before);
+        println!("{framing:?}: {growth} kB");
+        assert!(growth < MAX_GROWTH_KB, "{framing:?}: {growth} kB");
+        closed(&s, REPORTS).await;
+    }
+}
+
+/// Guards against a bound that sound reports exceed.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_report_is_read_whole() {
+    let s = Server::start(vec![whole(200, Framing::Chunks, 400_000)]).await;
+    let g = gateway("", plain_rule(Repeat::Never, 1), &[s.address]).await;
+    let read = endpoint_report::read(&g.site, &target(&g, &s)).await;
+    // The protocol of these tests has no reports, so it is read whole and can't be parsed.
+    assert!(
+        matches!(read, Err(ReportError::Malformed { .. })),
+        "{read:?}"
+    );
+}
