What is drained of a refusal has a bound in time

What happened: an endpoint whose refusal pauses in its body kept its connection, a place among those that it allows and a task of the VM for as long as it liked, after the request had its answer. Not seen in service; found on a path related to that of answers without end.

Cause: `Pool::put_in_background` drains up to 4 KiB of the rest to keep the connection, without a bound in time. It also kept the pieces meanwhile, and a piece of one byte keeps its whole read buffer.

Change: half a second, and the pieces are counted, not kept.

Conclusion: mended.

--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -42,7 +42,9 @@
 const MAX_READ_BUFFER: usize = 64 << 10;
 
 /// The maximum size of a refusal's body that is drained to reuse its connection, in bytes.
-const MAX_DRAIN_BYTES: usize = 4096;
+const MAX_DRAIN_BYTES: u64 = 4096;
+/// The maximum time for that, after which the connection is closed: a new one takes some milliseconds.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a connection can't be opened.
 #[derive(Debug, Snafu)]
@@ -186,13 +188,13 @@
     pub fn put_in_background(&self, c: Connection, rest: Option<Incoming>) {
         let pool = self.clone();
         tokio::spawn(async move {
-            let limited = rest.map(|b| Limited::new(b, MAX_DRAIN_BYTES));
-            if let Some(rest) = limited
-                && rest.collect().await.is_err()
-            {
-                return;
+            let is_drained = match rest {
+                Some(body) => matches!(timeout(DRAIN_TIMEOUT, is_short(body)).await, Ok(true)),
+                None => true,
+            };
+            if is_drained {
+                pool.put(c).await;
             }
-            pool.put(c).await;
         });
     }
 
@@ -217,6 +219,20 @@
     }
 }
 
+/// Reads a body, and returns `true` if it ends in order within [`MAX_DRAIN_BYTES`].
+async fn is_short(mut body: Incoming) -> bool {
+    let mut left = MAX_DRAIN_BYTES;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+        let Some(rest) = left.checked_sub(bytes) else {
+            return false;
+        };
+        left = rest;
+    }
+    true
+}
+
 /// A stream that is reset when it is dropped, instead of being closed in order ([`set_options`] sets the linger time to
 /// zero): after a close the system would still send the bytes that it has buffered.
 pub(crate) struct ResetOnDrop(TcpStream);
--- a/crates/limehollow-node/tests/unending_reports.rs
+++ b/crates/limehollow-node/tests/unending_reports.rs
@@ -1,4 +1,4 @@
-//! Endpoints whose reports don't end, over sockets.
+//! Endpoints whose reports and refusals don't end, over sockets.
 
 mod rig;
 
@@ -7,11 +7,13 @@
 use limehollow_node::attempt::{LimitGrant, Target};
 use limehollow_node::endpoint_report::{self, ReportError};
 use rig::unending::{
-    FRAMINGS, Framing, closed, gateway, peak_resident_kb, plain_rule, resident_kb, whole,
+    FRAMINGS, Framing, ask, closed, gateway, peak_resident_kb, plain_rule, resident_kb, whole,
     without_end,
 };
-use rig::{Gateway, Server};
+use rig::{Does, Gateway, Server};
+use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// What an endpoint writes at most, so that the tests spare their machine.
 const MOST: usize = 32 << 20;
@@ -70,3 +72,15 @@
         "{read:?}"
     );
 }
+
+/// Guards against connections that a refusal without end keeps for as long as its endpoint likes.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_that_pauses_is_not_waited_for() {
+    let head = "HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 100\r\n\r\nhalf";
+    let s = Server::start(vec![Does::WritesAndWaits(head.into())]).await;
+    let g = gateway("", plain_rule(Repeat::Never, 1), &[s.address]).await;
+    let began = Instant::now();
+    assert_eq!(ask(g.address, "1").await.status, 503);
+    closed(&s, 1).await;
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
