--- a/crates/limehollow-edge/src/error.rs
+++ b/crates/limehollow-edge/src/error.rs
@@ -58,6 +58,20 @@
         /// The cause.
         source: reqwest::Error,
     },
+    /// The answer is larger than answers may be. The call may have taken effect.
+    #[snafu(display("{what}: the answer is too large"))]
+    TooLarge {
+        /// The kind of call.
+        what: &'static str,
+    },
+    /// The answer can't be decoded. The call may have taken effect.
+    #[snafu(display("{what}: {source}"))]
+    Malformed {
+        /// The kind of call.
+        what: &'static str,
+        /// The cause.
+        source: serde_json::Error,
+    },
     /// The service answered with a status code other than success.
     #[snafu(display("{what}: status {status}: {body}"))]
     Status {
@@ -92,7 +106,11 @@
     pub fn had_no_effect(&self) -> bool {
         !matches!(
             self,
-            Self::Call { .. } | Self::Codec { .. } | Self::Status { status: 500.., .. }
+            Self::Call { .. }
+                | Self::TooLarge { .. }
+                | Self::Malformed { .. }
+                | Self::Codec { .. }
+                | Self::Status { status: 500.., .. }
         )
     }
 }
