--- a/crates/limehollow-node/tests/unending_reports.rs
+++ b/crates/limehollow-node/tests/unending_reports.rs
@@ -11,6 +11,7 @@
     without_end,
 };
 use rig::{Does, Gateway, Server};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -43,7 +44,7 @@
         let before = resident_kb();
         let mut reading = JoinSet::new();
         for _ in 0..REPORTS {
-            let (site, to) = (g.site.clone(), target(&g, &s));
+            let (site, to) = (Arc::clone(&g.site), target(&g, &s));
             reading.spawn(async move { endpoint_report::read(&site, &to).await });
         }
         while let Some(read) = reading.join_next().await {
