--- a/crates/limehollow-node/tests/rig/mod.rs
+++ b/crates/limehollow-node/tests/rig/mod.rs
@@ -225,9 +225,12 @@
 impl Server {
     /// Starts an endpoint that takes one of these actions per request, and repeats the last one.
     pub async fn start(does: Vec<Does>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        Self::on(listener.expect("a port is free"), does)
+    }
+
+    /// Starts an endpoint that listens there.
+    pub fn on(listener: TcpListener, does: Vec<Does>) -> Self {
         let address = listener.local_addr().expect("it is bound");
         let (requests, left) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
         let does = Arc::new(Mutex::new(VecDeque::from(does)));
--- a/crates/limehollow-node/tests/rig/reach.rs
+++ b/crates/limehollow-node/tests/rig/reach.rs
@@ -45,6 +45,23 @@
 impl CutOffSite {
     /// Starts VMs with addresses in 127.`net` and endpoints with these answers, in turn over the zones.
     pub async fn start(net: u8, rule: Rule, zones: usize, vms: usize, does: &[Does]) -> Self {
+        Self::start_with(net, rule, (zones, vms), does, |_, site, peers| {
+            tokio::spawn(peer_state::serve(site, peers));
+        })
+        .await
+    }
+
+    /// Starts VMs in as many zones, whose connections from other VMs `serve` serves.
+    pub async fn start_with<F>(
+        net: u8,
+        rule: Rule,
+        (zones, vms): (usize, usize),
+        does: &[Does],
+        mut serve: F,
+    ) -> Self
+    where
+        F: FnMut(usize, Arc<Site<Plain>>, TcpListener),
+    {
         let mut site = Self {
             vms: Vec::new(),
             endpoints: Vec::new(),
@@ -54,7 +71,8 @@
             site.endpoints.push(Server::start(does.to_vec()).await);
         }
         for i in 0..vms {
-            let vm = start_vm(net, i, i % zones, rule.clone()).await;
+            let (vm, peers) = start_vm(net, i, i % zones, rule.clone()).await;
+            serve(i, Arc::clone(&vm.site), peers);
             let mut ways = Vec::new();
             for (n, e) in site.endpoints.iter().enumerate() {
                 let path = Path::start(e.address);
@@ -169,7 +187,8 @@
     }
 }
 
-async fn start_vm(net: u8, i: usize, zone: usize, rule: Rule) -> Gateway {
+/// Starts a VM. Returns it, and the listener for connections from other VMs.
+async fn start_vm(net: u8, i: usize, zone: usize, rule: Rule) -> (Gateway, TcpListener) {
     let ip = Ipv4Addr::new(127, net, 0, u8::try_from(i + 1).expect("there are few"));
     let socket = UdpSocket::bind((ip, 0)).await.expect("a port is free");
     let port = socket.local_addr().expect("it is bound").port();
@@ -192,8 +211,7 @@
     tokio::spawn(gossip::send_origins(Arc::clone(&site), Arc::clone(&socket)));
     tokio::spawn(gossip::receive(Arc::clone(&site), socket, wake));
     let peers = TcpListener::bind((ip, port)).await.expect("it is free too");
-    tokio::spawn(peer_state::serve(Arc::clone(&site), peers));
-    Gateway::with(site).await
+    (Gateway::with(site).await, peers)
 }
 
 /// A way from one VM to one endpoint.
