Heads of another VM's answers are bounded like those of endpoints

What callers would see: a VM of 120 MB that reaches no endpoint is killed for its memory while some hundred heads that another VM passes on don't end. Not seen in service; the same cause as for endpoints' heads.

Cause: connections by which requests are passed on had the HTTP library's default as the bound of their read buffer.

Change: 64 KiB, as for endpoints, and 16 KiB for what the other VM adds.

--- a/crates/limehollow-node/src/pass_on.rs
+++ b/crates/limehollow-node/src/pass_on.rs
@@ -9,7 +9,7 @@
 use crate::header_policy;
 use crate::logging::may_log;
 use crate::metrics::Metrics;
-use crate::pool::ResetOnDrop;
+use crate::pool::{self, ResetOnDrop};
 use crate::relay::{ExpiredSnafu, RelayError, millis};
 use crate::request;
 use crate::retry_delay::with_jitter;
@@ -44,6 +44,9 @@
 const DECLINED: HeaderName = HeaderName::from_static("x-limehollow-declined");
 /// The timeout for opening a connection to another VM: some round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// The maximum size of the read buffer of a connection to another VM, in bytes: the largest head of an endpoint's answer, and
+/// what the other VM adds to it.
+const MAX_READ_BUFFER: usize = pool::MAX_READ_BUFFER + (16 << 10);
 /// The maximum number of VMs that are asked to take a request over.
 const MAX_ASKED: usize = 3;
 /// How long a VM that didn't take a request over isn't asked again.
@@ -260,7 +263,10 @@
             .map_err(PassFailure::not_run)?
             .map_err(PassFailure::not_run)?;
         let stream = ResetOnDrop::new(stream).map_err(PassFailure::not_run)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (mut sender, driver) = handshake.map_err(PassFailure::not_run)?;
         tokio::spawn(async move {
             // An error of the connection also fails the request that it carries.
--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -39,7 +39,7 @@
 
 /// The maximum size of a connection's read buffer, in bytes, and so of the head of an answer: several times that of callers'
 /// requests. Hundreds of connections may have it full at once.
-const MAX_READ_BUFFER: usize = 64 << 10;
+pub(crate) const MAX_READ_BUFFER: usize = 64 << 10;
 
 /// The maximum size of a refusal's body that is drained to reuse its connection, in bytes.
 const MAX_DRAIN_BYTES: u64 = 4096;
--- a/crates/limehollow-node/tests/cut_heads.rs
+++ b/crates/limehollow-node/tests/cut_heads.rs
@@ -167,15 +167,6 @@
         .collect()
 }
 
-/// Waits until a VM knows that it reaches no endpoint.
-async fn notice(g: &Gateway) {
-    let began = Instant::now();
-    while !g.site.view().own_reach.is_cut() {
-        assert!(began.elapsed() < ENDED_WITHIN, "it doesn't notice");
-        let _early = ask(g.address, "early").await;
-    }
-}
-
 /// An endpoint cuts its head off, and another VM has taken the request over.
 #[tokio::test(flavor = "multi_thread")]
 async fn head_that_is_cut_is_no_answer_through_another_vm() {
@@ -183,7 +174,7 @@
     let [plain, _] = rules();
     let site = CutOffSite::start(43, plain, 3, 3, &does).await;
     site.set_way(0, Way::Refuses).await;
-    notice(&site.vms[0]).await;
+    site.vms[0].until_cut_off().await;
     let mut lost = 0;
     for n in 0..does.len() * 4 {
         let got = ask(site.vms[0].address, &format!("r-{n}")).await;
@@ -202,7 +193,7 @@
     let serve = |_, _, peers| others.push(Server::on(peers, does.clone()));
     let site = CutOffSite::start_with(44, plain, (3, 3), &[reach::whole("ok")], serve).await;
     site.set_way(0, Way::Refuses).await;
-    notice(&site.vms[0]).await;
+    site.vms[0].until_cut_off().await;
     let began = Instant::now();
     // A VM that has failed isn't asked for a while.
     while others[1..].iter().any(|vm| vm.requests() < does.len()) {
--- a/crates/limehollow-node/tests/rig/unending.rs
+++ b/crates/limehollow-node/tests/rig/unending.rs
@@ -117,6 +117,17 @@
     }
 }
 
+impl Gateway {
+    /// Waits until a VM that reaches no endpoint knows.
+    pub async fn until_cut_off(&self) {
+        let began = Instant::now();
+        while !self.site.view().own_reach.is_cut() {
+            assert!(began.elapsed() < ENDED_WITHIN, "it doesn't notice");
+            let _early = ask(self.address, "early").await;
+        }
+    }
+}
+
 /// Returns the memory of this process in kB.
 pub fn resident_kb() -> u64 {
     status_kb("VmRSS:")
--- a/crates/limehollow-node/tests/unending_answers.rs
+++ b/crates/limehollow-node/tests/unending_answers.rs
@@ -2,14 +2,18 @@
 
 mod rig;
 
+use limehollow::catalog::{CallerLimits, Catalog};
 use limehollow::retry::Repeat;
 use rig::reach::{self, CutOffSite, Way};
 use rig::unending::{
     ENDED_WITHIN, FRAMINGS, Framing, Got, RULE_TIMEOUT, ask, ask_and_read_nothing, closed, gateway,
     plain_rule, read_answer, stream_rule, whole, without_end,
 };
-use rig::{Does, Server};
+use rig::{Does, Server, answer, catalog};
+use std::collections::BTreeMap;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 /// What an endpoint writes at most, so that the tests spare their machine.
@@ -190,11 +194,7 @@
         let rule = rig::rule("/a/", Repeat::Never, 1);
         let site = CutOffSite::start(net, rule, 3, 3, &[does]).await;
         site.set_way(0, Way::Refuses).await;
-        let began = Instant::now();
-        while !site.vms[0].site.view().own_reach.is_cut() {
-            assert!(began.elapsed() < ENDED_WITHIN, "it doesn't notice");
-            let _early = ask(site.vms[0].address, "early").await;
-        }
+        site.vms[0].until_cut_off().await;
         let got = ask(site.vms[0].address, "1").await;
         assert_eq!((got.status, got.is_whole), (200, is_whole), "{got:?}");
         if is_whole {
@@ -202,3 +202,35 @@
         }
     }
 }
+
+/// Guards against the bound on read buffers cutting off what is sent to endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_request_arrives_whole() {
+    const LEN: usize = 5_000_000;
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let endpoint = tokio::spawn(async move {
+        let (mut s, _) = listener.accept().await.expect("it is asked");
+        let mut received = Vec::new();
+        while !received.ends_with(b"end") {
+            assert!(s.read_buf(&mut received).await.expect("it is read") > 0);
+        }
+        let bytes = answer(200, "1", "x-mark: m\r\n", "ok");
+        s.write_all(&bytes).await.expect("it is written");
+        received
+    });
+    let limits = CallerLimits {
+        body_bytes: 2 * LEN,
+        ..catalog(1, Vec::new()).limits
+    };
+    let g = gateway("", plain_rule(Repeat::Never, 1), &[address]).await;
+    let rules = vec![plain_rule(Repeat::Never, 1)];
+    g.site
+        .set_catalog(Catalog::new(2, rules, BTreeMap::new(), limits));
+    let body = format!("{}end", "x".repeat(LEN));
+    assert_eq!(rig::status(&g.ask("/a/", &body).await), 200);
+    let received = endpoint.await.expect("it doesn't panic");
+    assert!(received.ends_with(body.as_bytes()));
+}
--- a/crates/limehollow-node/tests/unending_heads_memory.rs
+++ b/crates/limehollow-node/tests/unending_heads_memory.rs
@@ -2,9 +2,13 @@
 
 mod rig;
 
+use limehollow::catalog::Rule;
 use limehollow::retry::Repeat;
-use rig::unending::{Got, ask_and_read_nothing, gateway, plain_rule, read_answer, resident_kb};
-use rig::{Does, Server};
+use rig::reach::{self, CutOffSite, Way};
+use rig::unending::{
+    Got, RULE_TIMEOUT, ask_and_read_nothing, gateway, plain_rule, read_answer, resident_kb,
+};
+use rig::{Does, Server, rule};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -46,6 +50,37 @@
     }
 }
 
+/// Guards against the same where another VM passes such heads on.
+#[tokio::test]
+async fn heads_without_end_of_another_vm_keep_memory_bounded() {
+    let line = format!("x-a: {}\r\n", "x".repeat(8000));
+    let rule = Rule {
+        timeout: RULE_TIMEOUT,
+        ..rule("/a/", Repeat::Never, 1)
+    };
+    let mut others = Vec::new();
+    let serve = |_, _, peers| others.push(Server::on(peers, vec![head_without_end(&line)]));
+    let site = CutOffSite::start_with(45, rule, (3, 3), &[reach::whole("ok")], serve).await;
+    site.set_way(0, Way::Refuses).await;
+    let vm = &site.vms[0];
+    vm.until_cut_off().await;
+    let before = resident_kb();
+    let mut callers = Vec::new();
+    for n in 0..ANSWERS {
+        callers.push(ask_and_read_nothing(vm.address, &format!("r-{n}")).await);
+    }
+    sleep(WRITTEN_WITHIN).await;
+    let growth = resident_kb().saturating_sub(before);
+    println!("{growth} kB, passed on");
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    let asked: usize = others.iter().map(Server::requests).sum();
+    assert!(asked > 0, "nothing is passed on");
+    for caller in callers {
+        let got = read_answer(caller).await;
+        assert!(got.is_whole && got.status >= 500, "{got:?}");
+    }
+}
+
 /// Guards against a bound that heads of sound answers exceed.
 #[tokio::test]
 async fn head_several_times_the_size_of_callers_heads_arrives() {
