--- a/crates/limehollow-edge/src/http.rs
+++ b/crates/limehollow-edge/src/http.rs
@@ -45,18 +45,27 @@
 {
     let res = req.send().await.map_err(|e| classify(what, e))?;
     let status = res.status();
-    let body = read_body(what, res).await?;
+    let body = read_body(what, res).await;
     if !status.is_success() {
-        let mut body = String::from_utf8_lossy(&body).into_owned();
-        body.truncate(body.floor_char_boundary(MAX_ERROR_BODY));
         return StatusSnafu {
             what,
             status: status.as_u16(),
-            body,
+            body: beginning(body),
         }
         .fail();
     }
-    serde_json::from_slice(&body).context(MalformedSnafu { what })
+    serde_json::from_slice(&body?).context(MalformedSnafu { what })
+}
+
+/// Returns the beginning of a failure's body. The status counts even if the body can't be read.
+fn beginning(body: Result<Vec<u8>>) -> String {
+    let body = body.unwrap_or_else(|e| {
+        tracing::debug!(error = %e, "the body of a failure can't be read");
+        Vec::new()
+    });
+    let mut text = String::from_utf8_lossy(&body).into_owned();
+    text.truncate(text.floor_char_boundary(MAX_ERROR_BODY));
+    text
 }
 
 /// Reads a body whole, unless it is too large: a service in trouble may send one without end.
--- a/crates/limehollow-node/tests/rig/unending.rs
+++ b/crates/limehollow-node/tests/rig/unending.rs
@@ -15,6 +15,10 @@
 pub const RULE_TIMEOUT: Duration = Duration::from_secs(20);
 /// By when an answer is ended that no bound on time ends; most of it is for a busy machine.
 pub const ENDED_WITHIN: Duration = Duration::from_secs(10);
+/// The time in which endpoints write what is taken of their answers.
+const WRITTEN_WITHIN: Duration = Duration::from_millis(1500);
+/// The memory that a VM of 120 MB has beside what it takes at rest, in kB.
+pub const MAX_GROWTH_KB: u64 = 90_000;
 /// The bytes of one write of an endpoint.
 pub const PIECE: usize = 16 << 10;
 
@@ -153,6 +157,18 @@
     s
 }
 
+/// Sends so many requests, from whose connections nothing is read. Returns these, and by how much the memory of this process
+/// has grown once endpoints have written what is taken of their answers, in kB.
+pub async fn growth_with_unread(to: SocketAddr, requests: usize) -> (u64, Vec<TcpStream>) {
+    let before = resident_kb();
+    let mut callers = Vec::new();
+    for n in 0..requests {
+        callers.push(ask_and_read_nothing(to, &format!("r-{n}")).await);
+    }
+    sleep(WRITTEN_WITHIN).await;
+    (resident_kb().saturating_sub(before), callers)
+}
+
 /// An answer as an HTTP client reads it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Got {
