Refusals are drained for three seconds rather than half a second

Cause: half a second closes connections whose packets were only lost or held up for a moment. Three seconds is what a cut connection takes to fail by itself, so the bound concerns endpoints that pause on purpose alone.

refusal_that_pauses_is_not_waited_for passes (its bound of five seconds is unchanged).

--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -43,8 +43,8 @@
 
 /// The maximum size of a refusal's body that is drained to reuse its connection, in bytes.
 const MAX_DRAIN_BYTES: u64 = 4096;
-/// The maximum time for that, after which the connection is closed: a new one takes some milliseconds.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// The maximum time for that: as long as a cut connection takes to fail by itself, so that lost packets close no sound one.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why a connection can't be opened.
 #[derive(Debug, Snafu)]
