A refusal without a body is drained without a timer

Cause: the bound in time on drains set a timer for each refusal, also where nothing is left to read, as with most.

Change: a body that has ended already is not drained at all.

--- a/crates/limehollow-node/src/pool.rs
+++ b/crates/limehollow-node/src/pool.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use limehollow::id::EndpointKey;
@@ -189,8 +189,11 @@
         let pool = self.clone();
         tokio::spawn(async move {
             let is_drained = match rest {
-                Some(body) => matches!(timeout(DRAIN_TIMEOUT, is_short(body)).await, Ok(true)),
-                None => true,
+                // Most refusals have no body, and need no timer.
+                Some(body) if !body.is_end_stream() => {
+                    matches!(timeout(DRAIN_TIMEOUT, is_short(body)).await, Ok(true))
+                }
+                Some(_) | None => true,
             };
             if is_drained {
                 pool.put(c).await;
