A chunk of a request's body costs its bytes, not the buffer it came in

What callers saw: a VM went over its memory, and ended, under a few clients that send legal bodies in very small chunks.

Cause: the body was collected as the pieces that arrive. Each piece keeps the whole buffer into which it was read, and takes an entry of its own, so a chunk of 16 bytes that comes alone costs kilobytes. Ruled out: chunk extensions and trailers (the library bounds them), the size limit (it counts bytes and holds).

Change: pieces are copied into one buffer.

A million chunks still cost processor time, in proportion to their number.

--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -25,11 +25,14 @@
 use limehollow::workspace::Workspace;
 use smol_str::SmolStr;
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
+type BoxError = Box<dyn Error + Send + Sync>;
+
 /// Answers a request.
 ///
 /// # Errors
@@ -235,9 +238,9 @@
 where
     P: Protocol,
 {
-    let read = Limited::new(body, limit).collect();
+    let read = collect(Limited::new(body, limit));
     let (status, text) = match site.clock.timeout_at(expiry, read).await {
-        Ok(Ok(b)) => return Ok(b.to_bytes()),
+        Ok(Ok(b)) => return Ok(b),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             Metrics::count(&site.metrics.requests, "too large");
             (StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")
@@ -251,6 +254,17 @@
     Err(plain(site, status, id, text))
 }
 
+/// Copies the pieces of a body into one buffer: each piece would keep the whole buffer into which it was read.
+async fn collect(mut body: Limited<Incoming>) -> Result<Bytes, BoxError> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(piece) = frame?.into_data() {
+            bytes.extend_from_slice(&piece);
+        }
+    }
+    Ok(bytes.into())
+}
+
 /// Builds the answer to a request whose key belongs to no workspace.
 fn unknown_key<P>(site: &Site<P>, version: u64, meta: &RequestMeta) -> Response<Outgoing<P>>
 where
