The bodies of all requests have a bound together, and unfinished ones give way

What callers saw: a VM ended, over its memory, under some tens of clients that send large bodies of legal size and mostly stop just short of their end; ordinary callers of that VM lost their requests.

Cause: each body is bounded by the configuration's limit and lives until its request ends; nothing sums them. Ruled out: a semaphore in which bodies wait (filled by clients that stop, it holds everybody up for their rule's timeout), counting announced lengths (an announcement costs its sender nothing), a share for each address (callers of a load balancer have one).

Change: limehollow_edge::request_memory owns the buffers of unfinished bodies and counts those of whole ones until the last copy is dropped. What doesn't fit is refused at once with 503 and Retry-After, which is true since nothing is sent before a body is whole. A body of which less than 16 KiB came within the last second gives way to any other one; to a small one the largest unfinished one gives way; large ones that make progress don't displace each other, so some always end. Of a refused body up to 1 MiB is read on for up to a second, for 64 at once, since closing with unread bytes resets the connection and loses the refusal. Requests that other VMs pass on are read by the same code.

Conclusion: what bodies hold no longer grows with the number of callers.

--- a/crates/limehollow-edge/src/lib.rs
+++ b/crates/limehollow-edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! Input and output shared by all limehollow processes.
 //!
 //! Clients of the platform's services and of endpoints, the socket between limehollow's processes,
-//! settings, the command line, logs and the admin port. This crate makes no scheduling decisions; those
+//! settings, the command line, logs, the memory for callers' bodies and the admin port. This crate makes no scheduling decisions; those
 //! are in [`limehollow`].
 //!
 //! ```no_run
@@ -26,6 +26,7 @@
 pub mod members;
 pub mod peer;
 pub mod process;
+pub mod request_memory;
 pub mod settings;
 
 pub use error::{Error, Exit, Result};
--- a/crates/limehollow-node/src/answer.rs
+++ b/crates/limehollow-node/src/answer.rs
@@ -45,6 +45,10 @@
     StreamElsewhere,
     /// No endpoint of the version at which the stream to take up began takes work.
     NoVersion,
+    /// There is no memory for the request's body.
+    NoMemory,
+    /// The request's body was unfinished when other callers needed its memory or its connection.
+    Displaced,
 }
 
 impl Reason {
@@ -67,6 +71,8 @@
             Self::StreamUnknown => "the version that began the stream is unknown",
             Self::StreamElsewhere => "the stream began at another service",
             Self::NoVersion => "no endpoint of the version that began the stream takes work",
+            Self::NoMemory => "there is no memory for the body now",
+            Self::Displaced => "the unfinished body gave way to other requests",
         }
     }
 }
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -11,6 +11,7 @@
 //!   `assignment` chooses the endpoint, [`attempt`] makes one attempt at an endpoint over a connection of
 //!   [`pool`], [`relay`] forwards an answer as it comes, and [`header_policy`] decides which headers are
 //!   forwarded.
+//! * `request_body` reads the bodies of requests, and [`limehollow_edge::request_memory`] bounds the memory of all of them.
 //! * [`keys`] checks callers' keys, [`limits`] the limits of their workspaces, and [`query`] sends queries
 //!   to other VMs.
 //! * [`endpoint_signals`] applies what endpoints signal about the load that they accept, and
@@ -75,6 +76,7 @@
 mod receiver;
 pub mod relay;
 pub mod request;
+mod request_body;
 pub mod resumption;
 mod retry_delay;
 pub mod run;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -101,6 +101,10 @@
     pub own_delay: Histogram,
     /// Time from accepting a caller's connection to its first request, in seconds.
     pub first_read: Histogram,
+    /// Bytes that the bodies of requests occupy.
+    pub request_bytes: Gauge,
+    /// The most bytes that the bodies of requests have occupied since the process started.
+    pub request_bytes_peak: Gauge,
     /// Callers' connections, by what became of them at the start.
     pub caller_connections: Family<EventLabels, Counter>,
     /// Orders by outcome.
@@ -181,6 +185,8 @@
             first_byte: Histogram::new(BOUNDS),
             own_delay: Histogram::new(BOUNDS),
             first_read: Histogram::new(BOUNDS),
+            request_bytes: Gauge::default(),
+            request_bytes_peak: Gauge::default(),
             caller_connections: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
@@ -243,6 +249,16 @@
             "Callers' connections",
             self.caller_connections.clone(),
         );
+        r.register(
+            "request_bytes",
+            "Bytes that the bodies of requests occupy",
+            self.request_bytes.clone(),
+        );
+        r.register(
+            "request_bytes_peak",
+            "The most bytes that the bodies of requests have occupied",
+            self.request_bytes_peak.clone(),
+        );
     }
 
     /// Registers the metrics of the queues of models.
--- a/crates/limehollow-node/src/request.rs
+++ b/crates/limehollow-node/src/request.rs
@@ -9,13 +9,13 @@
 use crate::metrics::Metrics;
 use crate::pass_on::Passage;
 use crate::relay::millis;
+use crate::request_body;
 use crate::retry_delay::DEFAULT_RETRY_DELAY;
 use crate::site::Site;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use limehollow::fingerprint::{Causes, Fingerprint, Identity};
 use limehollow::id::ServiceName;
@@ -25,14 +25,11 @@
 use limehollow::workspace::Workspace;
 use smol_str::SmolStr;
 use std::convert::Infallible;
-use std::error::Error;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-type BoxError = Box<dyn Error + Send + Sync>;
-
 /// Answers a request.
 ///
 /// # Errors
@@ -142,7 +139,7 @@
     let time = meta.timeout.map_or(rule.timeout, |p| p.min(rule.timeout));
     let expiry = arrival.at + time;
     let limit = catalog.limits.body_bytes;
-    let body = match read_body(&site, &meta.id, body, limit, expiry).await {
+    let body = match request_body::read(&site, &meta.id, body, limit, expiry).await {
         Ok(b) => b,
         Err(res) => return res,
     };
@@ -223,48 +220,6 @@
     }
 }
 
-/// Reads a request's whole body.
-///
-/// # Errors
-///
-/// Returns the answer for a body that is too large, breaks off or arrives too slowly.
-async fn read_body<P>(
-    site: &Site<P>,
-    id: &str,
-    body: Incoming,
-    limit: usize,
-    expiry: Instant,
-) -> Result<Bytes, Response<Outgoing<P>>>
-where
-    P: Protocol,
-{
-    let read = collect(Limited::new(body, limit));
-    let (status, text) = match site.clock.timeout_at(expiry, read).await {
-        Ok(Ok(b)) => return Ok(b),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Metrics::count(&site.metrics.requests, "too large");
-            (StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")
-        }
-        Ok(Err(e)) => {
-            tracing::debug!(id, error = %e, "the request's body broke off");
-            (StatusCode::BAD_REQUEST, "body broke off\n")
-        }
-        Err(_elapsed) => (StatusCode::REQUEST_TIMEOUT, "body too slow\n"),
-    };
-    Err(plain(site, status, id, text))
-}
-
-/// Copies the pieces of a body into one buffer: each piece would keep the whole buffer into which it was read.
-async fn collect(mut body: Limited<Incoming>) -> Result<Bytes, BoxError> {
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(piece) = frame?.into_data() {
-            bytes.extend_from_slice(&piece);
-        }
-    }
-    Ok(bytes.into())
-}
-
 /// Builds the answer to a request whose key belongs to no workspace.
 fn unknown_key<P>(site: &Site<P>, version: u64, meta: &RequestMeta) -> Response<Outgoing<P>>
 where
--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -180,6 +180,7 @@
                 ready_tx.send_replace(now);
                 site.update_quarantine_metrics();
                 site.update_backpressure_metrics();
+                site.update_request_memory_metrics();
             }
             Some(d) = dump_requests.recv() => {
                 // The requester may be gone.
--- a/crates/limehollow-node/src/settings.rs
+++ b/crates/limehollow-node/src/settings.rs
@@ -8,6 +8,7 @@
 use limehollow::quota::Allowance;
 use limehollow::rebalance::LoadCeiling;
 use limehollow::retry_window::RepeatAllowance;
+use limehollow_edge::request_memory::MemoryBound;
 use limehollow_edge::settings::{Invalid, Settings, check_address, check_name, check_range};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +32,11 @@
 /// The maximum size of a failure that an endpoint answers with, in bytes: its text isn't worth the link that others need.
 const MAX_FAILURE_BYTES: u64 = 1 << 20;
 
+/// The share of the VM's memory that the bodies of requests may use. Connections, endpoints' answers and the state of the site
+/// need the rest.
+const REQUESTS_SHARE: f64 = 0.2;
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// The share of the callers' connections whose requests may wait for their turn.
 const WAITING_SHARE: f64 = 0.25;
 
@@ -103,6 +109,9 @@
     /// The limit of open file descriptors of the process.
     #[serde(default = "default_descriptors")]
     pub descriptors: u32,
+    /// The memory of this VM, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// The address of the platform's store, as `IP:PORT`.
     pub store_address: String,
     /// The maximum size of an endpoint's answer, in bytes.
@@ -177,6 +186,11 @@
     4_100
 }
 
+/// The memory of the smallest entry VM on today's sites.
+fn default_memory_mb() -> u32 {
+    120
+}
+
 /// As large as answers of `limehollow-gateway` may be.
 fn default_answer_bytes() -> u64 {
     16 << 20
@@ -245,6 +259,18 @@
         most
     }
 
+    /// Returns the bound on the memory of all requests' bodies, of which one may have `body_limit` bytes.
+    #[must_use]
+    pub fn request_memory(&self, body_limit: usize) -> MemoryBound {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it is less than the VM's memory"
+        )]
+        let all = (f64::from(self.memory_mb) * BYTES_PER_MB * REQUESTS_SHARE) as usize;
+        MemoryBound::new(all, body_limit)
+    }
+
     /// Returns the largest number of requests of this VM that wait for their turn.
     #[must_use]
     pub fn max_waiting(&self) -> usize {
@@ -379,6 +405,7 @@
             self.answer_bytes,
             MIN_ANSWER_BYTES..=1 << 40,
         )?;
+        check_range("memory_mb", u64::from(self.memory_mb), 16..=10_000_000)?;
         check_range("grace_ms", self.grace_ms, 1_000..=600_000)?;
         check_range("lease_ms", self.lease_ms, 0..=600_000)?;
         check_range("leaving_ms", self.leaving_ms, 500..=600_000)?;
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -10,6 +10,7 @@
 use crate::own_delay::RecentWork;
 use crate::pool::Pool;
 use crate::query::PendingQueries;
+use crate::request_body::MAX_DISCARDS;
 use crate::resumption;
 use crate::settings::NodeSettings;
 use crate::site_view::{SiteView, StoreReturn};
@@ -25,6 +26,7 @@
 use limehollow::quota::{Quotas, Subject};
 use limehollow::rebalance::RequestedLoad;
 use limehollow::roster::{HoldingsReport, Update};
+use limehollow_edge::request_memory::RequestMemory;
 use limehollow_wire::gossip::{ListChanges, Positions, Reading, State};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
@@ -94,6 +96,10 @@
     pub slots_changed: Notify,
     /// Notified when a stream has begun of which no other VM has been told.
     pub stream_began: Notify,
+    /// The memory for the bodies of requests.
+    pub request_memory: RequestMemory,
+    /// One permit for each refused body that may be read in addition, so that its caller gets the refusal.
+    pub(crate) discards: Arc<Semaphore>,
     /// The memory for endpoints' answers that are read before they are passed on.
     pub answer_memory: AnswerMemory,
     /// The memory for endpoints' reports. It is separate so that answers to callers hold up no order.
@@ -137,6 +143,8 @@
             control_pool: Pool::new(Arc::clone(&clock)),
             clock,
             metrics: Metrics::default(),
+            request_memory: RequestMemory::default(),
+            discards: Arc::new(Semaphore::new(MAX_DISCARDS)),
             answer_memory: AnswerMemory::new(MAX_READ_FIRST, ALL_READ_FIRST),
             report_memory: AnswerMemory::new(MAX_REPORT, ALL_REPORTS),
             recent_work: RecentWork::default(),
@@ -471,6 +479,14 @@
         self.metrics.requests_suspected.set(count(suspected));
     }
 
+    /// Updates the metrics on the memory of requests' bodies.
+    pub(crate) fn update_request_memory_metrics(&self) {
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        let m = &self.request_memory;
+        self.metrics.request_bytes.set(count(m.held()));
+        self.metrics.request_bytes_peak.set(count(m.peak()));
+    }
+
     /// Updates the metrics on endpoints with limits, cold endpoints and evacuated zones.
     pub(crate) fn update_backpressure_metrics(&self) {
         let view = self.view();
