Connections that callers and other VMs open have small receive buffers

What callers saw: nothing by itself; it adds to the memory that a crowd takes of a VM's machine, where arrived bytes that aren't read count as the VM's.

Cause: the system grows the receive buffer of a connection to megabytes, and what a VM hasn't read, because a request is under way or because it has more to read than it can, lies there. Resident memory shows none of it.

Ruled out: reading it away (that is work for callers who misbehave, and behind a request it can't be told from the next one).

Change: the listeners for callers and for other VMs ask for 16 KiB, which the system doubles; connections inherit that. With round trips of 6 ms a body of 4 MiB still takes about a second (arithmetic).

Conclusion: bodies_of_other_vms_keep_memory_bounded fails before and passes after.

--- a/crates/limehollow-node/src/run.rs
+++ b/crates/limehollow-node/src/run.rs
@@ -13,6 +13,7 @@
 use limehollow_edge::error::{ListenSnafu, Result};
 use limehollow_edge::process::stop_signal;
 use limehollow_edge::settings;
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -26,6 +27,8 @@
 const CHECK_SETTINGS_EVERY: Duration = Duration::from_secs(2);
 /// How often the readiness and the gauges that operators see are updated.
 const UPDATE_METRICS_EVERY: Duration = Duration::from_secs(1);
+/// The receive buffer of a connection that callers or other VMs open, in bytes.
+const RECEIVE_BUFFER: usize = 16 << 10;
 /// The largest number of pending requests for a dump.
 const MAX_PENDING_DUMPS: usize = 4;
 
@@ -46,12 +49,14 @@
         "start"
     );
     let callers = listen(&settings.address).await?;
+    bound_unread(&callers);
     let balancer = listen(&settings.readiness_address).await?;
     let peers = settings.peer_address();
     let socket = UdpSocket::bind(peers)
         .await
         .map_err(|e| failed(&peers.to_string(), &e))?;
     let states = listen(&peers.to_string()).await?;
+    bound_unread(&states);
     let site = Site::new(settings, protocol);
     let gossip_socket = Arc::new(gossip::GossipSocket::new(Arc::clone(&site), socket));
     let store = CountingStore::new(store, &site.metrics);
@@ -127,6 +132,14 @@
         .map_err(|e| failed(address, &e))
 }
 
+/// Bounds what the system holds of bytes that lie unread in connections that a listener accepts. Otherwise it holds
+/// megabytes for each.
+fn bound_unread(listener: &TcpListener) {
+    if let Err(e) = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER) {
+        tracing::warn!(error = %e, "the receive buffers of connections can't be bounded");
+    }
+}
+
 fn failed(address: &str, e: &std::io::Error) -> limehollow_edge::Error {
     ListenSnafu {
         address,
