Idle connections give way once all places are taken

What callers saw: while some thousand clients held connections without asking anything, a VM said that it was ready and answered nobody; an ordinary caller waited in the system's queue until it gave up.

Cause: the VM stops accepting at its limit (six tenths of the descriptors) and waits until a connection ends. A head has the idle timeout, since the library has one timer for both; header_timeout_ms was parsed and used nowhere. A body that stops has its rule's timeout.

Ruled out: a bound on new connections by their rate or address (a load balancer's callers have one address); closing idle connections while there are places (callers may use them for four fifths of the idle timeout); the library's timer alone (kept connections would be closed after the head's time).

Change: at the limit one connection is closed for each that waits, if its caller has let header_timeout_ms pass: one without any request first, then one whose body hasn't made progress for that time (503, it hasn't run), then one at rest, the longest idle first. None with a request under way is closed. They are counted in caller_connections.

While there are places a head still has the idle timeout.

--- a/crates/limehollow-node/src/caller.rs
+++ b/crates/limehollow-node/src/caller.rs
@@ -1,6 +1,8 @@
 //! Accepts callers' connections, answers the load balancer's readiness checks, and drains connections on shutdown.
 
+use crate::connections::Idle;
 use crate::edge::Protocol;
+use crate::guarded_body::GuardedBody;
 use crate::logging::may_log;
 use crate::metrics::Metrics;
 use crate::relay::RelayError;
@@ -30,6 +32,10 @@
 
 /// The idle timeout of a caller's connection while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long the head of a request may take while there is no configuration.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often room is made for further connections while there are as many as there may be.
+const MAKE_ROOM_EVERY: Duration = Duration::from_millis(50);
 /// The smallest head limit that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 /// The head limit while there is no configuration, in bytes.
@@ -63,9 +69,13 @@
     loop {
         let most = site.settings.load().max_caller_connections();
         pressure.update(connections.len(), most);
+        let is_full = connections.len() >= most;
+        if is_full {
+            make_room(&site);
+        }
         tokio::select! {
             () = &mut stopped => break,
-            accepted = listener.accept(), if connections.len() < most => match accepted {
+            accepted = listener.accept(), if !is_full => match accepted {
                 Ok((stream, from)) => {
                     site.recent_work.record();
                     if !takes(&site, &mut intake) {
@@ -81,6 +91,7 @@
                 }
             },
             Some(_ended) = connections.join_next() => {}
+            () = sleep(MAKE_ROOM_EVERY), if is_full => {}
         }
     }
     drop(listener);
@@ -93,6 +104,27 @@
     tracing::info!(left = connections.len(), "callers served");
 }
 
+/// Has one connection closed whose caller has let the time for a request's head pass: one without any request first, then one
+/// whose body has stopped, then one that is kept open without a request.
+fn make_room<P>(site: &Site<P>)
+where
+    P: Protocol,
+{
+    let limits = site.catalog.load().as_ref().map(|c| c.limits);
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
+    let now = site.now();
+    let what = if site.connections.close_one(Idle::New, now, head_timeout) {
+        "closed without a request"
+    } else if site.request_memory.end_stalled(now, head_timeout) {
+        "closed without progress"
+    } else if site.connections.close_one(Idle::AtRest, now, head_timeout) {
+        "closed at rest"
+    } else {
+        return;
+    };
+    Metrics::count(&site.metrics.caller_connections, what);
+}
+
 /// Decides whether a new connection is served; otherwise it is to be closed with nothing read from it.
 fn takes<P>(site: &Site<P>, intake: &mut Intake) -> bool
 where
@@ -155,6 +187,8 @@
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
     let accepted = site.now();
+    let open = Arc::new(site.connections.add(accepted));
+    let used = Arc::clone(&open);
     let has_read = AtomicBool::new(false);
     let is_unframed = Arc::new(AtomicBool::new(false));
     let unframed = Arc::clone(&is_unframed);
@@ -164,13 +198,14 @@
             record_first_read(&site, accepted);
         }
         unframed.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
+        let busy = used.begin_request(Arc::clone(&site.clock));
         async move {
             let mut res = request::handle(Arc::clone(&site), from, req).await?;
             if pressure.is_high() || is_late(&site) {
                 let close = HeaderValue::from_static("close");
                 res.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(res)
+            Ok::<_, Infallible>(res.map(|body| GuardedBody::new(body, busy)))
         }
     });
     let mut served = http1::Builder::new()
@@ -186,6 +221,13 @@
             std::pin::Pin::new(&mut served).graceful_shutdown();
             (&mut served).await
         }
+        idle = open.told_to_close() => {
+            if idle == Idle::New {
+                return;
+            }
+            std::pin::Pin::new(&mut served).graceful_shutdown();
+            (&mut served).await
+        }
     };
     // A caller that disconnects isn't worth more than a debug line; a streamed answer that breaks off is logged
     // already.
--- a/crates/limehollow-node/src/lib.rs
+++ b/crates/limehollow-node/src/lib.rs
@@ -11,7 +11,8 @@
 //!   `assignment` chooses the endpoint, [`attempt`] makes one attempt at an endpoint over a connection of
 //!   [`pool`], [`relay`] forwards an answer as it comes, and [`header_policy`] decides which headers are
 //!   forwarded.
-//! * `request_body` reads the bodies of requests, and [`limehollow_edge::request_memory`] bounds the memory of all of them.
+//! * [`connections`] knows which connections of callers are idle, `request_body` reads the bodies of requests, and
+//!   [`limehollow_edge::request_memory`] bounds the memory of all of them.
 //! * [`keys`] checks callers' keys, [`limits`] the limits of their workspaces, and [`query`] sends queries
 //!   to other VMs.
 //! * [`endpoint_signals`] applies what endpoints signal about the load that they accept, and
@@ -44,6 +45,7 @@
 pub mod attempt;
 pub mod caller;
 pub mod clock;
+pub mod connections;
 pub mod controller;
 pub mod counting_store;
 mod crash_probe;
@@ -55,6 +57,7 @@
 pub mod follow;
 mod follower;
 pub mod gossip;
+mod guarded_body;
 pub mod header_policy;
 pub mod keys;
 pub mod lease;
--- a/crates/limehollow-node/src/metrics.rs
+++ b/crates/limehollow-node/src/metrics.rs
@@ -105,7 +105,7 @@
     pub request_bytes: Gauge,
     /// The most bytes that the bodies of requests have occupied since the process started.
     pub request_bytes_peak: Gauge,
-    /// Callers' connections, by what became of them at the start.
+    /// Callers' connections, by what became of them at the start, and those closed to make room.
     pub caller_connections: Family<EventLabels, Counter>,
     /// Orders by outcome.
     pub orders: Family<EventLabels, Counter>,
--- a/crates/limehollow-node/src/pass_on.rs
+++ b/crates/limehollow-node/src/pass_on.rs
@@ -6,6 +6,7 @@
 use crate::answer::{Outgoing, Reason, expired, lost, refuse};
 use crate::dispatch::take_repeat;
 use crate::edge::{HeaderPolicy, Protocol};
+use crate::guarded_body::GuardedBody;
 use crate::header_policy;
 use crate::logging::may_log;
 use crate::metrics::Metrics;
@@ -86,6 +87,9 @@
     }
 }
 
+/// The answer to a request that was taken over, which counts as such until it ends.
+type TakenOver<P> = GuardedBody<Outgoing<P>, OwnedSemaphorePermit>;
+
 /// Handles a request that another VM passes on.
 pub(crate) async fn take_over<P>(
     site: Arc<Site<P>>,
@@ -106,12 +110,7 @@
         res.headers_mut()
             .insert(DECLINED, HeaderValue::from_static("1"));
     }
-    res.map(|body| {
-        Either::Right(TakenOver {
-            body,
-            _permit: permit,
-        })
-    })
+    res.map(|body| Either::Right(GuardedBody::new(body, permit)))
 }
 
 fn is_cut_off<P>(site: &Site<P>) -> bool
@@ -129,38 +128,6 @@
     res
 }
 
-/// The answer to a request that was taken over, which counts as such until it ends.
-pub(crate) struct TakenOver<P>
-where
-    P: Protocol,
-{
-    body: Outgoing<P>,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl<P> Body for TakenOver<P>
-where
-    P: Protocol + Unpin,
-{
-    type Data = Bytes;
-    type Error = <Outgoing<P> as Body>::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Why a VM didn't answer a request that was passed on to it.
 #[derive(Debug)]
 struct PassFailure {
--- a/crates/limehollow-node/src/site.rs
+++ b/crates/limehollow-node/src/site.rs
@@ -4,6 +4,7 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::clock::Clock;
+use crate::connections::Connections;
 use crate::edge::{Feed, Protocol};
 use crate::follower::{ages, position};
 use crate::metrics::Metrics;
@@ -96,6 +97,8 @@
     pub slots_changed: Notify,
     /// Notified when a stream has begun of which no other VM has been told.
     pub stream_began: Notify,
+    /// The connections of callers.
+    pub connections: Connections,
     /// The memory for the bodies of requests.
     pub request_memory: RequestMemory,
     /// One permit for each refused body that may be read in addition, so that its caller gets the refusal.
@@ -143,6 +146,7 @@
             control_pool: Pool::new(Arc::clone(&clock)),
             clock,
             metrics: Metrics::default(),
+            connections: Connections::default(),
             request_memory: RequestMemory::default(),
             discards: Arc::new(Semaphore::new(MAX_DISCARDS)),
             answer_memory: AnswerMemory::new(MAX_READ_FIRST, ALL_READ_FIRST),
