The gateway's bodies of all requests have a bound together, too

Change: the gateway reads bodies through limehollow_edge::request_memory, with limits.all_body_bytes (64 MiB; one body of the limit always fits). What doesn't fit, or has to give way, gets 503 no_memory with Retry-After; it has not run.

The gateway's connections and its receive buffers are as they were: it pauses accepting at its limit, and closes an idle connection after limits.idle_ms only.

--- a/crates/limehollow-gateway/src/caller.rs
+++ b/crates/limehollow-gateway/src/caller.rs
@@ -5,9 +5,11 @@
 use crate::request::{
     self, ParseRequestError, ParsedRequest, REQUEST_ID, RequestMeta, WaitLimits, header_value,
 };
+use crate::settings::LimitSettings;
 use crate::shared::Shared;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
+use limehollow_edge::request_memory::{MemoryBound, Upload, UploadError};
 use poem::http::{HeaderMap, StatusCode};
 use poem::web::Data;
 use poem::{Body, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler};
@@ -15,7 +17,10 @@
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
+
+/// The retry delay of a request for whose body there is no memory.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 
 /// Returns the HTTP routes for callers.
 pub fn routes(shared: Arc<Shared>) -> impl IntoEndpoint<Endpoint: 'static> {
@@ -92,35 +97,20 @@
     request::parse_meta(req.headers(), remote, id, &wait_limits).map_err(|e| bad_request(&e))
 }
 
-/// Reads a body within the configured limits on size and time.
+/// Reads a body within the configured limits on size, memory and time.
 async fn read_body(shared: &Shared, body: Body) -> Result<Bytes, ErrorAnswer> {
     let limits = &shared.settings.limits;
+    let upload = shared.request_memory.begin(Instant::now());
     let read = async {
-        let mut buf = BytesMut::new();
-        let mut chunks = Box::pin(body.into_bytes_stream());
-        while let Some(chunk) = chunks.next().await {
-            let Ok(chunk) = chunk else {
-                let status = StatusCode::BAD_REQUEST;
-                return Err(ErrorAnswer::permanent(
-                    status,
-                    "body_broken",
-                    "the body ended early",
-                ));
-            };
-            if buf.len() + chunk.len() > limits.body_bytes {
-                let message = format!("the body has more than {} bytes", limits.body_bytes);
-                return Err(ErrorAnswer::permanent(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body_too_large",
-                    message,
-                ));
-            }
-            buf.extend_from_slice(&chunk);
+        tokio::select! {
+            biased;
+            read = read_pieces(limits, &upload, body) => read,
+            () = upload.displaced() => Err(no_memory(UploadError::Displaced)),
         }
-        Ok(buf.freeze())
     };
     match timeout(Duration::from_millis(limits.body_ms), read).await {
-        Ok(res) => res,
+        Ok(Ok(())) => upload.finish().map_err(no_memory),
+        Ok(Err(e)) => Err(e),
         Err(_) => {
             let message = format!("the body was not there within {} ms", limits.body_ms);
             Err(ErrorAnswer::permanent(
@@ -132,6 +122,55 @@
     }
 }
 
+/// Reads a body to its end.
+async fn read_pieces(
+    limits: &LimitSettings,
+    upload: &Upload,
+    body: Body,
+) -> Result<(), ErrorAnswer> {
+    let bound = MemoryBound::new(limits.all_body_bytes, limits.body_bytes);
+    let mut len = 0;
+    let mut pieces = Box::pin(body.into_bytes_stream());
+    while let Some(piece) = pieces.next().await {
+        let Ok(piece) = piece else {
+            let status = StatusCode::BAD_REQUEST;
+            return Err(ErrorAnswer::permanent(
+                status,
+                "body_broken",
+                "the body ended early",
+            ));
+        };
+        len += piece.len();
+        if len > limits.body_bytes {
+            let message = format!("the body has more than {} bytes", limits.body_bytes);
+            return Err(ErrorAnswer::permanent(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                message,
+            ));
+        }
+        upload
+            .push(&piece, limits.body_bytes, bound, Instant::now)
+            .map_err(no_memory)?;
+    }
+    Ok(())
+}
+
+/// Builds the answer to a request for whose body there is no memory.
+fn no_memory(e: UploadError) -> ErrorAnswer {
+    let message = match e {
+        UploadError::Full => "there is no memory for the body now",
+        UploadError::Displaced => "the unfinished body gave way to other requests",
+    };
+    ErrorAnswer::retryable(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no_memory",
+        message,
+        limehollow::verdict::Verdict::NotRun,
+        NO_MEMORY_RETRY,
+    )
+}
+
 fn wrong_method(allowed: &'static str) -> ErrorAnswer {
     let message = format!("only {allowed} is allowed here");
     ErrorAnswer::permanent(
--- a/crates/limehollow-gateway/src/settings.rs
+++ b/crates/limehollow-gateway/src/settings.rs
@@ -50,6 +50,8 @@
 pub struct LimitSettings {
     /// The largest body, in bytes.
     pub body_bytes: usize,
+    /// The memory for the bodies of all requests, in bytes.
+    pub all_body_bytes: usize,
     /// The maximum total size of all header names and values, in bytes.
     pub header_bytes: usize,
     /// How long a caller may take to send its body, in milliseconds.
@@ -66,6 +68,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 << 20,
+            all_body_bytes: 64 << 20,
             header_bytes: 16 << 10,
             body_ms: 10_000,
             connections: 4_096,
@@ -113,6 +116,11 @@
         check_range("stop_grace_ms", self.stop_grace_ms, 0..=600_000)?;
         let l = &self.limits;
         check_range("limits.body_bytes", l.body_bytes as u64, 1..=1 << 30)?;
+        check_range(
+            "limits.all_body_bytes",
+            l.all_body_bytes as u64,
+            1..=1 << 40,
+        )?;
         check_range("limits.header_bytes", l.header_bytes as u64, 256..=1 << 20)?;
         check_range("limits.body_ms", l.body_ms, 10..=600_000)?;
         check_range("limits.connections", l.connections as u64, 1..=1 << 20)?;
--- a/crates/limehollow-gateway/src/shared.rs
+++ b/crates/limehollow-gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use limehollow::retry::RetryBudget;
 use limehollow::routing::Table;
 use limehollow_edge::http::{CONNECT_TIMEOUT, classify};
+use limehollow_edge::request_memory::RequestMemory;
 use limehollow_wire::peer::WireUnmet;
 use smol_str::SmolStr;
 use std::collections::HashMap;
@@ -33,6 +34,8 @@
     pub metrics: Metrics,
     /// Open connections of callers.
     pub connections: Arc<Connections>,
+    /// The memory for the bodies of requests.
+    pub request_memory: RequestMemory,
     /// Refused requests since the last report to the controller.
     pub unmet_demand: UnmetDemand,
     /// The HTTP client for requests that may be repeated.
@@ -64,6 +67,7 @@
             claim_client,
             metrics,
             connections: Arc::default(),
+            request_memory: RequestMemory::default(),
             unmet_demand: UnmetDemand::default(),
             client: client(usize::MAX)?,
             unrepeatable_client: client(0)?,
--- a/crates/limehollow-gateway/tests/rig/mod.rs
+++ b/crates/limehollow-gateway/tests/rig/mod.rs
@@ -51,6 +51,10 @@
 }
 
 impl Gateway {
+    pub fn process_id(&self) -> i32 {
+        i32::try_from(self.child.id()).expect("ids of processes are small")
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("it runs");
         self.child.wait().expect("it was started here");
