A body that is announced over the limit is refused before it is read

What callers saw: a client that announces more than a body may have got its 413 only once the limit's bytes had come, and one that sends nothing more got 408 at its rule's timeout.

Cause: the limit counted the bytes that came; the stated length wasn't looked at.

Change: a stated length over the limit is refused at once with 413, and the connection is closed after a part of what is still sent was read, as after any refused body.

Conclusion: announced_length_over_the_limit_is_refused_at_once fails before and passes after.

--- a/crates/limehollow-node/src/request_body.rs
+++ b/crates/limehollow-node/src/request_body.rs
@@ -103,7 +103,10 @@
     P: Protocol,
 {
     let announced = body.size_hint().exact();
-    let max = announced.map_or(limit, |n| usize::try_from(n).unwrap_or(limit).min(limit));
+    let max = announced.map_or(limit, |n| usize::try_from(n).unwrap_or(usize::MAX));
+    if max > limit {
+        return Err(ReadError::TooLarge);
+    }
     let upload = site.request_memory.begin(site.now());
     let bound = site.settings.load().request_memory(limit);
     let read = async {
--- a/crates/limehollow-node/tests/request_bodies.rs
+++ b/crates/limehollow-node/tests/request_bodies.rs
@@ -71,6 +71,17 @@
     timeout(LONG, held).await.expect("they are read");
 }
 
+/// Guards against reading a body that is known to be too large.
+#[tokio::test(flavor = "multi_thread")]
+async fn announced_length_over_the_limit_is_refused_at_once() {
+    let g = gateway(&[]).await;
+    let mut s = begin(&g, &format!("content-length: {}", 8_u64 << 30)).await;
+    let answer = read(&mut s).await;
+    assert_eq!(status(&answer), 413, "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert_eq!(g.site.request_memory.peak(), 0);
+}
+
 /// Guards against closing a connection on a caller that still sends, so that the refusal is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_reaches_a_caller_that_still_sends() {
