--- /dev/null
+++ b/review/stand-ins-2/src/site.rs
@@ -0,0 +1,490 @@
+//! A small deployment on loopback addresses: the store, workers and entry machines, each of these a process.
+
+use crate::store::Store;
+use crate::worker::held;
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The ports of each entry machine; each has an address of its own.
+const FRONT: u16 = 18_149;
+const READY: u16 = 18_141;
+const CONTROL: u16 = 18_144;
+const PEER: u16 = 18_380;
+const ADMIN: u16 = 9_464;
+/// The zones.
+pub const ZONES: [&str; 3] = ["dvorana-a", "dvorana-b", "dvorana-c"];
+/// How often a worker writes to its entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The host of all routes.
+pub const HOST: &str = "wuny96.example";
+
+/// What was seen, in the order in which it was seen.
+#[derive(Debug, Clone)]
+pub struct Record {
+    began: Instant,
+    rows: Arc<Mutex<Vec<String>>>,
+}
+
+impl Record {
+    /// Starts an empty record.
+    pub fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            rows: Arc::default(),
+        }
+    }
+
+    /// Adds a row, with the time.
+    pub fn add(&self, row: impl AsRef<str>) {
+        let row = format!("{:9.3} {}", self.began.elapsed().as_secs_f64(), row.as_ref());
+        self.rows().push(row);
+    }
+
+    /// Returns the rows.
+    pub fn rows(&self) -> MutexGuard<'_, Vec<String>> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes the rows to a file.
+    pub fn write(&self, path: &Path) -> io::Result<()> {
+        let mut f = File::create(path)?;
+        for row in self.rows().iter() {
+            writeln!(f, "{row}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A worker's process, and its entry in the store.
+pub struct Worker {
+    pub id: String,
+    pub address: SocketAddr,
+    service: String,
+    zone: &'static str,
+    models: String,
+    framing: String,
+    process: Child,
+    entry: Arc<Mutex<Entry>>,
+}
+
+#[derive(Default)]
+struct Entry {
+    draining: Option<u64>,
+    gone: bool,
+    beats: u64,
+}
+
+/// An entry machine's process.
+pub struct Vm {
+    pub name: String,
+    pub ip: String,
+    pub zone: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    process: Option<Child>,
+}
+
+impl Vm {
+    /// Returns where clients reach it.
+    pub fn front(&self) -> String {
+        format!("{}:{FRONT}", self.ip)
+    }
+
+    /// Returns where the platform asks whether it is ready.
+    pub fn readiness(&self) -> String {
+        format!("{}:{READY}", self.ip)
+    }
+
+    /// Starts its process.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .env_clear()
+            .env("LIMEHOLLOW_BOOT", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.process = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to its process, by its id.
+    pub fn signal(&self, name: &str) {
+        if let Some(p) = &self.process {
+            signal(p.id(), name);
+        }
+    }
+
+    /// Kills its process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut p) = self.process.take() {
+            let _ = p.kill();
+            let _ = p.wait();
+        }
+    }
+
+    /// Waits until its process has ended by itself.
+    pub fn wait(&mut self) {
+        if let Some(mut p) = self.process.take() {
+            let _ = p.wait();
+        }
+    }
+}
+
+/// Sends a signal to a process that this run started.
+pub fn signal(pid: u32, name: &str) {
+    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+}
+
+/// The deployment.
+pub struct Site {
+    pub store: Store,
+    store_address: SocketAddr,
+    pub vms: Vec<Vm>,
+    pub workers: BTreeMap<String, Worker>,
+    pub record: Record,
+    net: u8,
+    folder: PathBuf,
+    next_worker: u32,
+    /// Further lines of the machines' settings.
+    further: String,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            vm.kill();
+        }
+        for w in self.workers.values_mut() {
+            let _ = w.process.kill();
+            let _ = w.process.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Site {
+    /// Prepares a deployment with this many entry machines; none runs yet.
+    pub fn new(program: &Path, vms: usize) -> io::Result<Self> {
+        Self::with_settings(program, vms, "")
+    }
+
+    /// Prepares a deployment whose machines have further lines in their settings.
+    pub fn with_settings(program: &Path, vms: usize, further: &str) -> io::Result<Self> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), now.subsec_nanos()));
+        fs::create_dir_all(&folder)?;
+        let net = free_net(vms)?;
+        let (store, store_address) = Store::start(&format!("127.{net}.9.1"))?;
+        let mut site = Self {
+            store,
+            store_address,
+            vms: Vec::new(),
+            workers: BTreeMap::new(),
+            record: Record::new(),
+            net,
+            folder,
+            next_worker: 0,
+            further: further.to_owned(),
+        };
+        for n in 0..vms {
+            let zone = ZONES[n % ZONES.len()];
+            let name = format!("front-{zone}-{}", n / ZONES.len() + 1);
+            let settings = site.folder.join(format!("{name}.toml"));
+            let vm = Vm {
+                ip: site.ip(n),
+                zone,
+                log: site.folder.join(format!("{name}.log")),
+                settings,
+                program: program.to_owned(),
+                process: None,
+                name,
+            };
+            fs::write(&vm.settings, site.settings(&vm, vms))?;
+            site.vms.push(vm);
+        }
+        Ok(site)
+    }
+
+    fn ip(&self, n: usize) -> String {
+        format!("127.{}.{}.{}", self.net, n % ZONES.len() + 1, n / ZONES.len() + 1)
+    }
+
+    /// The settings as `deploy/vm.toml.tmpl` shapes them, with the bounds of a small deployment.
+    fn settings(&self, vm: &Vm, vms: usize) -> String {
+        let seeds: Vec<String> = (0..vms.min(3)).map(|n| format!("\"{}:{CONTROL}\"", self.ip(n))).collect();
+        let regions: Vec<String> = ZONES.iter().map(|z| format!("\"{z}\" = \"osrednja\"")).collect();
+        format!(
+            "name = \"{name}\"\navailability_zone = \"{zone}\"\nip = \"{ip}\"\naddress = \"{ip}:{FRONT}\"\n\
+             readiness_address = \"{ip}:{READY}\"\npeer_port = {PEER}\nadmin_port = {ADMIN}\nseeds = [{seeds}]\n\
+             cores = 0.25\nfirst_start = true\ndescriptors = 4100\nmemory_mb = 260\nlink_mbps = 1000.0\n\
+             store_address = \"{store}\"\ngrace_ms = 8000\nlease_ms = 3000\nleaving_ms = 2000\n\
+             configuration_ms = 2000\nrepeat_ratio = 0.2\nrepeat_slack = 56\nrepeat_window_ms = 10000\n\
+             load_window_ms = 5000\nload_over = 1.1\n{further}[regions]\n{regions}\n",
+            name = vm.name,
+            zone = vm.zone,
+            ip = vm.ip,
+            seeds = seeds.join(", "),
+            store = self.store_address,
+            further = self.further,
+            regions = regions.join("\n"),
+        )
+    }
+
+    /// Starts a worker that holds these models, and lists it.
+    pub fn start_worker(&mut self, service: &str, zone: usize, models: &str, framing: &str) -> io::Result<String> {
+        self.next_worker += 1;
+        let id = format!("i-{:08x}", 0x3f00_0000 + self.next_worker);
+        let address = free_address(&format!("127.{}.8.{}", self.net, self.next_worker))?;
+        self.run_worker(id, address, service, ZONES[zone % ZONES.len()], models, framing)
+    }
+
+    fn run_worker(
+        &mut self,
+        id: String,
+        address: SocketAddr,
+        service: &str,
+        zone: &'static str,
+        models: &str,
+        framing: &str,
+    ) -> io::Result<String> {
+        let mut process = Command::new(std::env::current_exe()?)
+            .args(["worker", &id, &address.to_string(), models, framing])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        if let Some(out) = process.stdout.take() {
+            let (record, id) = (self.record.clone(), id.clone());
+            thread::spawn(move || {
+                for row in BufReader::new(out).lines().map_while(Result::ok) {
+                    record.add(format!("worker {id} {row}"));
+                }
+            });
+        }
+        let worker = Worker {
+            id: id.clone(),
+            address,
+            service: service.to_owned(),
+            zone,
+            models: models.to_owned(),
+            framing: framing.to_owned(),
+            process,
+            entry: Arc::default(),
+        };
+        worker.list(&self.store);
+        worker.beat(&self.store);
+        self.workers.insert(id.clone(), worker);
+        Ok(id)
+    }
+
+    /// Kills a worker's process. Its entry lapses later, as after a crash, unless it is taken off now.
+    pub fn end_worker(&mut self, id: &str, unlist: bool) {
+        if let Some(mut w) = self.workers.remove(id) {
+            let _ = w.process.kill();
+            let _ = w.process.wait();
+            self.record.add(format!("worker {id} is gone"));
+            w.entry().gone = true;
+            let (store, id) = (self.store.clone(), id.to_owned());
+            thread::spawn(move || {
+                if !unlist {
+                    thread::sleep(HEARTBEAT * 3);
+                }
+                store.put("keyed.servers", &id, "");
+            });
+        }
+    }
+
+    /// Kills a worker's process and starts another one at its address after a while, with a new id.
+    pub fn crash_and_restart(&mut self, id: &str, after: Duration) -> io::Result<String> {
+        let Some(w) = self.workers.get(id) else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        let (address, service, zone) = (w.address, w.service.clone(), w.zone);
+        let (models, framing) = (w.models.clone(), w.framing.clone());
+        self.end_worker(id, false);
+        thread::sleep(after);
+        self.next_worker += 1;
+        let id = format!("i-{:08x}", 0x3f00_0000 + self.next_worker);
+        self.run_worker(id, address, &service, zone, &models, &framing)
+    }
+
+    /// Returns the worker that runs most requests now.
+    pub fn busiest_worker(&self) -> Option<String> {
+        let rows = self.record.rows();
+        let count = |id: &str, what: &str| {
+            let prefix = format!("worker {id} {what} ");
+            rows.iter().filter(|r| r.contains(&prefix)).count()
+        };
+        let running = |id: &String| count(id, "run").saturating_sub(count(id, "whole"));
+        self.workers.keys().max_by_key(|id| running(id)).cloned()
+    }
+
+    /// Writes the worker's entry as draining, with the time that it has left if it is taken away at short notice.
+    pub fn drain(&self, id: &str, remaining_ms: Option<u64>) {
+        if let Some(w) = self.workers.get(id) {
+            w.entry().draining = Some(remaining_ms.unwrap_or(0));
+            w.list(&self.store);
+            self.record.add(format!("worker {id} is draining, remaining_ms {remaining_ms:?}"));
+        }
+    }
+
+    /// Writes a configuration with a plain service, a service with models, and a route for each kind.
+    pub fn configure(&self, version: u64, models: &[(&str, u32)]) {
+        self.configure_with(version, models, 0, "");
+    }
+
+    /// Writes a configuration with this many routes more, on which nobody asks, and these tenants.
+    pub fn configure_with(&self, version: u64, models: &[(&str, u32)], idle_routes: u32, tenants: &str) {
+        let models: Vec<String> = models
+            .iter()
+            .map(|(n, mb)| {
+                format!("{{\"name\":\"{n}\",\"weights_mb\":{mb},\"load_time_s\":6.6,\"adapters\":0,\"adapter_mb\":66}}")
+            })
+            .collect();
+        let route = |name: &str, kind: &str, service: &str, timeout: u32, target: u32, more: &str| {
+            format!(
+                "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+                 \"service\":\"{service}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":0{more}}}"
+            )
+        };
+        let mut routes = vec![
+            route("commentary", "stream", "pisar", 15_000, 1_000, ",\"max_attempts\":1,\"gap_aim_ms\":300,\"session_affinity\":true"),
+            route("price", "non_idempotent", "cenik", 1_000, 150, ",\"max_attempts\":1"),
+            route("quote", "idempotent", "cenik", 1_000, 150, ",\"max_attempts\":2"),
+        ];
+        for n in 0..idle_routes {
+            let name = format!("idle-{n:04}-of-a-big-configuration");
+            routes.push(route(&name, "idempotent", "cenik", 1_000, 150, ",\"max_attempts\":2"));
+        }
+        let config = format!(
+            "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[\
+             {{\"name\":\"pisar\",\"health_path\":\"/health\",\"max_connections\":300,\"engine\":{{\"slots\":48,\
+             \"kv_capacity_tokens\":118694,\"weights_mb\":200000,\"adapter_slots\":8,\"loads_per_s\":2.1,\"models\":[{}]}}}},\
+             {{\"name\":\"cenik\",\"health_path\":\"/health\",\"max_connections\":110}}],\
+             \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":5000,\"idle_timeout_ms\":10000}}}}",
+            routes.join(","),
+            models.join(",")
+        );
+        self.store.put("keyed.op", "config", &config);
+        self.record.add(format!("configuration {version} acknowledged, {} bytes", config.len()));
+    }
+
+    /// Starts all machines, and waits until each says that it is ready.
+    pub fn start_vms(&mut self) -> io::Result<()> {
+        for vm in &mut self.vms {
+            vm.start()?;
+        }
+        let until = Instant::now() + Duration::from_secs(20);
+        for vm in &self.vms {
+            while !crate::client::is_ready(&vm.readiness()) {
+                if Instant::now() >= until {
+                    return Err(io::Error::other(format!("{} isn't ready", vm.name)));
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+        self.record.add("all machines are ready");
+        Ok(())
+    }
+
+    /// Copies the machines' logs to a folder, for a look after a run.
+    pub fn keep_logs(&self, to: &Path) {
+        let _ = fs::create_dir_all(to);
+        for vm in &self.vms {
+            let _ = fs::copy(&vm.log, to.join(format!("{}.log", vm.name)));
+        }
+    }
+}
+
+impl Worker {
+    fn entry(&self) -> MutexGuard<'_, Entry> {
+        self.entry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the id of its process.
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
+    fn list(&self, store: &Store) {
+        let mut e = self.entry();
+        e.beats += 1;
+        let (state, more) = match e.draining {
+            None => ("ready", String::new()),
+            Some(0) => ("draining", String::new()),
+            Some(ms) => ("draining", format!(",\"remaining_ms\":{ms}")),
+        };
+        let models: Vec<String> = self.models.split(',').filter(|m| !m.is_empty()).map(held).collect();
+        let value = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":48,\"state\":\"{state}\",\
+             \"cold_remaining_ms\":0,\"sequence\":{},\"stage\":\"prefill_decode\",\"models\":[{}]{more}}}",
+            self.service,
+            self.address,
+            self.zone,
+            e.beats,
+            models.join(",")
+        );
+        if !e.gone {
+            store.put("keyed.servers", &self.id, &value);
+        }
+    }
+
+    fn beat(&self, store: &Store) {
+        let (store, entry) = (store.clone(), Arc::clone(&self.entry));
+        let copy = Self {
+            id: self.id.clone(),
+            address: self.address,
+            service: self.service.clone(),
+            zone: self.zone,
+            models: self.models.clone(),
+            framing: self.framing.clone(),
+            process: match Command::new("true").spawn() {
+                Ok(p) => p,
+                Err(_) => return,
+            },
+            entry,
+        };
+        thread::spawn(move || {
+            let mut copy = copy;
+            let _ = copy.process.wait();
+            loop {
+                thread::sleep(HEARTBEAT);
+                if copy.entry().gone {
+                    return;
+                }
+                copy.list(&store);
+            }
+        });
+    }
+}
+
+/// Finds a network of loopback addresses on which nobody listens at the ports.
+fn free_net(vms: usize) -> io::Result<u8> {
+    let first = (std::process::id() % 180) as u8 + 40;
+    for n in 0..180_u16 {
+        let net = ((u16::from(first) - 40 + n) % 180 + 40) as u8;
+        let is_free = (0..vms).all(|vm| {
+            let ip = format!("127.{net}.{}.{}", vm % ZONES.len() + 1, vm / ZONES.len() + 1);
+            let tcp = [FRONT, READY, CONTROL, PEER, ADMIN];
+            let tcp = tcp.iter().all(|p| TcpListener::bind((ip.as_str(), *p)).is_ok());
+            tcp && UdpSocket::bind((ip.as_str(), PEER)).is_ok()
+        });
+        if is_free {
+            return Ok(net);
+        }
+    }
+    Err(io::Error::other("no free addresses"))
+}
+
+fn free_address(ip: &str) -> io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
+}
