--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -1,18 +1,11 @@
 //! A client of the deployment.
 
-use crate::http::{End, Message, read_body, read_head};
+use crate::http::{End, read_body, read_head};
 use crate::site::HOST;
 use std::io::{self, BufReader, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// How a request ended for its client.
-#[derive(Debug)]
-pub struct Ended {
-    pub answer: Message,
-    pub end: End,
-}
-
 /// Asks a machine whether it takes clients.
 pub fn is_ready(address: &str) -> bool {
     let ask = || -> io::Result<bool> {
@@ -25,27 +18,6 @@
     ask().unwrap_or(false)
 }
 
-/// Sends a request on a connection of its own and reads the answer to its end.
-pub fn ask(front: &str, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<Ended> {
-    let mut stream = TcpStream::connect(front)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {}\r\n", body.len());
-    for (n, v) in headers {
-        head.push_str(&format!("{n}: {v}\r\n"));
-    }
-    head.push_str("\r\n");
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(body);
-    stream.write_all(&bytes)?;
-    let mut reader = BufReader::new(stream);
-    let Some(mut answer) = read_head(&mut reader)? else {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    };
-    let end = read_body(&mut reader, &mut answer, true);
-    Ok(Ended { answer, end })
-}
-
 /// A connection that is kept for many requests.
 pub struct Kept {
     writer: TcpStream,
@@ -62,8 +34,8 @@
         Ok(Self { writer, reader })
     }
 
-    /// Sends a request without a body and reads its answer.
-    pub fn get(&mut self, path: &str, headers: &[(&str, &str)]) -> io::Result<Ended> {
+    /// Sends a request without a body, reads its whole answer and returns the status.
+    pub fn get(&mut self, path: &str, headers: &[(&str, &str)]) -> io::Result<u16> {
         let mut head = format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\n");
         for (n, v) in headers {
             head.push_str(&format!("{n}: {v}\r\n"));
@@ -73,7 +45,9 @@
         let Some(mut answer) = read_head(&mut self.reader)? else {
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
-        let end = read_body(&mut self.reader, &mut answer, true);
-        Ok(Ended { answer, end })
+        match read_body(&mut self.reader, &mut answer, true) {
+            End::Complete => Ok(answer.status()),
+            End::Broken => Err(io::ErrorKind::UnexpectedEof.into()),
+        }
     }
 }
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -81,7 +81,11 @@
     } else {
         Ok(())
     };
-    if read.is_ok() { End::Complete } else { End::Broken }
+    if read.is_ok() {
+        End::Complete
+    } else {
+        End::Broken
+    }
 }
 
 fn read_length<R: BufRead>(from: &mut R, to: &mut Vec<u8>, n: usize) -> io::Result<()> {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,7 +3,6 @@
 
 mod client;
 mod http;
-mod leaving;
 mod revoked;
 mod site;
 mod store;
@@ -23,12 +22,12 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let has_trouble = std::env::var("TROUBLE").is_ok_and(|v| v == "0");
-    let has_trouble = !has_trouble;
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let outcome = match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["worker", ..] => worker::run(&args[1..]).map(|()| Found::Held),
-        ["leaving", program, record] => leaving::play(Path::new(program), Path::new(record), has_trouble),
-        ["revoked", program, record] => revoked::play(Path::new(program), Path::new(record), has_trouble),
+        ["revoked", program, record] => {
+            revoked::play(Path::new(program), Path::new(record), has_trouble)
+        }
         _ => Err(std::io::Error::other("which case?")),
     };
     match outcome {
--- a/review/stand-ins-2/src/revoked.rs
+++ b/review/stand-ins-2/src/revoked.rs
@@ -25,7 +25,8 @@
 const KEPT: &str = "b7qwe3rtzu5iopasdf21";
 
 /// The further bounds of a deployment with tenants.
-const SETTINGS: &str = "key_removal_ms = 5000\nquota_window_ms = 8000\nquota_over = 0.1\nquota_slack = 11000\n";
+const SETTINGS: &str =
+    "key_removal_ms = 5000\nquota_window_ms = 8000\nquota_over = 0.1\nquota_slack = 11000\n";
 
 struct Sent {
     id: String,
@@ -35,16 +36,20 @@
 }
 
 fn tenants(has_removed: bool) -> String {
-    let first = if has_removed { format!("\"{REMOVED}\"") } else { String::new() };
+    let first = if has_removed {
+        format!("\"{REMOVED}\"")
+    } else {
+        String::new()
+    };
     format!(
         "\"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{first}]}},{{\"name\":\"meko144\",\"api_keys\":[\"{KEPT}\"]}}],"
     )
 }
 
 pub fn play(program: &Path, record: &Path, has_trouble: bool) -> io::Result<Found> {
-    let mut site = Site::with_settings(program, VMS, SETTINGS)?;
+    let mut site = Site::new(program, VMS, SETTINGS)?;
     let models = [(MODEL, 65_100)];
-    site.configure_with(1, &models, IDLE_ROUTES, &tenants(true));
+    site.configure(1, &models, IDLE_ROUTES, &tenants(true));
     for n in 0..3 {
         site.start_worker("pisar", n, MODEL, "framed")?;
         site.start_worker("cenik", n, "", "framed")?;
@@ -56,11 +61,17 @@
     let mut clients = Vec::new();
     // The last machine stands still; two clients keep a connection to it, and two to another one.
     let frozen = VMS - 1;
-    for (c, (vm, key)) in [(frozen, REMOVED), (frozen, KEPT), (0, REMOVED), (0, KEPT)].into_iter().enumerate() {
-        let (sent, is_over, record) = (Arc::clone(&sent), Arc::clone(&is_over), site.record.clone());
+    for (c, (vm, key)) in [(frozen, REMOVED), (frozen, KEPT), (0, REMOVED), (0, KEPT)]
+        .into_iter()
+        .enumerate()
+    {
+        let (sent, is_over, record) =
+            (Arc::clone(&sent), Arc::clone(&is_over), site.record.clone());
         let (front, name) = (site.vms[vm].front(), site.vms[vm].name.clone());
         clients.push(thread::spawn(move || {
-            let Ok(mut kept) = Kept::open(&front) else { return };
+            let Ok(mut kept) = Kept::open(&front) else {
+                return;
+            };
             let authorization = format!("Token {key}");
             for n in 0_u32.. {
                 if is_over.load(Ordering::Relaxed) {
@@ -68,18 +79,31 @@
                 }
                 let id = format!("{c:04x}{n:012x}");
                 let at = Instant::now();
-                let headers = [("Request-Id", id.as_str()), ("Deadline-Ms", "1000"), ("Authorization", &authorization)];
+                let headers = [
+                    ("Request-Id", id.as_str()),
+                    ("Deadline-Ms", "1000"),
+                    ("Authorization", &authorization),
+                ];
                 record.add(format!("client sends {id} to {name} with key {key}"));
                 let status = match kept.get("/quote/x", &headers) {
-                    Ok(e) => e.answer.status(),
+                    Ok(status) => status,
                     Err(_) => {
-                        let Ok(again) = Kept::open(&front) else { return };
+                        let Ok(again) = Kept::open(&front) else {
+                            return;
+                        };
                         kept = again;
                         0
                     }
                 };
                 record.add(format!("client got {id}: {status}"));
-                sent.lock().unwrap_or_else(PoisonError::into_inner).push(Sent { id, at, key, status });
+                sent.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(Sent {
+                        id,
+                        at,
+                        key,
+                        status,
+                    });
                 thread::sleep(Duration::from_millis(50));
             }
         }));
@@ -88,20 +112,23 @@
     let began = Instant::now();
     if has_trouble {
         site.vms[frozen].signal("STOP");
-        site.record.add(format!("{} stands still", site.vms[frozen].name));
+        site.record
+            .add(format!("{} stands still", site.vms[frozen].name));
     }
     thread::sleep(Duration::from_millis(100));
     for n in 0..CHANGES {
-        site.configure_with(2 + n, &models, IDLE_ROUTES, &tenants(true));
+        site.configure(2 + n, &models, IDLE_ROUTES, &tenants(true));
         thread::sleep(CHANGE_EVERY);
     }
-    site.configure_with(2 + CHANGES, &models, IDLE_ROUTES, &tenants(false));
+    site.configure(2 + CHANGES, &models, IDLE_ROUTES, &tenants(false));
     let removed = Instant::now();
-    site.record.add(format!("key {REMOVED} is taken away, acknowledged"));
+    site.record
+        .add(format!("key {REMOVED} is taken away, acknowledged"));
     thread::sleep(FREEZE.saturating_sub(began.elapsed()));
     if has_trouble {
         site.vms[frozen].signal("CONT");
-        site.record.add(format!("{} goes on", site.vms[frozen].name));
+        site.record
+            .add(format!("{} goes on", site.vms[frozen].name));
     }
     thread::sleep(Duration::from_secs(6));
     is_over.store(true, Ordering::Relaxed);
@@ -112,7 +139,9 @@
     let sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
     let runs: Vec<String> = {
         let rows = site.record.rows();
-        rows.iter().filter_map(|r| Some(r.split_once(" run ")?.1.to_owned())).collect()
+        rows.iter()
+            .filter_map(|r| Some(r.split_once(" run ")?.1.to_owned()))
+            .collect()
     };
     let late: Vec<&Sent> = sent
         .iter()
@@ -135,5 +164,9 @@
     if served == 0 {
         return Err(io::Error::other("nothing was served"));
     }
-    Ok(if late.is_empty() { Found::Held } else { Found::Broken })
+    Ok(if late.is_empty() {
+        Found::Held
+    } else {
+        Found::Broken
+    })
 }
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -43,7 +43,11 @@
 
     /// Adds a row, with the time.
     pub fn add(&self, row: impl AsRef<str>) {
-        let row = format!("{:9.3} {}", self.began.elapsed().as_secs_f64(), row.as_ref());
+        let row = format!(
+            "{:9.3} {}",
+            self.began.elapsed().as_secs_f64(),
+            row.as_ref()
+        );
         self.rows().push(row);
     }
 
@@ -105,7 +109,10 @@
 
     /// Starts its process.
     pub fn start(&mut self) -> io::Result<()> {
-        let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new(&self.program)
             .env_clear()
             .env("LIMEHOLLOW_BOOT", &self.settings)
@@ -131,18 +138,14 @@
             let _ = p.wait();
         }
     }
-
-    /// Waits until its process has ended by itself.
-    pub fn wait(&mut self) {
-        if let Some(mut p) = self.process.take() {
-            let _ = p.wait();
-        }
-    }
 }
 
 /// Sends a signal to a process that this run started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let _ = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status();
 }
 
 /// The deployment.
@@ -173,15 +176,16 @@
 }
 
 impl Site {
-    /// Prepares a deployment with this many entry machines; none runs yet.
-    pub fn new(program: &Path, vms: usize) -> io::Result<Self> {
-        Self::with_settings(program, vms, "")
-    }
-
-    /// Prepares a deployment whose machines have further lines in their settings.
-    pub fn with_settings(program: &Path, vms: usize, further: &str) -> io::Result<Self> {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), now.subsec_nanos()));
+    /// Prepares a deployment with this many entry machines, whose settings have these further lines; none runs yet.
+    pub fn new(program: &Path, vms: usize, further: &str) -> io::Result<Self> {
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let folder = std::env::temp_dir().join(format!(
+            "review-2-{}-{}",
+            std::process::id(),
+            now.subsec_nanos()
+        ));
         fs::create_dir_all(&folder)?;
         let net = free_net(vms)?;
         let (store, store_address) = Store::start(&format!("127.{net}.9.1"))?;
@@ -216,19 +220,29 @@
     }
 
     fn ip(&self, n: usize) -> String {
-        format!("127.{}.{}.{}", self.net, n % ZONES.len() + 1, n / ZONES.len() + 1)
+        format!(
+            "127.{}.{}.{}",
+            self.net,
+            n % ZONES.len() + 1,
+            n / ZONES.len() + 1
+        )
     }
 
     /// The settings as `deploy/vm.toml.tmpl` shapes them, with the bounds of a small deployment.
     fn settings(&self, vm: &Vm, vms: usize) -> String {
-        let seeds: Vec<String> = (0..vms.min(3)).map(|n| format!("\"{}:{CONTROL}\"", self.ip(n))).collect();
-        let regions: Vec<String> = ZONES.iter().map(|z| format!("\"{z}\" = \"osrednja\"")).collect();
+        let seeds: Vec<String> = (0..vms.min(3))
+            .map(|n| format!("\"{}:{CONTROL}\"", self.ip(n)))
+            .collect();
+        let regions: Vec<String> = ZONES
+            .iter()
+            .map(|z| format!("\"{z}\" = \"osrednja\""))
+            .collect();
         format!(
             "name = \"{name}\"\navailability_zone = \"{zone}\"\nip = \"{ip}\"\naddress = \"{ip}:{FRONT}\"\n\
              readiness_address = \"{ip}:{READY}\"\npeer_port = {PEER}\nadmin_port = {ADMIN}\nseeds = [{seeds}]\n\
              cores = 0.25\nfirst_start = true\ndescriptors = 4100\nmemory_mb = 260\nlink_mbps = 1000.0\n\
-             store_address = \"{store}\"\ngrace_ms = 8000\nlease_ms = 3000\nleaving_ms = 2000\n\
-             configuration_ms = 2000\nrepeat_ratio = 0.2\nrepeat_slack = 56\nrepeat_window_ms = 10000\n\
+             store_address = \"{store}\"\ngrace_ms = 8000\nlease_ms = 3000\nleaving_ms = 3000\n\
+             configuration_ms = 3000\nrepeat_ratio = 0.2\nrepeat_slack = 56\nrepeat_window_ms = 10000\n\
              load_window_ms = 5000\nload_over = 1.1\n{further}[regions]\n{regions}\n",
             name = vm.name,
             zone = vm.zone,
@@ -241,11 +255,24 @@
     }
 
     /// Starts a worker that holds these models, and lists it.
-    pub fn start_worker(&mut self, service: &str, zone: usize, models: &str, framing: &str) -> io::Result<String> {
+    pub fn start_worker(
+        &mut self,
+        service: &str,
+        zone: usize,
+        models: &str,
+        framing: &str,
+    ) -> io::Result<String> {
         self.next_worker += 1;
         let id = format!("i-{:08x}", 0x3f00_0000 + self.next_worker);
         let address = free_address(&format!("127.{}.8.{}", self.net, self.next_worker))?;
-        self.run_worker(id, address, service, ZONES[zone % ZONES.len()], models, framing)
+        self.run_worker(
+            id,
+            address,
+            service,
+            ZONES[zone % ZONES.len()],
+            models,
+            framing,
+        )
     }
 
     fn run_worker(
@@ -286,84 +313,62 @@
         Ok(id)
     }
 
-    /// Kills a worker's process. Its entry lapses later, as after a crash, unless it is taken off now.
-    pub fn end_worker(&mut self, id: &str, unlist: bool) {
-        if let Some(mut w) = self.workers.remove(id) {
-            let _ = w.process.kill();
-            let _ = w.process.wait();
-            self.record.add(format!("worker {id} is gone"));
-            w.entry().gone = true;
-            let (store, id) = (self.store.clone(), id.to_owned());
-            thread::spawn(move || {
-                if !unlist {
-                    thread::sleep(HEARTBEAT * 3);
-                }
-                store.put("keyed.servers", &id, "");
-            });
-        }
-    }
-
-    /// Kills a worker's process and starts another one at its address after a while, with a new id.
-    pub fn crash_and_restart(&mut self, id: &str, after: Duration) -> io::Result<String> {
-        let Some(w) = self.workers.get(id) else {
-            return Err(io::ErrorKind::NotFound.into());
-        };
-        let (address, service, zone) = (w.address, w.service.clone(), w.zone);
-        let (models, framing) = (w.models.clone(), w.framing.clone());
-        self.end_worker(id, false);
-        thread::sleep(after);
-        self.next_worker += 1;
-        let id = format!("i-{:08x}", 0x3f00_0000 + self.next_worker);
-        self.run_worker(id, address, &service, zone, &models, &framing)
-    }
-
-    /// Returns the worker that runs most requests now.
-    pub fn busiest_worker(&self) -> Option<String> {
-        let rows = self.record.rows();
-        let count = |id: &str, what: &str| {
-            let prefix = format!("worker {id} {what} ");
-            rows.iter().filter(|r| r.contains(&prefix)).count()
-        };
-        let running = |id: &String| count(id, "run").saturating_sub(count(id, "whole"));
-        self.workers.keys().max_by_key(|id| running(id)).cloned()
-    }
-
-    /// Writes the worker's entry as draining, with the time that it has left if it is taken away at short notice.
-    pub fn drain(&self, id: &str, remaining_ms: Option<u64>) {
-        if let Some(w) = self.workers.get(id) {
-            w.entry().draining = Some(remaining_ms.unwrap_or(0));
-            w.list(&self.store);
-            self.record.add(format!("worker {id} is draining, remaining_ms {remaining_ms:?}"));
-        }
-    }
-
-    /// Writes a configuration with a plain service, a service with models, and a route for each kind.
-    pub fn configure(&self, version: u64, models: &[(&str, u32)]) {
-        self.configure_with(version, models, 0, "");
-    }
-
-    /// Writes a configuration with this many routes more, on which nobody asks, and these tenants.
-    pub fn configure_with(&self, version: u64, models: &[(&str, u32)], idle_routes: u32, tenants: &str) {
+    /// Writes a configuration with a plain service, a service with models, a route for each kind, this many routes on which
+    /// nobody asks, and these tenants.
+    pub fn configure(&self, version: u64, models: &[(&str, u32)], idle_routes: u32, tenants: &str) {
         let models: Vec<String> = models
             .iter()
             .map(|(n, mb)| {
                 format!("{{\"name\":\"{n}\",\"weights_mb\":{mb},\"load_time_s\":6.6,\"adapters\":0,\"adapter_mb\":66}}")
             })
             .collect();
-        let route = |name: &str, kind: &str, service: &str, timeout: u32, target: u32, more: &str| {
+        let route = |name: &str,
+                     kind: &str,
+                     service: &str,
+                     timeout: u32,
+                     target: u32,
+                     more: &str| {
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
                  \"service\":\"{service}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":0{more}}}"
             )
         };
         let mut routes = vec![
-            route("commentary", "stream", "pisar", 15_000, 1_000, ",\"max_attempts\":1,\"gap_aim_ms\":300,\"session_affinity\":true"),
-            route("price", "non_idempotent", "cenik", 1_000, 150, ",\"max_attempts\":1"),
-            route("quote", "idempotent", "cenik", 1_000, 150, ",\"max_attempts\":2"),
+            route(
+                "commentary",
+                "stream",
+                "pisar",
+                15_000,
+                1_000,
+                ",\"max_attempts\":1,\"gap_aim_ms\":300,\"session_affinity\":true",
+            ),
+            route(
+                "price",
+                "non_idempotent",
+                "cenik",
+                1_000,
+                150,
+                ",\"max_attempts\":1",
+            ),
+            route(
+                "quote",
+                "idempotent",
+                "cenik",
+                1_000,
+                150,
+                ",\"max_attempts\":2",
+            ),
         ];
         for n in 0..idle_routes {
             let name = format!("idle-{n:04}-of-a-big-configuration");
-            routes.push(route(&name, "idempotent", "cenik", 1_000, 150, ",\"max_attempts\":2"));
+            routes.push(route(
+                &name,
+                "idempotent",
+                "cenik",
+                1_000,
+                150,
+                ",\"max_attempts\":2",
+            ));
         }
         let config = format!(
             "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[\
@@ -375,7 +380,10 @@
             models.join(",")
         );
         self.store.put("keyed.op", "config", &config);
-        self.record.add(format!("configuration {version} acknowledged, {} bytes", config.len()));
+        self.record.add(format!(
+            "configuration {version} acknowledged, {} bytes",
+            config.len()
+        ));
     }
 
     /// Starts all machines, and waits until each says that it is ready.
@@ -410,11 +418,6 @@
         self.entry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the id of its process.
-    pub fn pid(&self) -> u32 {
-        self.process.id()
-    }
-
     fn list(&self, store: &Store) {
         let mut e = self.entry();
         e.beats += 1;
@@ -423,7 +426,12 @@
             Some(0) => ("draining", String::new()),
             Some(ms) => ("draining", format!(",\"remaining_ms\":{ms}")),
         };
-        let models: Vec<String> = self.models.split(',').filter(|m| !m.is_empty()).map(held).collect();
+        let models: Vec<String> = self
+            .models
+            .split(',')
+            .filter(|m| !m.is_empty())
+            .map(held)
+            .collect();
         let value = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":48,\"state\":\"{state}\",\
              \"cold_remaining_ms\":0,\"sequence\":{},\"stage\":\"prefill_decode\",\"models\":[{}]{more}}}",
@@ -473,9 +481,15 @@
     for n in 0..180_u16 {
         let net = ((u16::from(first) - 40 + n) % 180 + 40) as u8;
         let is_free = (0..vms).all(|vm| {
-            let ip = format!("127.{net}.{}.{}", vm % ZONES.len() + 1, vm / ZONES.len() + 1);
+            let ip = format!(
+                "127.{net}.{}.{}",
+                vm % ZONES.len() + 1,
+                vm / ZONES.len() + 1
+            );
             let tcp = [FRONT, READY, CONTROL, PEER, ADMIN];
-            let tcp = tcp.iter().all(|p| TcpListener::bind((ip.as_str(), *p)).is_ok());
+            let tcp = tcp
+                .iter()
+                .all(|p| TcpListener::bind((ip.as_str(), *p)).is_ok());
             tcp && UdpSocket::bind((ip.as_str(), PEER)).is_ok()
         });
         if is_free {
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -57,11 +57,6 @@
         self.append(topic, key.as_bytes().to_vec(), value.as_bytes().to_vec());
     }
 
-    /// Returns who holds the lease's partition.
-    pub fn owner(&self) -> Option<String> {
-        self.lock().group.owner.clone()
-    }
-
     fn append(&self, topic: &str, key: Vec<u8>, value: Vec<u8>) {
         let mut kept = self.lock();
         let records = kept.topics.entry(topic.to_owned()).or_default();
@@ -76,13 +71,17 @@
 
     fn handle(&self, req: &Message, to: &mut TcpStream) -> io::Result<bool> {
         let (path, query) = req.target().split_once('?').unwrap_or((req.target(), ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or("");
         let text = String::from_utf8_lossy(&req.body).into_owned();
         let (status, body) = match path {
             "/log-append" => {
                 let end = self.append_all(topic, &req.body);
-                ("200 OK", format!("{{\"offset\":0,\"end\":{end}}}").into_bytes())
+                (
+                    "200 OK",
+                    format!("{{\"offset\":0,\"end\":{end}}}").into_bytes(),
+                )
             }
             "/log-read" => self.read(topic, &query),
             "/log-newest" => ("200 OK", self.newest(topic).into_bytes()),
@@ -102,14 +101,23 @@
             let len = u32::from_be_bytes([body[0], body[1], body[2], body[3]]) as usize;
             let one = &body[4..(4 + len).min(body.len())];
             let key_len = usize::from(one[0]);
-            self.append(topic, one[1..=key_len].to_vec(), one[1 + key_len..].to_vec());
+            self.append(
+                topic,
+                one[1..=key_len].to_vec(),
+                one[1 + key_len..].to_vec(),
+            );
             body = &body[(4 + len).min(body.len())..];
         }
         self.lock().topics.get(topic).map_or(0, Vec::len)
     }
 
     fn read(&self, topic: &str, query: &HashMap<&str, &str>) -> (&'static str, Vec<u8>) {
-        let number = |n: &str| query.get(n).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |n: &str| {
+            query
+                .get(n)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let from = number("from") as usize;
         let until = Instant::now() + Duration::from_millis(number("wait_ms"));
         let mut kept = self.lock();
@@ -123,7 +131,11 @@
                 let mut out = Vec::new();
                 out.extend((all.len() as u64).to_be_bytes());
                 out.extend(0_u64.to_be_bytes());
-                let most = query.get("max_kb").and_then(|v| v.parse().ok()).unwrap_or(MAX_KB) << 10;
+                let most = query
+                    .get("max_kb")
+                    .and_then(|v| v.parse().ok())
+                    .unwrap_or(MAX_KB)
+                    << 10;
                 for r in &all[from..] {
                     let size = 5 + r.key.len() + r.value.len();
                     if out.len() > 16 && out.len() - 16 + size > most {
@@ -154,7 +166,10 @@
             .filter(|(_, (_, v))| !v.is_empty())
             .map(|(k, (i, v))| {
                 let key = String::from_utf8_lossy(k);
-                format!("{{\"tls_key\":\"{key}\",\"value\":\"{}\",\"offset\":{i}}}", base64(v))
+                format!(
+                    "{{\"tls_key\":\"{key}\",\"value\":\"{}\",\"offset\":{i}}}",
+                    base64(v)
+                )
             })
             .collect();
         let (items, end) = (items.join(","), all.len());
@@ -170,13 +185,18 @@
         let mut kept = self.lock();
         let g = &mut kept.group;
         let before = g.members.len();
-        g.members.retain(|_, (at, ttl)| now.duration_since(*at) < *ttl);
+        g.members
+            .retain(|_, (at, ttl)| now.duration_since(*at) < *ttl);
         let is_new = g.members.insert(member.clone(), (now, ttl)).is_none();
         let lost = before + usize::from(is_new) != g.members.len();
         g.generation += u64::from(is_new || lost);
         g.owner = g.owner.take().filter(|o| g.members.contains_key(o));
         let owner = g.owner.get_or_insert_with(|| member.clone());
-        let parts = if *owner == member { "[\"order-lease\",0,0]" } else { "" };
+        let parts = if *owner == member {
+            "[\"order-lease\",0,0]"
+        } else {
+            ""
+        };
         format!("{{\"generation\":{},\"parts\":[{parts}]}}", g.generation)
     }
 
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -143,9 +143,15 @@
             return Ok(false);
         }
         let out = req.header("token-usage").and_then(|v| v.split_once(','));
-        let tokens = out.and_then(|(_, n)| n.trim().parse::<u32>().ok()).unwrap_or(90);
+        let tokens = out
+            .and_then(|(_, n)| n.trim().parse::<u32>().ok())
+            .unwrap_or(90);
         let events = tokens.div_ceil(TOKENS_AN_EVENT).max(1);
-        let framing = if self.unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+        let framing = if self.unframed {
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
         headers.push(("Weight-Versions", "1"));
         to.write_all(head(&headers, "text/event-stream", framing).as_bytes())?;
         for n in 1..=events {
@@ -171,8 +177,14 @@
 
 /// Writes the head of an answer whose body follows.
 fn head(headers: &[(&str, &str)], kind: &str, framing: &str) -> String {
-    let rows: Vec<String> = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
-    format!("HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n{framing}\r\n{}\r\n", rows.concat())
+    let rows: Vec<String> = headers
+        .iter()
+        .map(|(n, v)| format!("{n}: {v}\r\n"))
+        .collect();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n{framing}\r\n{}\r\n",
+        rows.concat()
+    )
 }
 
 /// Writes a model as reports and entries do.
