--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod revoked;
 mod site;
 mod store;
+mod storm;
 mod worker;
 
 use std::path::Path;
@@ -28,6 +29,9 @@
         ["revoked", program, record] => {
             revoked::play(Path::new(program), Path::new(record), has_trouble)
         }
+        ["storm", program, record] => {
+            storm::play(Path::new(program), Path::new(record), has_trouble)
+        }
         _ => Err(std::io::Error::other("which case?")),
     };
     match outcome {
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -241,14 +241,15 @@
             "name = \"{name}\"\navailability_zone = \"{zone}\"\nip = \"{ip}\"\naddress = \"{ip}:{FRONT}\"\n\
              readiness_address = \"{ip}:{READY}\"\npeer_port = {PEER}\nadmin_port = {ADMIN}\nseeds = [{seeds}]\n\
              cores = 0.25\nfirst_start = true\ndescriptors = 4100\nmemory_mb = 260\nlink_mbps = 1000.0\n\
-             store_address = \"{store}\"\ngrace_ms = 8000\nlease_ms = 3000\nleaving_ms = 3000\n\
-             configuration_ms = 3000\nrepeat_ratio = 0.2\nrepeat_slack = 56\nrepeat_window_ms = 10000\n\
+             store_address = \"{store}\"\ngrace_ms = 8000\nlease_ms = 3000\nleaving_ms = {apply}\n\
+             configuration_ms = {apply}\nrepeat_ratio = 0.2\nrepeat_slack = 56\nrepeat_window_ms = 10000\n\
              load_window_ms = 5000\nload_over = 1.1\n{further}[regions]\n{regions}\n",
             name = vm.name,
             zone = vm.zone,
             ip = vm.ip,
             seeds = seeds.join(", "),
             store = self.store_address,
+            apply = if self.further.is_empty() { 2000 } else { 3000 },
             further = self.further,
             regions = regions.join("\n"),
         )
@@ -359,6 +360,16 @@
                 ",\"max_attempts\":2",
             ),
         ];
+        for n in 2..=version {
+            routes.push(route(
+                &format!("step-{n}"),
+                "idempotent",
+                "cenik",
+                1_000,
+                150,
+                ",\"max_attempts\":2",
+            ));
+        }
         for n in 0..idle_routes {
             let name = format!("idle-{n:04}-of-a-big-configuration");
             routes.push(route(
