--- a/review/stand-ins-2/src/revoked.rs
+++ b/review/stand-ins-2/src/revoked.rs
@@ -47,12 +47,12 @@
 }
 
 pub fn play(program: &Path, record: &Path, has_trouble: bool) -> io::Result<Found> {
-    let mut site = Site::new(program, VMS, SETTINGS)?;
+    let mut site = Site::new(program, VMS, 3_000, SETTINGS)?;
     let models = [(MODEL, 65_100)];
     site.configure(1, &models, IDLE_ROUTES, &tenants(true));
     for n in 0..3 {
-        site.start_worker("pisar", n, MODEL, "framed")?;
-        site.start_worker("cenik", n, "", "framed")?;
+        site.start_worker("pisar", n, MODEL)?;
+        site.start_worker("cenik", n, "")?;
     }
     thread::sleep(Duration::from_millis(300));
     site.start_vms()?;
@@ -116,9 +116,11 @@
             .add(format!("{} stands still", site.vms[frozen].name));
     }
     thread::sleep(Duration::from_millis(100));
+    let storm = Instant::now();
     for n in 0..CHANGES {
         site.configure(2 + n, &models, IDLE_ROUTES, &tenants(true));
-        thread::sleep(CHANGE_EVERY);
+        let next = CHANGE_EVERY * (n as u32 + 1);
+        thread::sleep(next.saturating_sub(storm.elapsed()));
     }
     site.configure(2 + CHANGES, &models, IDLE_ROUTES, &tenants(false));
     let removed = Instant::now();
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -2,7 +2,6 @@
 
 use crate::store::Store;
 use crate::worker::held;
-use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -22,6 +21,8 @@
 pub const ZONES: [&str; 3] = ["dvorana-a", "dvorana-b", "dvorana-c"];
 /// How often a worker writes to its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// How long an append takes in the store, beside 50 ns a byte (`append_ms`, `part_mb_per_s`).
+const APPEND: Duration = Duration::from_millis(4);
 /// The host of all routes.
 pub const HOST: &str = "wuny96.example";
 
@@ -66,23 +67,39 @@
     }
 }
 
-/// A worker's process, and its entry in the store.
-pub struct Worker {
-    pub id: String,
-    pub address: SocketAddr,
+/// A worker's entry in the store.
+#[derive(Clone)]
+struct Entry {
+    id: String,
+    address: SocketAddr,
     service: String,
     zone: &'static str,
     models: String,
-    framing: String,
-    process: Child,
-    entry: Arc<Mutex<Entry>>,
 }
 
-#[derive(Default)]
-struct Entry {
-    draining: Option<u64>,
-    gone: bool,
-    beats: u64,
+impl Entry {
+    /// Writes the entry to the store until the run ends.
+    fn beat(self, store: Store) {
+        thread::spawn(move || {
+            for beats in 1_u64.. {
+                store.put("keyed.servers", &self.id, &self.value(beats));
+                thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+
+    fn value(&self, beats: u64) -> String {
+        let models = self.models.split(',').filter(|m| !m.is_empty());
+        let models: Vec<String> = models.map(held).collect();
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":48,\"state\":\"ready\",\
+             \"cold_remaining_ms\":0,\"sequence\":{beats},\"stage\":\"prefill_decode\",\"models\":[{}]}}",
+            self.service,
+            self.address,
+            self.zone,
+            models.join(",")
+        )
+    }
 }
 
 /// An entry machine's process.
@@ -150,14 +167,15 @@
 
 /// The deployment.
 pub struct Site {
-    pub store: Store,
+    store: Store,
     store_address: SocketAddr,
     pub vms: Vec<Vm>,
-    pub workers: BTreeMap<String, Worker>,
+    workers: Vec<Child>,
     pub record: Record,
     net: u8,
     folder: PathBuf,
-    next_worker: u32,
+    /// The bound on the time until a configuration is in force, and on that of a leaving worker, in ms.
+    apply_ms: u32,
     /// Further lines of the machines' settings.
     further: String,
 }
@@ -167,17 +185,17 @@
         for vm in &mut self.vms {
             vm.kill();
         }
-        for w in self.workers.values_mut() {
-            let _ = w.process.kill();
-            let _ = w.process.wait();
+        for w in &mut self.workers {
+            let _ = w.kill();
+            let _ = w.wait();
         }
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
 impl Site {
-    /// Prepares a deployment with this many entry machines, whose settings have these further lines; none runs yet.
-    pub fn new(program: &Path, vms: usize, further: &str) -> io::Result<Self> {
+    /// Prepares a deployment with this many entry machines, whose settings have these bounds and further lines; none runs yet.
+    pub fn new(program: &Path, vms: usize, apply_ms: u32, further: &str) -> io::Result<Self> {
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -193,11 +211,11 @@
             store,
             store_address,
             vms: Vec::new(),
-            workers: BTreeMap::new(),
+            workers: Vec::new(),
             record: Record::new(),
             net,
             folder,
-            next_worker: 0,
+            apply_ms,
             further: further.to_owned(),
         };
         for n in 0..vms {
@@ -249,69 +267,38 @@
             ip = vm.ip,
             seeds = seeds.join(", "),
             store = self.store_address,
-            apply = if self.further.is_empty() { 2000 } else { 3000 },
+            apply = self.apply_ms,
             further = self.further,
             regions = regions.join("\n"),
         )
     }
 
     /// Starts a worker that holds these models, and lists it.
-    pub fn start_worker(
-        &mut self,
-        service: &str,
-        zone: usize,
-        models: &str,
-        framing: &str,
-    ) -> io::Result<String> {
-        self.next_worker += 1;
-        let id = format!("i-{:08x}", 0x3f00_0000 + self.next_worker);
-        let address = free_address(&format!("127.{}.8.{}", self.net, self.next_worker))?;
-        self.run_worker(
-            id,
-            address,
-            service,
-            ZONES[zone % ZONES.len()],
-            models,
-            framing,
-        )
-    }
-
-    fn run_worker(
-        &mut self,
-        id: String,
-        address: SocketAddr,
-        service: &str,
-        zone: &'static str,
-        models: &str,
-        framing: &str,
-    ) -> io::Result<String> {
+    pub fn start_worker(&mut self, service: &str, zone: usize, models: &str) -> io::Result<()> {
+        let n = self.workers.len() + 1;
+        let entry = Entry {
+            id: format!("i-{:08x}", 0x3f00_0000 + n),
+            address: free_address(&format!("127.{}.8.{n}", self.net))?,
+            service: service.to_owned(),
+            zone: ZONES[zone % ZONES.len()],
+            models: models.to_owned(),
+        };
         let mut process = Command::new(std::env::current_exe()?)
-            .args(["worker", &id, &address.to_string(), models, framing])
+            .args(["worker", &entry.id, &entry.address.to_string(), models])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()?;
         if let Some(out) = process.stdout.take() {
-            let (record, id) = (self.record.clone(), id.clone());
+            let (record, id) = (self.record.clone(), entry.id.clone());
             thread::spawn(move || {
                 for row in BufReader::new(out).lines().map_while(Result::ok) {
                     record.add(format!("worker {id} {row}"));
                 }
             });
         }
-        let worker = Worker {
-            id: id.clone(),
-            address,
-            service: service.to_owned(),
-            zone,
-            models: models.to_owned(),
-            framing: framing.to_owned(),
-            process,
-            entry: Arc::default(),
-        };
-        worker.list(&self.store);
-        worker.beat(&self.store);
-        self.workers.insert(id.clone(), worker);
-        Ok(id)
+        self.workers.push(process);
+        entry.beat(self.store.clone());
+        Ok(())
     }
 
     /// Writes a configuration with a plain service, a service with models, a route for each kind, this many routes on which
@@ -323,64 +310,26 @@
                 format!("{{\"name\":\"{n}\",\"weights_mb\":{mb},\"load_time_s\":6.6,\"adapters\":0,\"adapter_mb\":66}}")
             })
             .collect();
-        let route = |name: &str,
-                     kind: &str,
-                     service: &str,
-                     timeout: u32,
-                     target: u32,
-                     more: &str| {
+        let route = |name: &str, kind: &str, service: &str, limits: (u32, u32), more: &str| {
+            let (timeout, target) = limits;
             format!(
-                "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
-                 \"service\":\"{service}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":0{more}}}"
+                "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+                 \"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":0,\"service\":\"{service}\",\
+                 \"no_auth\":false,{more}}}"
             )
         };
+        let stream =
+            "\"max_attempts\":1,\"session_affinity\":true,\"resumable\":false,\"gap_aim_ms\":300";
+        let once = "\"max_attempts\":1,\"session_affinity\":false,\"resumable\":false";
+        let plain = "\"max_attempts\":2,\"session_affinity\":false,\"resumable\":false";
+        let quote = |name: &str| route(name, "idempotent", "cenik", (1_000, 150), plain);
         let mut routes = vec![
-            route(
-                "commentary",
-                "stream",
-                "pisar",
-                15_000,
-                1_000,
-                ",\"max_attempts\":1,\"gap_aim_ms\":300,\"session_affinity\":true",
-            ),
-            route(
-                "price",
-                "non_idempotent",
-                "cenik",
-                1_000,
-                150,
-                ",\"max_attempts\":1",
-            ),
-            route(
-                "quote",
-                "idempotent",
-                "cenik",
-                1_000,
-                150,
-                ",\"max_attempts\":2",
-            ),
+            route("commentary", "stream", "pisar", (15_000, 1_000), stream),
+            route("price", "non_idempotent", "cenik", (1_000, 150), once),
+            quote("quote"),
         ];
-        for n in 2..=version {
-            routes.push(route(
-                &format!("step-{n}"),
-                "idempotent",
-                "cenik",
-                1_000,
-                150,
-                ",\"max_attempts\":2",
-            ));
-        }
-        for n in 0..idle_routes {
-            let name = format!("idle-{n:04}-of-a-big-configuration");
-            routes.push(route(
-                &name,
-                "idempotent",
-                "cenik",
-                1_000,
-                150,
-                ",\"max_attempts\":2",
-            ));
-        }
+        routes.extend((2..=version).map(|n| quote(&format!("step-{n}"))));
+        routes.extend((0..idle_routes).map(|n| quote(&format!("idle{n:04}"))));
         let config = format!(
             "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[\
              {{\"name\":\"pisar\",\"health_path\":\"/health\",\"max_connections\":300,\"engine\":{{\"slots\":48,\
@@ -390,6 +339,7 @@
             routes.join(","),
             models.join(",")
         );
+        thread::sleep(APPEND + Duration::from_nanos(50 * config.len() as u64));
         self.store.put("keyed.op", "config", &config);
         self.record.add(format!(
             "configuration {version} acknowledged, {} bytes",
@@ -424,68 +374,6 @@
     }
 }
 
-impl Worker {
-    fn entry(&self) -> MutexGuard<'_, Entry> {
-        self.entry.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn list(&self, store: &Store) {
-        let mut e = self.entry();
-        e.beats += 1;
-        let (state, more) = match e.draining {
-            None => ("ready", String::new()),
-            Some(0) => ("draining", String::new()),
-            Some(ms) => ("draining", format!(",\"remaining_ms\":{ms}")),
-        };
-        let models: Vec<String> = self
-            .models
-            .split(',')
-            .filter(|m| !m.is_empty())
-            .map(held)
-            .collect();
-        let value = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":48,\"state\":\"{state}\",\
-             \"cold_remaining_ms\":0,\"sequence\":{},\"stage\":\"prefill_decode\",\"models\":[{}]{more}}}",
-            self.service,
-            self.address,
-            self.zone,
-            e.beats,
-            models.join(",")
-        );
-        if !e.gone {
-            store.put("keyed.servers", &self.id, &value);
-        }
-    }
-
-    fn beat(&self, store: &Store) {
-        let (store, entry) = (store.clone(), Arc::clone(&self.entry));
-        let copy = Self {
-            id: self.id.clone(),
-            address: self.address,
-            service: self.service.clone(),
-            zone: self.zone,
-            models: self.models.clone(),
-            framing: self.framing.clone(),
-            process: match Command::new("true").spawn() {
-                Ok(p) => p,
-                Err(_) => return,
-            },
-            entry,
-        };
-        thread::spawn(move || {
-            let mut copy = copy;
-            let _ = copy.process.wait();
-            loop {
-                thread::sleep(HEARTBEAT);
-                if copy.entry().gone {
-                    return;
-                }
-                copy.list(&store);
-            }
-        });
-    }
-}
-
 /// Finds a network of loopback addresses on which nobody listens at the ports.
 fn free_net(vms: usize) -> io::Result<u8> {
     let first = (std::process::id() % 180) as u8 + 40;
--- a/review/stand-ins-2/src/storm.rs
+++ b/review/stand-ins-2/src/storm.rs
@@ -31,12 +31,12 @@
 }
 
 pub fn play(program: &Path, record: &Path, has_trouble: bool) -> io::Result<Found> {
-    let mut site = Site::new(program, VMS, "")?;
+    let mut site = Site::new(program, VMS, 2_000, "")?;
     let models = [(MODEL, 65_100)];
     site.configure(1, &models, IDLE_ROUTES, "");
     for n in 0..3 {
-        site.start_worker("pisar", n, MODEL, "framed")?;
-        site.start_worker("cenik", n, "", "framed")?;
+        site.start_worker("pisar", n, MODEL)?;
+        site.start_worker("cenik", n, "")?;
     }
     thread::sleep(Duration::from_millis(300));
     site.start_vms()?;
@@ -101,15 +101,19 @@
     } else {
         (8, CALM_CHANGE_EVERY)
     };
-    for version in 4..4 + changes {
-        change(version, IDLE_ROUTES + 2 * GROWTH);
-        thread::sleep(every);
+    let began = Instant::now();
+    for n in 0..changes {
+        change(4 + n, IDLE_ROUTES + 2 * GROWTH);
+        let next = every * (n as u32 + 1);
+        thread::sleep(next.saturating_sub(began.elapsed()));
     }
     thread::sleep(Duration::from_secs(6));
     is_over.store(true, Ordering::Relaxed);
     for c in clients {
         let _ = c.join();
     }
+    // What the workers said last is to stand before the sum.
+    thread::sleep(Duration::from_millis(300));
     let late = late.lock().unwrap_or_else(PoisonError::into_inner);
     for l in late.iter() {
         site.record.add(format!(
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -2,15 +2,12 @@
 
 use crate::http::{self, Message, json_field};
 use std::collections::BTreeSet;
-use std::io::{self, Write};
+use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The time between two events, and the tokens of an event, as on the sheet of a small deployment.
-pub const EVENT_EVERY: Duration = Duration::from_millis(35);
-pub const TOKENS_AN_EVENT: u32 = 3;
 /// How long a plain request works, and how long a model loads.
 const WORK: Duration = Duration::from_millis(30);
 const LOAD: Duration = Duration::from_millis(600);
@@ -24,18 +21,15 @@
 
 struct Worker {
     id: String,
-    /// Whether its answers carry no length and end with their connection.
-    unframed: bool,
     state: Mutex<State>,
 }
 
-/// Runs a worker: its id, its address, its models (with commas) and whether its answers carry no length.
+/// Runs a worker: its id, its address and its models, with commas.
 pub fn run(args: &[String]) -> io::Result<()> {
     let listener = TcpListener::bind(&args[1])?;
     let models = args[2].split(',').filter(|m| !m.is_empty());
     let worker = Arc::new(Worker {
         id: args[0].clone(),
-        unframed: args[3] == "unframed",
         state: Mutex::new(State {
             models: models.map(str::to_owned).collect(),
             ..State::default()
@@ -67,7 +61,7 @@
                 let status = self.order(&String::from_utf8_lossy(&req.body));
                 http::answer(to, status, &headers, b"")?;
             }
-            _ => return self.work(req, id, headers, to),
+            _ => self.work(id, headers, to)?,
         }
         Ok(true)
     }
@@ -115,78 +109,17 @@
         "202 Accepted"
     }
 
-    fn work(
-        &self,
-        req: &Message,
-        id: &str,
-        mut headers: Vec<(&str, &str)>,
-        to: &mut TcpStream,
-    ) -> io::Result<bool> {
-        let model = req.header("model").unwrap_or("");
-        if !model.is_empty() && !self.lock().models.contains(model) {
-            http::answer(to, "421 Misdirected Request", &headers, b"")?;
-            return Ok(true);
-        }
+    /// Runs a plain request; no case sends another.
+    fn work(&self, id: &str, mut headers: Vec<(&str, &str)>, to: &mut TcpStream) -> io::Result<()> {
         println!("run {id}");
         headers.push(("Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"));
-        if model.is_empty() {
-            thread::sleep(WORK);
-            let body = vec![b'x'; 800];
-            if !self.unframed {
-                http::answer(to, "200 OK", &headers, &body)?;
-                println!("whole {id}");
-                return Ok(true);
-            }
-            to.write_all(head(&headers, "text/plain", "Connection: close").as_bytes())?;
-            to.write_all(&body)?;
-            println!("whole {id}");
-            return Ok(false);
-        }
-        let out = req.header("token-usage").and_then(|v| v.split_once(','));
-        let tokens = out
-            .and_then(|(_, n)| n.trim().parse::<u32>().ok())
-            .unwrap_or(90);
-        let events = tokens.div_ceil(TOKENS_AN_EVENT).max(1);
-        let framing = if self.unframed {
-            "Connection: close"
-        } else {
-            "Transfer-Encoding: chunked"
-        };
-        headers.push(("Weight-Versions", "1"));
-        to.write_all(head(&headers, "text/event-stream", framing).as_bytes())?;
-        for n in 1..=events {
-            thread::sleep(EVENT_EVERY);
-            let event = format!("id: {n}\ndata: {id} {n}/{events}\n\n");
-            let bytes = if self.unframed {
-                event.into_bytes()
-            } else {
-                format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
-            };
-            to.write_all(&bytes)?;
-            if n % 10 == 0 {
-                println!("event {id} {n}/{events}");
-            }
-        }
-        if !self.unframed {
-            to.write_all(b"0\r\n\r\n")?;
-        }
+        thread::sleep(WORK);
+        http::answer(to, "200 OK", &headers, &[b'x'; 800])?;
         println!("whole {id}");
-        Ok(!self.unframed)
+        Ok(())
     }
 }
 
-/// Writes the head of an answer whose body follows.
-fn head(headers: &[(&str, &str)], kind: &str, framing: &str) -> String {
-    let rows: Vec<String> = headers
-        .iter()
-        .map(|(n, v)| format!("{n}: {v}\r\n"))
-        .collect();
-    format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n{framing}\r\n{}\r\n",
-        rows.concat()
-    )
-}
-
 /// Writes a model as reports and entries do.
 pub fn held(name: &str) -> String {
     format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}")
